The configuration service's client is named after it

Cause: the crate `platform` holds the client of the product's own configuration service and list of VMs, and a folder of that name is to hold the adapter to the users' platform. Change: the crate is `configuration`; no behaviour changed.

--- a/components/platform/src/spread.rs
+++ b/components/configuration/src/spread.rs
@@ -44,7 +44,7 @@
 /// of its domain; one without any listed peer there watches.
 ///
 /// ```
-/// use platform::spread::{Place, place};
+/// use configuration::spread::{Place, place};
 /// assert_eq!(place(&[], "entry-0", "riga-a"), Place::Watcher);
 /// ```
 pub fn place(list: &[Vm], name: &str, domain: &str) -> Place {
@@ -69,7 +69,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// assert_eq!(platform::spread::jittered(Duration::from_secs(2), 0.5), Duration::from_secs(2));
+/// assert_eq!(configuration::spread::jittered(Duration::from_secs(2), 0.5), Duration::from_secs(2));
 /// ```
 pub fn jittered(mean: Duration, random: f64) -> Duration {
     mean.mul_f64(0.5 + random.clamp(0.0, 1.0))
--- a/components/platform/src/wire.rs
+++ b/components/configuration/src/wire.rs
@@ -58,7 +58,7 @@
 /// Digest of a value, as manifests write it.
 ///
 /// ```
-/// assert_eq!(platform::wire::digest("a").len(), 16);
+/// assert_eq!(configuration::wire::digest("a").len(), 16);
 /// ```
 pub fn digest(value: &str) -> String {
     format!("{:016x}", xxhash_rust::xxh3::xxh3_64(value.as_bytes()))
--- a/components/fakes/src/platform.rs
+++ b/components/fakes/src/platform.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ::platform::wire::{MANIFEST, Manifest, Part, VALUES, VMS, Vm, digest};
+use configuration::wire::{MANIFEST, Manifest, Part, VALUES, VMS, Vm, digest};
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{Request, Response};
 use tokio::sync::watch;
--- a/components/router/src/follow.rs
+++ b/components/router/src/follow.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, SystemTime};
 
 use clock::Clock;
-use platform::List;
-use platform::wire::{Role, Vm};
+use configuration::List;
+use configuration::wire::{Role, Vm};
 
 use crate::claim;
 use crate::state::State;
--- a/components/router/src/revisions.rs
+++ b/components/router/src/revisions.rs
@@ -11,8 +11,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform::spread::{self, Place};
-use platform::wire::{Role, Vm};
+use configuration::spread::{self, Place};
+use configuration::wire::{Role, Vm};
 use serde_json::json;
 use settings::mark::{Mark, Shown};
 use settings::{Effective, Part};
--- a/components/router/src/revisions/follow.rs
+++ b/components/router/src/revisions/follow.rs
@@ -7,10 +7,10 @@
 
 use clock::Clock;
 use futures_util::future::join_all;
-use platform::peer::News;
-use platform::spread::{ALONE, EVERY, Place, jittered};
-use platform::wire::Manifest;
-use platform::{Configuration, List, Peer};
+use configuration::peer::News;
+use configuration::spread::{ALONE, EVERY, Place, jittered};
+use configuration::wire::Manifest;
+use configuration::{Configuration, List, Peer};
 use settings::mark::Shown;
 
 use super::take::{self, Fault, Source};
--- a/components/router/src/revisions/serve.rs
+++ b/components/router/src/revisions/serve.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use actix_http::{Request, Response, StatusCode};
-use platform::peer::{Changed, Delta, HOLD, NEWS, News, VALUES};
-use platform::wire::{Manifest, Part as Listed};
+use configuration::peer::{Changed, Delta, HOLD, NEWS, News, VALUES};
+use configuration::wire::{Manifest, Part as Listed};
 use settings::mark::Shown;
 
 use crate::answer::Answer;
--- a/components/router/src/revisions/take.rs
+++ b/components/router/src/revisions/take.rs
@@ -6,9 +6,9 @@
 
 use clock::Clock;
 use futures_util::{StreamExt, TryStreamExt, stream};
-use platform::peer::{Delta, News};
-use platform::wire::Manifest;
-use platform::{Configuration, Peer};
+use configuration::peer::{Delta, News};
+use configuration::wire::Manifest;
+use configuration::{Configuration, Peer};
 use settings::mark::{Shown, Verdict};
 use settings::{Effective, Part, part};
 
@@ -28,13 +28,13 @@
 /// Why nothing came of it.
 pub(super) enum Fault {
     /// A value can't be read now.
-    Unread(platform::Error),
+    Unread(configuration::Error),
     /// A peer's parts don't come to what it claimed.
     Lie,
 }
 
 impl Source {
-    async fn value(&self, digest: &str) -> Result<String, platform::Error> {
+    async fn value(&self, digest: &str) -> Result<String, configuration::Error> {
         match self {
             Source::Service(service) => service.value(digest).await,
             Source::Peer(peer) => peer.value(digest).await,
--- a/examples/idle.rs
+++ b/examples/idle.rs
@@ -7,7 +7,7 @@
 
 use clap::Parser;
 use fakes::{Engine, Pace, Platform};
-use platform::wire::{Role, Vm};
+use configuration::wire::{Role, Vm};
 use router::Router;
 use settings::node::{Log, Node};
 
--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fakes::Platform;
-use platform::wire::{Role, Vm};
+use configuration::wire::{Role, Vm};
 use router::Router;
 use settings::node::{Log, Node};
 use tokio::time::Instant;
--- a/src/cmd/demo/site.rs
+++ b/src/cmd/demo/site.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fakes::{Engine, Pace, Plain, Platform};
-use platform::wire::{Role, Vm};
+use configuration::wire::{Role, Vm};
 use router::Router;
 use settings::node::{Log, Node};
 
--- a/tests/faults/site.rs
+++ b/tests/faults/site.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use fakes::{Closed, Platform, Raw, Step};
-use platform::wire::{Role, Vm};
+use configuration::wire::{Role, Vm};
 use router::Router;
 
 use crate::common::{node, post, session};
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -12,7 +12,7 @@
 
 use common::{PACE, post, session};
 use fakes::{Engine, Link, Pace, Plain, Platform, Way};
-use platform::wire::{Role, Vm};
+use configuration::wire::{Role, Vm};
 use router::Router;
 use settings::node::Node;
 
--- a/tests/keyed.rs
+++ b/tests/keyed.rs
@@ -11,7 +11,7 @@
 use common::{node, post, session, tree};
 use fakes::{Plain, Platform, Raw, Step};
 use once::{Home, Member, Terms};
-use platform::wire::{Role, Vm};
+use configuration::wire::{Role, Vm};
 use router::Router;
 use script::Kind;
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -8,7 +8,7 @@
 
 use common::{Site, node, post, session, tree, vms};
 use fakes::{Platform, Stale};
-use platform::wire::{Manifest, Part, Vm, digest};
+use configuration::wire::{Manifest, Part, Vm, digest};
 use router::Router;
 
 /// A change has to be in force everywhere within this.
@@ -154,7 +154,7 @@
     }
     let listed = vms(&site.routers);
     let watch = |name: &str| {
-        platform::spread::place(&listed, name, "riga-a") == platform::spread::Place::Watcher
+        configuration::spread::place(&listed, name, "riga-a") == configuration::spread::Place::Watcher
     };
     for index in (0..7).filter(|index| watch(&format!("entry-{index}"))) {
         let mut own = node(index, &site.platform);
@@ -296,7 +296,7 @@
     let handler = move |request: actix_http::Request| {
         let body = body.clone();
         async move {
-            let about = request.path() == platform::peer::NEWS;
+            let about = request.path() == configuration::peer::NEWS;
             let status = if about { 200 } else { 404 };
             let status = actix_http::StatusCode::from_u16(status).unwrap();
             actix_http::Response::build(status).body(body).map_into_boxed_body()
@@ -335,8 +335,8 @@
                 listed.push(vm);
             }
         }
-        let place = platform::spread::place(&listed, "entry-0", "riga-a");
-        assert_ne!(place, platform::spread::Place::Watcher);
+        let place = configuration::spread::place(&listed, "entry-0", "riga-a");
+        assert_ne!(place, configuration::spread::Place::Watcher);
         site.platform.list(listed);
         tokio::time::sleep(READ).await;
         assert_held(&site.routers, 1);
