--- /dev/null
+++ b/components/catalog/src/roster.rs
@@ -0,0 +1,148 @@
+//! The backend servers there are, as far as the list of them can be believed.
+//!
+//! Servers keep their entries alive by writing. While the list's keeper is away they can't, and
+//! their entries lapse though they serve on: a node that believed the list on the keeper's return
+//! would drop its whole fleet and answer nothing until all have written again. So what is missing
+//! around an outage is kept for as long as a live server takes to come back to the list.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time after the return of the list's keeper in which live servers have written again. Those still
+/// missing then are gone.
+const RETURN: Duration = Duration::from_secs(2);
+
+derives::data! {
+    /// A backend server, as it says of itself.
+    pub struct Entry {
+        /// Name of this start of it, unique.
+        pub name: String,
+        /// Service it belongs to.
+        pub service: String,
+        /// IP number and port.
+        pub address: String,
+        /// Failure domain it stands in.
+        pub domain: String,
+        /// Requests it runs at once.
+        pub slots: u32,
+        /// Takes no new work.
+        pub leaving: bool,
+        /// Models it holds; a plain service has none.
+        pub models: Vec<String>,
+        /// When it started, by its own time of day; differs between two starts under one name.
+        pub started: Option<u64>,
+    }
+
+    /// What the list says of one server.
+    pub enum Change {
+        /// It is there.
+        Listed(Entry),
+        /// It isn't, or its entry can't be read.
+        Gone(String),
+    }
+}
+
+/// The backend servers there are.
+#[derive(Debug, Default)]
+pub struct Roster {
+    entries: BTreeMap<String, Rc<Entry>>,
+    /// Servers that are missing from the list since an outage of its keeper.
+    lapsed: BTreeMap<String, ()>,
+    /// The list's keeper gives no answer.
+    away: bool,
+    /// It was away until then.
+    returned: Option<Instant>,
+}
+
+impl Roster {
+    /// Takes in what the list says of a server; returns the names of servers that changed.
+    pub fn apply(&mut self, change: Change, now: Instant) -> Vec<String> {
+        match change {
+            Change::Listed(entry) => {
+                self.lapsed.remove(&entry.name);
+                let name = entry.name.clone();
+                let same = self.entries.get(&name).is_some_and(|held| **held == entry);
+                if same {
+                    return vec![];
+                }
+                self.entries.insert(name.clone(), Rc::new(entry));
+                vec![name]
+            }
+            Change::Gone(name) => self.missing(name, now),
+        }
+    }
+
+    /// Takes in a whole list; what it doesn't name is missing.
+    pub fn replace(&mut self, entries: Vec<Entry>, now: Instant) -> Vec<String> {
+        let listed: Vec<_> = entries.iter().map(|entry| entry.name.clone()).collect();
+        let held: Vec<_> = self.entries.keys().cloned().collect();
+        let mut changed = vec![];
+        for entry in entries {
+            changed.extend(self.apply(Change::Listed(entry), now));
+        }
+        for name in held.into_iter().filter(|name| !listed.contains(name)) {
+            changed.extend(self.missing(name, now));
+        }
+        changed
+    }
+
+    fn missing(&mut self, name: String, now: Instant) -> Vec<String> {
+        let Some(entry) = self.entries.get(&name) else { return vec![] };
+        // One that said it leaves didn't lapse.
+        if self.doubtful(now) && !entry.leaving {
+            self.lapsed.insert(name, ());
+            return vec![];
+        }
+        self.entries.remove(&name);
+        vec![name]
+    }
+
+    fn doubtful(&self, now: Instant) -> bool {
+        self.away || self.returned.is_some_and(|at| now < at + RETURN)
+    }
+
+    /// The list's keeper gives no answer.
+    pub fn away(&mut self) {
+        self.away = true;
+    }
+
+    /// The list's keeper answered.
+    pub fn answered(&mut self, now: Instant) {
+        if std::mem::take(&mut self.away) {
+            self.returned = Some(now);
+        }
+    }
+
+    /// Drops the servers that had time enough to come back; returns their names.
+    pub fn expire(&mut self, now: Instant) -> Vec<String> {
+        if self.doubtful(now) {
+            return vec![];
+        }
+        let names: Vec<_> = std::mem::take(&mut self.lapsed).into_keys().collect();
+        for name in &names {
+            self.entries.remove(name);
+        }
+        names
+    }
+
+    /// The server of a name.
+    pub fn get(&self, name: &str) -> Option<&Rc<Entry>> {
+        self.entries.get(name)
+    }
+
+    /// Number of servers.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Entry>> {
+        self.entries.values()
+    }
+}
--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -10,6 +10,9 @@
     fn now(&self) -> Instant;
     /// Time of day.
     fn wall(&self) -> SystemTime;
+    /// Time since some fixed point, which also counts while the VM is suspended; monotonic time
+    /// stands still then, and a process that wakes believes that none has passed.
+    fn awake(&self) -> Duration;
 }
 
 thread_local! {
@@ -21,6 +24,7 @@
 pub struct Runtime {
     start: Instant,
     wall: SystemTime,
+    boot: Duration,
 }
 
 impl Runtime {
@@ -31,7 +35,7 @@
         let start = tokio::time::Instant::now().into_std();
         let (first, wall) = FIRST.with(|first| *first.get_or_init(|| (start, SystemTime::now())));
         let carried = wall + start.saturating_duration_since(first);
-        Runtime { start, wall: carried.max(SystemTime::now()) }
+        Runtime { start, wall: carried.max(SystemTime::now()), boot: boot() }
     }
 }
 
@@ -43,6 +47,18 @@
     fn wall(&self) -> SystemTime {
         self.wall + (self.now() - self.start)
     }
+
+    /// Virtual time may run ahead of the system's.
+    fn awake(&self) -> Duration {
+        let own = self.now() - self.start;
+        self.boot + own.max(boot().saturating_sub(self.boot))
+    }
+}
+
+/// The system's clock that counts suspension.
+fn boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
 }
 
 /// A clock that moves only when told to.
@@ -81,4 +97,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000) + self.gone.get()
     }
+
+    fn awake(&self) -> Duration {
+        self.gone.get()
+    }
 }
--- a/components/engine/src/client.rs
+++ b/components/engine/src/client.rs
@@ -3,10 +3,10 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ResponseHead, Uri};
 use bytes::{Bytes, BytesMut};
+use link::{Body, Link, Pool};
 use serde::Deserialize;
 use tokio::time::Instant;
 
-use crate::link::{self, Body, Link, Pool};
 use crate::scan::{Garbled, Piece, Scan};
 use crate::wire::{
     ATTEMPT, KEY, LAST_EVENT, LOAD, Load, NOT_RUN, PRIORITY, REPLAYED, REQUEST_ID, RESUME,
@@ -298,7 +298,7 @@
             finished(call, &all)?;
         }
         if !call.fresh {
-            self.pool.put(&call.address, body);
+            self.pool.put(&call.address, body, None);
         }
         Ok(all.freeze())
     }
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -2,7 +2,6 @@
 //! that module and the client.
 
 mod client;
-mod link;
 pub mod orders;
 mod scan;
 pub mod wire;
--- a/components/fakes/src/platform.rs
+++ b/components/fakes/src/platform.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use configuration::wire::{MANIFEST, Manifest, Part, VALUES, VMS, Vm, digest};
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{Request, Response};
+use configuration::wire::{MANIFEST, Manifest, Part, VALUES, VMS, Vm, digest};
 use tokio::sync::watch;
 
 use crate::{LIMITS, any, status};
--- /dev/null
+++ b/components/forward/src/follow.rs
@@ -0,0 +1,127 @@
+//! Follows the store: what is in force, and which backend servers there are.
+
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use clock::Clock;
+use rand::Rng;
+
+use crate::seam::{Event, Reading, Site, Store, StoreError, Watched};
+use crate::state::State;
+
+/// How long a watch waits for a change. Each answer proves anew that nothing newer is in force, and
+/// each call is paid for.
+const WAIT: Duration = Duration::from_millis(1_500);
+/// First pause after a failure; doubled by each.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause, so that a store which is back is found within half a second.
+const LONGEST: Duration = Duration::from_millis(500);
+
+/// Starts the task; it ends with the node.
+pub(crate) fn start<S: Site>(state: &Rc<State<S>>) {
+    actix_rt::spawn(follow(Rc::downgrade(state)));
+}
+
+async fn follow<S: Site>(weak: Weak<State<S>>) {
+    let mut at = None;
+    let mut failures = 0;
+    loop {
+        let Some(state) = weak.upgrade() else { return };
+        let step = match at {
+            None => load(&state).await.map(Some),
+            Some(after) => watch(&state, after).await,
+        };
+        match step {
+            Ok(next) => {
+                answered(&state, failures);
+                failures = 0;
+                at = next;
+            }
+            Err(cause) => {
+                failures += 1;
+                failed(&state, failures, &cause);
+                pause(failures).await;
+            }
+        }
+        let gone = state.roster.borrow_mut().expire(state.clock.now());
+        state.changed(gone);
+    }
+}
+
+fn answered<S: Site>(state: &State<S>, failures: u32) {
+    state.roster.borrow_mut().answered(state.clock.now());
+    if failures > 0 {
+        log::info!(failures = failures; "store answers again");
+    }
+}
+
+fn failed<S: Site>(state: &State<S>, failures: u32, cause: &StoreError) {
+    state.roster.borrow_mut().away();
+    state.metrics.settings.event("unread");
+    if failures.is_power_of_two() {
+        log::warn!(cause:% = cause, failures = failures, age_ms = state.age_ms(); "store lost");
+    }
+}
+
+async fn pause(failures: u32) {
+    let pause = (PAUSE * (1 << failures.min(4))).min(LONGEST);
+    let jitter = rand::rng().random_range(0.5..1.0);
+    tokio::time::sleep(pause.mul_f64(jitter)).await;
+}
+
+/// Reads all; returns the position to watch from.
+async fn load<S: Site>(state: &Rc<State<S>>) -> Result<u64, StoreError> {
+    let asked = state.clock.awake();
+    let settings = state.site.store.settings().await?;
+    let servers = state.site.store.servers().await?;
+    let now = state.clock.now();
+    state.roster.borrow_mut().answered(now);
+    let changed = state.roster.borrow_mut().replace(servers.value, now);
+    state.changed(changed);
+    if let Some(event) = settings.value {
+        take(state, event);
+    }
+    confirm(state, asked);
+    state.loaded.set(true);
+    Ok(settings.at.min(servers.at))
+}
+
+/// Waits for changes; returns the position to go on from, none if all has to be read again.
+async fn watch<S: Site>(state: &Rc<State<S>>, after: u64) -> Result<Option<u64>, StoreError> {
+    let asked = state.clock.awake();
+    let Reading { value, at } = match state.site.store.watch(after, WAIT).await? {
+        Watched::Events(reading) => reading,
+        Watched::Forgotten => {
+            log::info!(after = after; "the store forgot its history; all is read again");
+            return Ok(None);
+        }
+    };
+    state.roster.borrow_mut().answered(state.clock.now());
+    for event in value {
+        take(state, event);
+    }
+    confirm(state, asked);
+    Ok(Some(at.max(after)))
+}
+
+/// What is held was the newest when the read began, unless the newest can't be used.
+fn confirm<S: Site>(state: &State<S>, asked: Duration) {
+    if !state.unusable.get() {
+        state.freshness.borrow_mut().confirm(asked);
+    }
+}
+
+fn take<S: Site>(state: &State<S>, event: Event) {
+    match event {
+        Event::Settings(book) => state.accept(book),
+        Event::Unusable(cause) => {
+            log::error!(cause = cause.as_str(); "a revision can't be used; the last good one stays in force");
+            state.metrics.settings.event("refused");
+            state.unusable.set(true);
+        }
+        Event::Server(change) => {
+            let changed = state.roster.borrow_mut().apply(change, state.clock.now());
+            state.changed(changed);
+        }
+    }
+}
--- /dev/null
+++ b/components/forward/src/intake.rs
@@ -0,0 +1,154 @@
+//! Takes a request in: whose it is, where it belongs, and its body.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::{HttpMessage, Request};
+use bytes::{Bytes, BytesMut};
+use catalog::{Book, Denied, Found};
+use clock::Clock;
+use futures_util::StreamExt;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::answer::Error;
+use crate::seam::{Call, Callers, Malformed, Site};
+use crate::state::{Held, Moment, State};
+
+/// Bytes around a header's name and value on the wire.
+const AROUND: usize = 4;
+/// Part of a node's memory that bodies may take together: each is held once here and, while it is
+/// sent, once more in the connection's buffer.
+const BODIES: u64 = 4;
+
+/// A request that was taken in.
+pub(crate) struct Job {
+    pub(crate) call: Call,
+    pub(crate) head: Request,
+    pub(crate) body: Bytes,
+    pub(crate) found: Found,
+    pub(crate) revision: u64,
+    pub(crate) arrived: Moment,
+    /// Time from its arrival in which the answer must have ended.
+    pub(crate) limit: Duration,
+    pub(crate) request: policy::Request,
+}
+
+impl Job {
+    pub(crate) fn route(&self) -> &catalog::Route {
+        &self.found.route
+    }
+
+    /// Time that is left for its answer.
+    pub(crate) fn left<S: Site>(&self, state: &State<S>) -> Duration {
+        self.limit.saturating_sub(state.since(self.arrived))
+    }
+
+    /// Proof that it may run more than once, if it may.
+    pub(crate) fn repeatable(&self) -> Option<life::Repeatable> {
+        life::Repeatable::when(self.route().kind.repeatable())
+    }
+}
+
+/// Takes a request in.
+pub(crate) async fn take<S: Site>(
+    state: &Rc<State<S>>,
+    mut head: Request,
+    arrived: Moment,
+    held: &mut Held<S>,
+) -> Result<Job, Error> {
+    let book = state.book.borrow().clone().ok_or(Error::Stale)?;
+    sized(&head, &book)?;
+    let call = state.site.callers.read(head.head());
+    let call = call.map_err(|Malformed(what)| Error::Malformed(what))?;
+    let found = find(state, &book, &call)?;
+    let limit = call.patience.min(found.route.timeout);
+    let body = tokio::time::timeout(limit, body(state, &mut head, &book, held)).await;
+    let body = body.map_err(|_| Error::Slow)??;
+    listen::received(&head);
+    let request = request(state, &call, &found, arrived, limit)?;
+    Ok(Job { call, head, body, found, revision: book.revision, arrived, limit, request })
+}
+
+/// Where a call belongs. What a node holds may be too old to deny a call, or to believe a key.
+fn find<S: Site>(state: &State<S>, book: &Book, call: &Call) -> Result<Found, Error> {
+    let found = book.find(&call.host, &call.path, call.key.as_deref());
+    let fresh = state.fresh();
+    match found {
+        Ok(found) if found.workspace.is_none() || fresh => Ok(found),
+        Err(Denied::Route) if fresh => Err(Error::Route),
+        Err(Denied::Key) if fresh => Err(Error::Key),
+        Ok(_) | Err(_) => Err(Error::Stale),
+    }
+}
+
+/// Refuses a request whose head is too large, or that announces a body which is.
+fn sized(request: &Request, book: &Book) -> Result<(), Error> {
+    let headers = request.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + AROUND);
+    let line = request.uri().path_and_query().map_or(0, |path| path.as_str().len());
+    if headers.sum::<usize>() + line > book.intake.head {
+        return Err(Error::Head(book.intake.head));
+    }
+    let announced = request.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let announced = announced.and_then(|value| value.parse::<usize>().ok());
+    if announced.is_some_and(|length| length > book.intake.body) {
+        return Err(Error::Large(book.intake.body));
+    }
+    Ok(())
+}
+
+/// Reads a body whole.
+async fn body<S: Site>(
+    state: &State<S>,
+    request: &mut Request,
+    book: &Book,
+    held: &mut Held<S>,
+) -> Result<Bytes, Error> {
+    let most = (state.node().room.memory_mb << 20) / BODIES;
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(bytes) = payload.next().await {
+        let broken = |_| Error::Malformed("its body ends early or isn't well formed".to_string());
+        let bytes = bytes.map_err(broken)?;
+        if body.len() + bytes.len() > book.intake.body {
+            return Err(Error::Large(book.intake.body));
+        }
+        held.weigh(bytes.len());
+        if state.bytes.get() as u64 > most {
+            return Err(Error::Full);
+        }
+        body.extend_from_slice(&bytes);
+    }
+    Ok(body.freeze())
+}
+
+/// A request as the decisions see it.
+fn request<S: Site>(
+    state: &State<S>,
+    call: &Call,
+    found: &Found,
+    arrived: Moment,
+    limit: Duration,
+) -> Result<policy::Request, Error> {
+    // The last part is the request's own; what comes before it is shared.
+    let shared = call.prompt.parts.len().checked_sub(2).map(|index| call.prompt.parts[index].id);
+    let session = shared.unwrap_or_else(|| xxh3_64(call.id.as_bytes()));
+    let service = found.route.service(session).ok_or(Error::Route)?;
+    let mut names = state.names.borrow_mut();
+    let model = names.model(service, call.model.as_deref());
+    let (class, workspace) = names.place(&mut state.turns.scheduler.borrow_mut(), found);
+    let left = limit.saturating_sub(state.since(arrived));
+    Ok(policy::Request {
+        class,
+        workspace,
+        model,
+        prefix: session,
+        prompt_tokens: call.prompt.tokens,
+        max_tokens: call.prompt.answer,
+        arrived: arrived.at,
+        deadline: state.clock.now() + left,
+        idempotent: found.route.kind.repeatable(),
+        region: state.region,
+    })
+}
--- /dev/null
+++ b/components/forward/src/lib.rs
@@ -0,0 +1,130 @@
+//! Forwards requests unread between callers and backend servers. What a site speaks stands behind
+//! the seams of [`seam`]; whom to serve, who waits and where work goes is decided by `policy`, as
+//! for the router's own interface.
+
+mod answer;
+mod attempt;
+mod events;
+mod follow;
+mod intake;
+mod names;
+mod node;
+mod operators;
+pub mod seam;
+mod serve;
+mod state;
+mod stream;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use listen::{Limits, Listener};
+use tokio::sync::watch;
+
+pub use attempt::end_to_end;
+pub use node::{Error, Node};
+
+use crate::seam::{Dialects, Site};
+use crate::state::State;
+
+/// Time that the callers' listener stays open once readiness is gone: the balancer asks once a
+/// second and takes a node out after two misses.
+const BALANCER: Duration = Duration::from_millis(2_500);
+/// Time before the end of the grace at which what is left is cut, so that the cut is logged.
+const SPARE: Duration = Duration::from_millis(400);
+/// Requests that a log of what was cut names one by one.
+const NAMED: usize = 100;
+
+/// A running node.
+pub struct Forward<S: Site> {
+    state: Rc<State<S>>,
+    callers: Listener,
+    operators: Listener,
+}
+
+impl<S: Site> Forward<S> {
+    /// Starts a node. It is ready once it knows what is in force.
+    ///
+    /// # Errors
+    /// When an address can't be listened at.
+    pub async fn start(node: Node, site: Dialects<S>) -> anyhow::Result<Self> {
+        let (callers, operators) = (node.callers, node.operators);
+        let state = State::new(node, site);
+        let shared = state.clone();
+        let handler = move |request| serve::handle(shared.clone(), request);
+        let limits = state.limits.subscribe();
+        let callers = Listener::open_with(callers, limits, handler).await.with_context(|| {
+            format!("can't listen for callers at {callers}; free the port or set another")
+        })?;
+        let shared = state.clone();
+        let handler = move |request| operators::handle(shared.clone(), request);
+        let own = watch::channel(Limits::default()).1;
+        let operators = Listener::open_with(operators, own, handler).await.with_context(|| {
+            format!("can't listen for operators at {operators}; free the port or set another")
+        })?;
+        follow::start(&state);
+        state.turns.start();
+        Ok(Forward { state, callers, operators })
+    }
+
+    /// Where callers reach it.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Where operators reach it.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Whether it knows what is in force and isn't draining.
+    pub fn ready(&self) -> bool {
+        self.state.ready()
+    }
+
+    /// Requests that were received and haven't been answered to the end.
+    pub fn held(&self) -> usize {
+        self.state.held()
+    }
+
+    /// Puts the node's own settings, read again, in force. Nothing under way is cut; where the node
+    /// listens and where its store is stay as they are until it starts anew.
+    pub fn reload(&self, node: Node) {
+        let held = self.state.node();
+        let moved = (held.callers, held.operators, held.store)
+            != (node.callers, node.operators, node.store);
+        if moved {
+            log::warn!("addresses in the node's settings changed; restart the node to use them");
+        }
+        self.state.reload(node);
+    }
+
+    /// Goes down without cutting a request: readiness goes first, the listener stays open until the
+    /// balancer has noticed, and what is in flight is answered within the grace. Returns the names
+    /// of requests that were cut.
+    pub async fn drain(&self) -> Vec<String> {
+        self.state.draining.set(true);
+        self.callers.drain();
+        let grace = self.state.node().grace().saturating_sub(SPARE);
+        let balancer = BALANCER.min(grace / 2);
+        tokio::time::sleep(balancer).await;
+        let answered = async {
+            self.callers.close().await;
+            self.state.idle().await;
+        };
+        let _ = tokio::time::timeout(grace - balancer, answered).await;
+        self.cut()
+    }
+
+    /// Cuts all callers' connections; returns the names of requests that were cut.
+    pub fn cut(&self) -> Vec<String> {
+        let cut = self.state.held_ids();
+        for id in cut.iter().take(NAMED) {
+            log::warn!(request = id.as_str(); "cut");
+        }
+        self.callers.cut();
+        cut
+    }
+}
--- /dev/null
+++ b/components/forward/src/node.rs
@@ -0,0 +1,124 @@
+//! A node's own settings.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+derives::data! {
+    /// A node's own settings.
+    #[derive(Deserialize)]
+    pub struct Node {
+        /// Name, unique among the nodes.
+        pub name: String,
+        /// Failure domain it stands in.
+        pub domain: String,
+        /// Region of each failure domain.
+        pub domains: BTreeMap<String, String>,
+        /// Listener for callers.
+        pub callers: SocketAddr,
+        /// Listener for operators and for the balancer's question whether the node is ready.
+        pub operators: SocketAddr,
+        /// Where settings and servers are published.
+        pub store: SocketAddr,
+        /// What the node may use.
+        pub room: Room,
+        /// What operators and callers were promised.
+        pub promises: Promises,
+    }
+
+    /// What a node may use.
+    #[derive(Deserialize)]
+    pub struct Room {
+        /// Memory in MB.
+        pub memory_mb: u64,
+        /// Open files and connections.
+        pub descriptors: u64,
+    }
+
+    /// What operators and callers were promised.
+    #[derive(Deserialize)]
+    pub struct Promises {
+        /// A key that was taken away isn't served any more after this, in ms.
+        pub revocation_ms: u64,
+        /// A node that is told to stop is gone after this, in s.
+        pub grace_s: f64,
+        /// Repeats as a part of fresh requests.
+        pub repeats: f64,
+    }
+}
+
+/// A node's settings that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The text isn't as it should be.
+    #[error("{origin} isn't a node's settings ({cause}); see docs/PLATFORM.md for what it holds")]
+    Malformed {
+        /// Where the text came from.
+        origin: String,
+        /// What the reader said.
+        cause: Box<toml::de::Error>,
+    },
+    /// A value that can't be worked with.
+    #[error("{origin}: {what}; set it to {remedy}")]
+    Value {
+        /// Where the text came from.
+        origin: String,
+        /// What is wrong.
+        what: &'static str,
+        /// What would do.
+        remedy: &'static str,
+    },
+}
+
+/// Part of the promised time for a withdrawn key within which the proof must be young: the rest is
+/// for watches that hear nothing for a second while the store drops its history.
+const PROOF: f64 = 0.8;
+
+impl Node {
+    /// Reads a node's settings from TOML; `origin` names the text in errors.
+    ///
+    /// ```
+    /// assert!(forward::Node::parse("nonsense = 1", "node.toml").is_err());
+    /// ```
+    ///
+    /// # Errors
+    /// When a field is missing, or of another type, or out of range.
+    pub fn parse(text: &str, origin: &str) -> Result<Self, Error> {
+        let node: Node = toml::from_str(text).map_err(|cause| Error::Malformed {
+            origin: origin.to_string(),
+            cause: Box::new(cause),
+        })?;
+        let value = |what, remedy| Error::Value { origin: origin.to_string(), what, remedy };
+        if !node.domains.contains_key(&node.domain) {
+            let what = "the node's own failure domain has no region under [domains]";
+            return Err(value(what, "a domain that is listed there"));
+        }
+        if node.promises.revocation_ms == 0 {
+            return Err(value("promises.revocation_ms is 0", "at least 1000"));
+        }
+        if !(0.0..=1.0).contains(&node.promises.repeats) {
+            return Err(value("promises.repeats is out of range", "a part from 0 to 1"));
+        }
+        if !(0.0..=3_600.0).contains(&node.promises.grace_s) {
+            return Err(value("promises.grace_s is out of range", "seconds from 0 to 3600"));
+        }
+        Ok(node)
+    }
+
+    /// The region that the node stands in.
+    pub fn region(&self) -> &str {
+        self.domains.get(&self.domain).map_or("", String::as_str)
+    }
+
+    /// How old the proof that settings are the newest may be.
+    pub fn proof(&self) -> Duration {
+        Duration::from_millis(self.promises.revocation_ms).mul_f64(PROOF)
+    }
+
+    /// Time from being told to stop to being gone.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.promises.grace_s)
+    }
+}
--- /dev/null
+++ b/components/forward/src/operators.rs
@@ -0,0 +1,55 @@
+//! The operators' interface, and the balancer's question whether the node is ready.
+
+use std::rc::Rc;
+
+use actix_http::{Request, Response, StatusCode};
+
+use crate::answer::Answer;
+use crate::seam::Site;
+use crate::state::State;
+
+/// Answers one call.
+pub(crate) async fn handle<S: Site>(state: Rc<State<S>>, request: Request) -> Answer {
+    match request.path() {
+        "/healthz" => Response::new(StatusCode::OK).map_into_boxed_body(),
+        "/readyz" if state.ready() => Response::new(StatusCode::OK).map_into_boxed_body(),
+        "/readyz" => Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body(),
+        "/metrics" => text(state.metrics.render()),
+        "/status" => text(status(&state).to_string()),
+        _ => Response::new(StatusCode::NOT_FOUND).map_into_boxed_body(),
+    }
+}
+
+fn text(body: String) -> Answer {
+    Response::build(StatusCode::OK).body(body).map_into_boxed_body()
+}
+
+/// What the node believes.
+fn status<S: Site>(state: &State<S>) -> serde_json::Value {
+    use clock::Clock;
+    let now = state.clock.now();
+    let scheduler = state.turns.scheduler.borrow();
+    let names = state.names.borrow();
+    let servers = names.servers().map(|(key, entry)| {
+        let belief = scheduler.belief(key, now);
+        serde_json::json!({
+            "name": entry.name,
+            "service": entry.service,
+            "domain": entry.domain,
+            "address": entry.address,
+            "leaving": entry.leaving,
+            "sent": belief.as_ref().map(|belief| belief.sent),
+            "unused": belief.and_then(|belief| belief.unused).map(|unused| unused.as_str()),
+        })
+    });
+    serde_json::json!({
+        "node": state.node().name,
+        "ready": state.ready(),
+        "draining": state.draining.get(),
+        "revision": state.book.borrow().as_ref().map(|book| book.revision),
+        "age_ms": state.age_ms(),
+        "held": state.held(),
+        "waiting": scheduler.waiting(),
+        "servers": servers.collect::<Vec<_>>(),
+    })
+}
--- /dev/null
+++ b/components/forward/src/serve.rs
@@ -0,0 +1,214 @@
+//! Carries a request from its arrival to its end: waits for a place, sends, passes the answer on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{Request, Response};
+use catalog::Entry;
+use life::{Outcome, Reason, Sending, Waiting};
+use policy::{Ending, Refusal};
+use turns::{Place, Refused};
+
+use crate::answer::{Answer, Error};
+use crate::attempt::{self, Start, Trouble, Whole};
+use crate::intake::{self, Job};
+use crate::seam::Site;
+use crate::state::{Held, State};
+use crate::stream::{self, Passing};
+
+/// A server that has begun nothing after so many times the target is given up for another, where
+/// the request may run again. Answers rarely take that long, and as much is left for the next.
+const SILENT: u32 = 2;
+
+/// Answers one request.
+pub(crate) async fn handle<S: Site>(state: Rc<State<S>>, request: Request) -> Answer {
+    let arrived = state.moment();
+    let name = request.path().to_string();
+    let mut held = state.hold(&name);
+    let job = match intake::take(&state, request, arrived, &mut held).await {
+        Ok(job) => job,
+        Err(error) => {
+            state.metrics.refusal(error.word());
+            let revision = state.book.borrow().as_ref().map(|book| book.revision);
+            log::info!(path = name.as_str(), outcome = error.word(), revision = revision, age_ms = state.age_ms(); "not taken in");
+            return error.answer();
+        }
+    };
+    held.name(&job.call.id);
+    serve(state, job, held).await
+}
+
+/// Where a request is on its way, between attempts.
+pub(crate) struct Course<S: Site> {
+    pub(crate) state: Rc<State<S>>,
+    pub(crate) job: Job,
+    pub(crate) place: Place,
+    #[allow(dead_code, reason = "counts the request until its answer ends")]
+    held: Held<S>,
+    /// The server that it was sent to last.
+    pub(crate) server: Option<Rc<Entry>>,
+    /// What a server answered that failed, for the caller if no other does better.
+    failure: Option<Whole>,
+}
+
+async fn serve<S: Site>(state: Rc<State<S>>, job: Job, held: Held<S>) -> Answer {
+    let mut waiting = Waiting::Fresh(life::Request::new(ids::Request::new()).admit().queue());
+    let place = Place::new(&state.turns, job.request.clone());
+    let mut course = Course { state, job, place, held, server: None, failure: None };
+    loop {
+        let server = match course.turn().await {
+            Ok(server) => server,
+            Err(refused) => return course.refuse(waiting, refused),
+        };
+        let sending = waiting.send();
+        let trouble = match course.attempt(&server, course.job.call.after).await {
+            Ok(start) => return course.pass(sending, start),
+            Err(trouble) => trouble,
+        };
+        course.note(sending.attempt(), &server, &trouble);
+        let again = course.place.end(trouble.ending());
+        let late = matches!(trouble, Trouble::Late);
+        let unsent = trouble.unsent();
+        if let Trouble::Failed(whole) = trouble {
+            course.failure = Some(*whole);
+        }
+        waiting = match sending.failed(unsent, course.job.repeatable()) {
+            Ok(waiting) => waiting,
+            Err(outcome) => return course.unknown(outcome, late),
+        };
+        if !again {
+            return course.refuse(waiting, Refused::NOBODY);
+        }
+    }
+}
+
+impl<S: Site> Course<S> {
+    /// Waits for the request's turn; returns the server that it may be sent to.
+    pub(crate) async fn turn(&mut self) -> Result<Rc<Entry>, Refused> {
+        loop {
+            let key = self.place.turn().await?;
+            if self.job.left(&self.state).is_zero() {
+                // The process may have been paused since the turn was given.
+                self.place.end(Ending::Cancelled);
+                return Err(Refused { refusal: Refusal::Late, ..Refused::NOBODY });
+            }
+            let server = self.state.names.borrow().server(key).cloned();
+            match server {
+                Some(server) => {
+                    self.server = Some(server.clone());
+                    return Ok(server);
+                }
+                None if self.place.end(Ending::Unreached) => {}
+                None => return Err(Refused::NOBODY),
+            }
+        }
+    }
+
+    /// One attempt, within the time that is left.
+    pub(crate) async fn attempt(
+        &mut self,
+        server: &Entry,
+        after: Option<u64>,
+    ) -> Result<Start, Trouble> {
+        let left = self.job.left(&self.state);
+        let repeatable = self.job.repeatable().is_some();
+        let silent = self.job.route().target * SILENT;
+        let within =
+            if repeatable && self.job.route().attempts > 1 { left.min(silent) } else { left };
+        let asking = attempt::ask(&self.state, &self.job, server, after);
+        tokio::time::timeout(within, asking).await.unwrap_or(Err(Trouble::Late))
+    }
+
+    /// Logs why an attempt brought no answer.
+    pub(crate) fn note(&self, attempt: u32, server: &Entry, trouble: &Trouble) {
+        let (request, server) = (self.job.call.id.as_str(), server.name.as_str());
+        let left_ms = self.job.left(&self.state).as_millis() as u64;
+        self.state.metrics.failed(&self.job.route().name);
+        log::warn!(request = request, server = server, attempt = attempt, left_ms = left_ms, cause:% = trouble; "attempt failed");
+    }
+
+    /// Logs and counts how the request ended.
+    pub(crate) fn ended(&self, outcome: &str, status: u16) {
+        let job = &self.job;
+        let route = job.route().name.as_str();
+        let time = self.state.since(job.arrived);
+        let server = self.server.as_ref().map_or("", |server| &server.name);
+        self.state.metrics.outcome(route, outcome);
+        log::info!(
+            request = job.call.id.as_str(), route = route, tier = job.found.tier(),
+            server = server, outcome = outcome, status = status, took_ms = time.as_millis() as u64,
+            revision = job.revision, age_ms = self.state.age_ms(); "ended"
+        );
+    }
+
+    /// No attempt follows.
+    fn refuse(&mut self, waiting: Waiting, refused: Refused) -> Answer {
+        if let Some(whole) = self.failure.take() {
+            return self.whole(whole);
+        }
+        let outcome = waiting.refuse(match refused.refusal {
+            Refusal::Full | Refusal::Displaced => Reason::Full,
+            Refusal::Late => Reason::Late,
+            Refusal::NoServer => Reason::NoServer,
+        });
+        if outcome == Outcome::Unknown {
+            return self.unknown(outcome, refused.refusal == Refusal::Late);
+        }
+        let reason = match refused.refusal {
+            Refusal::Full => "no room",
+            Refusal::Displaced => "given up for a higher tier",
+            Refusal::Late => "it can't be served in time",
+            Refusal::NoServer => "no backend server may take it",
+        };
+        let error = Error::Refused { reason, again: refused.again };
+        self.state.metrics.refusal(reason);
+        self.ended(reason, error.status().as_u16());
+        error.answer()
+    }
+
+    /// It may have run, and no whole answer came.
+    fn unknown(&mut self, outcome: Outcome, late: bool) -> Answer {
+        if let Some(whole) = self.failure.take() {
+            return self.whole(whole);
+        }
+        let error = if late { Error::Late } else { Error::Unknown };
+        self.ended(outcome.as_str(), error.status().as_u16());
+        error.answer()
+    }
+
+    /// Passes a whole answer on.
+    fn whole(&mut self, whole: Whole) -> Answer {
+        let outcome = Outcome::Complete.as_str();
+        self.ended(outcome, whole.status.as_u16());
+        let workspace = self.job.found.workspace.as_ref().map_or("", |workspace| &workspace.name);
+        let time = self.state.since(self.job.arrived);
+        self.state.metrics.answered(&self.job.route().name, workspace, time);
+        let mut response = Response::new(whole.status);
+        *response.headers_mut() = whole.headers;
+        response.set_body(whole.body).map_into_boxed_body()
+    }
+
+    /// Passes an answer on as it comes.
+    fn pass(mut self, sending: Sending, start: Start) -> Answer {
+        let mut source = match start {
+            Start::Whole(whole) => {
+                self.place.end(Ending::Whole);
+                sending.complete();
+                return self.whole(whole);
+            }
+            Start::Passing(source) => source,
+        };
+        let mut response = Response::new(source.status);
+        *response.headers_mut() = std::mem::take(&mut source.headers);
+        let passing = Passing::new(self, sending.stream(), source);
+        response.set_body(stream::body(passing)).map_into_boxed_body()
+    }
+}
+
+/// Time that is left of a pause until the answer counts as stalled.
+pub(crate) fn stall(pause: Option<Duration>) -> Duration {
+    /// Pauses beyond the longest that callers hope for happen in a full batch; three of them don't.
+    const PAUSES: u32 = 3;
+    const LEAST: Duration = Duration::from_secs(1);
+    pause.map_or(LEAST, |pause| (pause * PAUSES).max(LEAST))
+}
--- /dev/null
+++ b/components/forward/src/state.rs
@@ -0,0 +1,228 @@
+//! What the tasks of a forwarding node share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use catalog::{Book, Freshness, Roster};
+use clock::Clock;
+use link::{Kept, Pool};
+use policy::{Mechanism, Scheduler};
+use slab::Slab;
+use telemetry::Metrics;
+use tokio::sync::{Notify, watch};
+use turns::Turns;
+
+use crate::names::Names;
+use crate::node::Node;
+use crate::seam::{Dialects, Site};
+
+/// Idle connections kept to one server. Servers take a limited number from all nodes together.
+const KEPT: usize = 24;
+/// Time that an idle connection is kept to a server that doesn't say for how long it does.
+const IDLE: Duration = Duration::from_millis(800);
+
+/// When something happened, by the clock of the runtime and by one that counts suspension.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Moment {
+    pub(crate) at: Instant,
+    awake: Duration,
+}
+
+/// Shared state of one node.
+pub(crate) struct State<S: Site> {
+    node: RefCell<Rc<Node>>,
+    pub(crate) clock: clock::Runtime,
+    pub(crate) site: Dialects<S>,
+    pub(crate) turns: Rc<Turns>,
+    pub(crate) names: RefCell<Names>,
+    pub(crate) book: RefCell<Option<Rc<Book>>>,
+    pub(crate) freshness: RefCell<Freshness>,
+    pub(crate) roster: RefCell<Roster>,
+    /// The newest revision can't be used, so what is held isn't the newest.
+    pub(crate) unusable: Cell<bool>,
+    /// Settings and servers were read once.
+    pub(crate) loaded: Cell<bool>,
+    pub(crate) region: ids::Region,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    pub(crate) draining: Cell<bool>,
+    /// Limits of the callers' listener.
+    pub(crate) limits: watch::Sender<listen::Limits>,
+    /// Bytes of bodies that are held.
+    pub(crate) bytes: Cell<usize>,
+    held: RefCell<Slab<String>>,
+    ended: Notify,
+}
+
+impl<S: Site> State<S> {
+    pub(crate) fn new(node: Node, site: Dialects<S>) -> Rc<Self> {
+        let clock = clock::Runtime::new();
+        let seed = xxhash_rust::xxh3::xxh3_64(node.name.as_bytes());
+        let scheduler = Scheduler::with_seed(seed)
+            .without(Mechanism::Fit)
+            .without(Mechanism::EarlyRefusal)
+            .without(Mechanism::Stopping);
+        let mut names = Names::default();
+        let region = names.region(node.region());
+        let limits = listen::Limits {
+            connections: (node.room.descriptors / 2) as usize,
+            ..listen::Limits::default()
+        };
+        Rc::new(State {
+            freshness: RefCell::new(Freshness::new(node.proof())),
+            node: RefCell::new(Rc::new(node)),
+            clock,
+            site,
+            turns: Turns::new(scheduler, clock),
+            names: RefCell::new(names),
+            book: RefCell::default(),
+            roster: RefCell::default(),
+            unusable: Cell::new(false),
+            loaded: Cell::new(false),
+            region,
+            pool: Pool::new(Kept { most: KEPT, idle: IDLE }),
+            metrics: Metrics::new(),
+            draining: Cell::new(false),
+            limits: watch::channel(limits).0,
+            bytes: Cell::new(0),
+            held: RefCell::default(),
+            ended: Notify::new(),
+        })
+    }
+
+    /// The node's own settings.
+    pub(crate) fn node(&self) -> Rc<Node> {
+        self.node.borrow().clone()
+    }
+
+    /// Puts the node's own settings, read again, in force; where it listens stays as it is.
+    pub(crate) fn reload(&self, node: Node) {
+        self.freshness.borrow_mut().set_bound(node.proof());
+        *self.node.borrow_mut() = Rc::new(node);
+        let all = self.roster.borrow().iter().map(|entry| entry.name.clone()).collect();
+        self.changed(all);
+    }
+
+    /// Whether callers had better come here: it knows what is in force, and that it is the newest.
+    pub(crate) fn ready(&self) -> bool {
+        self.loaded.get() && self.book.borrow().is_some() && !self.draining.get() && self.fresh()
+    }
+
+    /// Whether what is held may be believed to be the newest.
+    pub(crate) fn fresh(&self) -> bool {
+        self.freshness.borrow().holds(self.clock.awake())
+    }
+
+    /// Age of the proof that what is held is the newest, in ms.
+    pub(crate) fn age_ms(&self) -> Option<u64> {
+        let age = self.freshness.borrow().age(self.clock.awake())?;
+        Some(age.as_millis() as u64)
+    }
+
+    pub(crate) fn moment(&self) -> Moment {
+        Moment { at: self.clock.now(), awake: self.clock.awake() }
+    }
+
+    /// Time since a moment, that of a suspension included.
+    pub(crate) fn since(&self, moment: Moment) -> Duration {
+        self.clock.awake().saturating_sub(moment.awake)
+    }
+
+    /// Requests that were received and haven't been answered to the end.
+    pub(crate) fn held(&self) -> usize {
+        self.held.borrow().len()
+    }
+
+    /// Their names.
+    pub(crate) fn held_ids(&self) -> Vec<String> {
+        self.held.borrow().iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Ends once no request is held.
+    pub(crate) async fn idle(&self) {
+        while self.held() > 0 {
+            self.ended.notified().await;
+        }
+    }
+
+    /// Counts a request as held for as long as the token lives.
+    pub(crate) fn hold(self: &Rc<Self>, id: &str) -> Held<S> {
+        let key = self.held.borrow_mut().insert(id.to_string());
+        Held { state: self.clone(), key, bytes: 0 }
+    }
+
+    /// Puts a revision in force; one that isn't newer changes nothing.
+    pub(crate) fn accept(&self, book: Book) {
+        let last = self.book.borrow().as_ref().map(|last| last.revision);
+        if last.is_some_and(|last| last >= book.revision) {
+            return;
+        }
+        self.unusable.set(false);
+        self.names.borrow_mut().apply(&mut self.turns.scheduler.borrow_mut(), &book);
+        self.limits.send_modify(|limits| {
+            limits.head_time = book.intake.head_time;
+            // Callers use connections that were idle for nearly as long as this allows.
+            limits.keep_alive = book.intake.idle;
+        });
+        log::info!(revision = book.revision, last = last, routes = book.routes().count(); "settings in force");
+        self.metrics.settings.event("accepted");
+        self.metrics.settings.revision(book.revision);
+        *self.book.borrow_mut() = Some(Rc::new(book));
+        self.turns.pump();
+    }
+
+    /// Tells the decisions of servers that changed.
+    pub(crate) fn changed(&self, servers: Vec<String>) {
+        if servers.is_empty() {
+            return;
+        }
+        let roster = self.roster.borrow();
+        let mut names = self.names.borrow_mut();
+        let mut scheduler = self.turns.scheduler.borrow_mut();
+        for name in servers {
+            match roster.get(&name) {
+                Some(entry) => {
+                    log::info!(server = name.as_str(), service = entry.service.as_str(), address = entry.address.as_str(), leaving = entry.leaving; "server listed");
+                    names.set_server(&mut scheduler, entry, &self.node().domains);
+                }
+                None => {
+                    log::info!(server = name.as_str(); "server gone");
+                    names.remove_server(&mut scheduler, &name);
+                }
+            }
+        }
+        drop((roster, names, scheduler));
+        self.turns.pump();
+    }
+}
+
+/// Counts one request as held.
+pub(crate) struct Held<S: Site> {
+    state: Rc<State<S>>,
+    key: usize,
+    bytes: usize,
+}
+
+impl<S: Site> Held<S> {
+    /// Calls it by the caller's name for it.
+    pub(crate) fn name(&mut self, id: &str) {
+        if let Some(name) = self.state.held.borrow_mut().get_mut(self.key) {
+            *name = id.to_string();
+        }
+    }
+
+    /// Counts the bytes of its body as held too.
+    pub(crate) fn weigh(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        self.state.bytes.set(self.state.bytes.get() + bytes);
+    }
+}
+
+impl<S: Site> Drop for Held<S> {
+    fn drop(&mut self) {
+        self.state.held.borrow_mut().remove(self.key);
+        self.state.bytes.set(self.state.bytes.get() - self.bytes);
+        self.state.ended.notify_waiters();
+    }
+}
--- /dev/null
+++ b/components/forward/src/stream.rs
@@ -0,0 +1,172 @@
+//! Passes an answer on as it comes and no faster than it is read. Where a stream breaks off, another
+//! server that can goes on with it.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use bytes::Bytes;
+use clock::Clock;
+use futures_util::stream;
+use life::Streaming;
+use policy::Ending;
+
+use crate::attempt::{Part, Source, Start, Trouble};
+use crate::seam::Site;
+use crate::serve::{Course, stall};
+
+/// Time for the last events to reach the socket before the connection is cut under them.
+const FLUSH: Duration = Duration::from_millis(50);
+/// Outcome in logs and metrics of an answer whose caller went away.
+const GONE: &str = "caller-gone";
+
+/// An answer under way from a server to a caller.
+pub(crate) struct Passing<S: Site> {
+    course: Course<S>,
+    life: Option<life::Request<Streaming>>,
+    source: Option<Box<Source>>,
+    last: Option<Instant>,
+    tokens: u32,
+    /// The answer broke off; the connection is cut under it.
+    broken: bool,
+}
+
+impl<S: Site> Passing<S> {
+    pub(crate) fn new(
+        course: Course<S>,
+        life: life::Request<Streaming>,
+        source: Box<Source>,
+    ) -> Self {
+        let (life, source) = (Some(life), Some(source));
+        Passing { course, life, source, last: None, tokens: 0, broken: false }
+    }
+
+    /// The next bytes for the caller; none at the true end of the answer. After an error the
+    /// connection ends, so what came can't be taken for the whole.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            if self.broken {
+                tokio::time::sleep(FLUSH).await;
+                return Some(Err(io::Error::other("the answer broke off")));
+            }
+            let trouble = match self.part().await {
+                Ok(Some(part)) => return Some(Ok(self.passed(part))),
+                Ok(None) => return self.whole(),
+                Err(trouble) => trouble,
+            };
+            if !self.resume(trouble).await {
+                self.broke();
+            }
+        }
+    }
+
+    async fn part(&mut self) -> Result<Option<Part>, Trouble> {
+        let Some(source) = &mut self.source else { return Ok(None) };
+        let left = self.course.job.left(&self.course.state);
+        if left.is_zero() {
+            return Err(Trouble::Late);
+        }
+        let repeatable = self.course.job.repeatable().is_some();
+        let pause = stall(self.course.job.route().pause);
+        let within = if repeatable { left.min(pause) } else { left };
+        tokio::time::timeout(within, source.next()).await.unwrap_or(Err(Trouble::Late))
+    }
+
+    fn passed(&mut self, part: Part) -> Bytes {
+        let Course { state, job, place, .. } = &self.course;
+        if part.events > 0 {
+            let book = state.book.borrow();
+            let services = book.as_ref().map(|book| &book.services);
+            let service = self.course.server.as_ref().map(|server| &server.service);
+            let service = services.zip(service).and_then(|(all, name)| all.get(name));
+            let tokens = part.events * service.map_or(1, |service| service.event_tokens);
+            self.tokens += tokens;
+            place.tokens(tokens);
+            let now = state.clock.now();
+            let route = &job.route().name;
+            match self.last.replace(now) {
+                None => state.metrics.first_token(route, now - job.arrived.at),
+                Some(last) => state.metrics.token_interval(route, (now - last) / tokens),
+            }
+        }
+        part.bytes
+    }
+
+    fn whole(&mut self) -> Option<io::Result<Bytes>> {
+        let life = self.life.take()?;
+        self.course.place.end(Ending::Whole);
+        self.tokens = 0;
+        if let Some(source) = self.source.take() {
+            let status = source.status.as_u16();
+            source.keep(&self.course.state);
+            self.course.ended(life.complete().as_str(), status);
+        }
+        None
+    }
+
+    fn broke(&mut self) {
+        self.broken = true;
+        self.source = None;
+        if let Some(life) = self.life.take() {
+            self.course.ended(life.broken().as_str(), 0);
+        }
+    }
+
+    /// Looks for a server that goes on where the answer stopped. False where none does.
+    async fn resume(&mut self, trouble: Trouble) -> bool {
+        let Some(mut life) = self.life.take() else { return false };
+        let mut trouble = trouble;
+        // The server before must not go on while another one does.
+        let last = self.source.take().and_then(|source| source.last());
+        let last = last.max(self.course.job.call.after);
+        loop {
+            if let Some(server) = self.course.server.clone() {
+                self.course.note(life.attempt(), &server, &trouble);
+            }
+            let ending = trouble.ending();
+            let Some(proof) = self.course.job.repeatable() else {
+                self.course.place.end(ending);
+                break;
+            };
+            if !self.course.place.end(ending) {
+                break;
+            }
+            let Ok(server) = self.course.turn().await else { break };
+            life = life.pause(proof).resume();
+            trouble = match self.course.attempt(&server, last).await {
+                Ok(Start::Passing(source)) => {
+                    self.source = Some(source);
+                    self.life = Some(life);
+                    return true;
+                }
+                Ok(Start::Whole(whole)) => {
+                    Trouble::Lost(format!("status {} in place of a stream", whole.status))
+                }
+                Err(trouble) => trouble,
+            };
+        }
+        self.life = Some(life);
+        false
+    }
+}
+
+impl<S: Site> Drop for Passing<S> {
+    fn drop(&mut self) {
+        if self.life.is_some() {
+            self.course.ended(GONE, 0);
+        }
+        if self.tokens > 0 {
+            let route = &self.course.job.route().name;
+            self.course.state.metrics.wasted(route, self.tokens.into());
+        }
+    }
+}
+
+/// The body of the answer.
+pub(crate) fn body<S: Site>(passing: Passing<S>) -> BoxBody {
+    let parts = stream::unfold(passing, |mut passing| async move {
+        let bytes = passing.next().await?;
+        Some((bytes, passing))
+    });
+    BodyStream::new(Box::pin(parts)).boxed()
+}
--- /dev/null
+++ b/components/link/src/pool.rs
@@ -0,0 +1,74 @@
+//! Connections kept for further requests.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::{Body, Link};
+
+/// How many connections are kept, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub struct Kept {
+    /// Idle connections to one server; a burst above it connects anew.
+    pub most: usize,
+    /// A connection idle for longer isn't used again, unless its server said another time: one
+    /// that the server is about to close loses what is sent into it.
+    pub idle: Duration,
+}
+
+impl Default for Kept {
+    /// Servers commonly close idle connections after 5 s.
+    fn default() -> Self {
+        Kept { most: 32, idle: Duration::from_secs(4) }
+    }
+}
+
+/// A connection, and until when it may be used.
+type Idle = (Link, Instant);
+
+/// Connections kept for further requests, by address.
+#[derive(Clone, Default)]
+pub struct Pool {
+    kept: Kept,
+    idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
+}
+
+impl Pool {
+    /// A pool that keeps connections within limits.
+    ///
+    /// ```
+    /// let pool = link::Pool::new(link::Kept::default());
+    /// assert!(pool.take("10.0.0.1:80").is_none());
+    /// ```
+    pub fn new(kept: Kept) -> Self {
+        Pool { kept, idle: Rc::default() }
+    }
+
+    /// The connection to `address` that was used last, if there is one on which nothing came since.
+    pub fn take(&self, address: &str) -> Option<Link> {
+        let mut all = self.idle.borrow_mut();
+        let idle = all.get_mut(address)?;
+        let now = Instant::now();
+        idle.retain(|(link, until)| now < *until && link.quiet());
+        idle.pop().map(|(link, _)| link)
+    }
+
+    /// Keeps the connection of a body that has ended, for `idle` if the server said how long.
+    pub fn put(&self, address: &str, body: Body, idle: Option<Duration>) {
+        let Some(link) = body.link() else { return };
+        let until = Instant::now() + idle.unwrap_or(self.kept.idle);
+        let mut all = self.idle.borrow_mut();
+        let kept = all.entry(address.to_string()).or_default();
+        if kept.len() < self.kept.most {
+            kept.push((link, until));
+        }
+    }
+
+    /// Closes the connections to an address.
+    pub fn forget(&self, address: &str) {
+        self.idle.borrow_mut().remove(address);
+    }
+}
--- a/components/policy/src/action.rs
+++ b/components/policy/src/action.rs
@@ -23,8 +23,13 @@
         Whole,
         /// Provably nothing ran: no connection, or the server said so.
         NotRun,
+        /// It never reached the server, so it cost nobody anything: no attempt is counted, and no
+        /// retry is spent.
+        Unreached,
         /// It may have run and the answer isn't whole.
         Failed,
+        /// It ran, and the server said that it failed. What is wrong may be the request.
+        Faulty,
         /// The caller went away.
         Cancelled,
         /// Stopped as [`Action::Stop`] asked; what was produced is kept.
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -36,6 +36,9 @@
             self.enqueue(job, now);
             return true;
         }
+        if ending == Ending::Unreached {
+            held.attempts -= 1;
+        }
         let doublings = u32::from(held.attempts.saturating_sub(1)).min(8);
         let at = now + (PAUSE * (1 << doublings)).mul_f64(0.5 + jitter);
         held.avoid = Some(server);
@@ -51,8 +54,9 @@
         let held = &self.jobs[job];
         let repeatable = match ending {
             Ending::Stopped => return true,
+            Ending::Unreached => return now < held.last_call,
             Ending::NotRun => true,
-            Ending::Failed => held.request.idempotent,
+            Ending::Failed | Ending::Faulty => held.request.idempotent,
             Ending::Whole | Ending::Cancelled => false,
         };
         let attempts = self.classes.get(held.request.class).map_or(1, |class| class.attempts);
@@ -69,14 +73,17 @@
             known.end(job, now);
             match ending {
                 Ending::Whole => known.health.good(),
-                Ending::NotRun | Ending::Failed => known.health.failed(now, jitter),
-                Ending::Cancelled | Ending::Stopped => {}
+                Ending::NotRun | Ending::Unreached | Ending::Failed => {
+                    known.health.failed(now, jitter);
+                }
+                Ending::Cancelled | Ending::Stopped | Ending::Faulty => {}
             }
         }
         let held = &mut self.jobs[job];
         let (class, workspace) = (held.request.class, held.request.workspace);
         let used = fair::cost(held.request.prompt_tokens, held.produced);
-        let used = if ending == Ending::NotRun { 0 } else { used };
+        let unrun = matches!(ending, Ending::NotRun | Ending::Unreached);
+        let used = if unrun { 0 } else { used };
         let change = i64::from(used) - i64::from(held.charged);
         held.charged = used;
         held.stopping = false;
--- a/components/router/src/engines.rs
+++ b/components/router/src/engines.rs
@@ -81,7 +81,7 @@
     };
     if state.view.borrow_mut().reported(reported) {
         take(&state, &reported);
-        state.pump();
+        state.turns.pump();
     }
 }
 
@@ -97,5 +97,5 @@
         token_interval: Duration::from_micros(load.token_interval_us.into()),
         leaving: load.leaving,
     };
-    state.scheduler.borrow_mut().report(key, report, state.clock.now());
+    state.turns.scheduler.borrow_mut().report(key, report, state.clock.now());
 }
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -68,7 +68,7 @@
         engines::start(&state);
         peers::start(&state);
         orders::start(&state);
-        relay::start(&state);
+        state.turns.start();
         Ok(Router { state, callers, peers, operators })
     }
 
--- a/components/router/src/peers.rs
+++ b/components/router/src/peers.rs
@@ -80,7 +80,7 @@
 /// What this node tells of itself now.
 pub(crate) fn own(state: &State) -> Own {
     let settings = state.settings();
-    let scheduler = state.scheduler.borrow();
+    let scheduler = state.turns.scheduler.borrow();
     let cells = state.cells.borrow();
     let counts = cells.servers().map(|(server, key)| Sent { server, count: scheduler.sent(key) });
     let mut demand: Vec<Demand> = vec![];
@@ -149,7 +149,7 @@
             actix_rt::spawn(tell(state.clone(), target));
         }
         shares::apply(&state, &own);
-        state.pump();
+        state.turns.pump();
         drop(state);
         tokio::time::sleep(period).await;
     }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -1,7 +1,6 @@
 //! Carries a request from admission to its end: waits for a place, sends, passes the answer on.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
@@ -10,7 +9,7 @@
 use engine::{Call, Failure, Kind, Piece, Reply, Whole};
 use life::{Outcome, Reason, Repeatable, Sending, Unsent, Waiting};
 use once::Kept;
-use policy::{Ending, Policy, Refusal};
+use policy::{Ending, Refusal};
 use settings::{Server, ServerKind};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -20,9 +19,6 @@
 use crate::state::{Held, State};
 use crate::stream::{self, Passing};
 
-/// How long the decisions may sleep when nothing is due.
-const SLEEP: Duration = Duration::from_secs(1);
-
 /// Bytes of a prompt's head that tell whether two prompts share a cached prefix.
 const HEAD: usize = 1024;
 /// Bytes of text a token stands for, on average; corrected as answers are counted.
@@ -134,22 +130,6 @@
     }
 }
 
-/// Wakes the decisions when something falls due.
-pub(crate) fn start(state: &Rc<State>) {
-    let weak = Rc::downgrade(state);
-    actix_rt::spawn(async move {
-        while let Some(state) = weak.upgrade() {
-            let due = state.scheduler.borrow().due();
-            let now = state.clock.now();
-            let wait = due.map_or(SLEEP, |due| due.saturating_duration_since(now).min(SLEEP));
-            tokio::select! {
-                _ = tokio::time::sleep(wait) => state.pump(),
-                _ = state.changed.notified() => {}
-            }
-        }
-    });
-}
-
 /// A parcel of which nothing was sent. Dropped as such, its caller went away while it waited, and
 /// its key may be used again.
 struct Queued(Option<Parcel>);
--- a/components/router/src/revisions/follow.rs
+++ b/components/router/src/revisions/follow.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use clock::Clock;
-use futures_util::future::join_all;
 use configuration::peer::News;
 use configuration::spread::{ALONE, EVERY, Place, jittered};
 use configuration::wire::Manifest;
 use configuration::{Configuration, List, Peer};
+use futures_util::future::join_all;
 use settings::mark::Shown;
 
 use super::take::{self, Fault, Source};
--- a/components/router/src/revisions/take.rs
+++ b/components/router/src/revisions/take.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 
 use clock::Clock;
-use futures_util::{StreamExt, TryStreamExt, stream};
 use configuration::peer::{Delta, News};
 use configuration::wire::Manifest;
 use configuration::{Configuration, Peer};
+use futures_util::{StreamExt, TryStreamExt, stream};
 use settings::mark::{Shown, Verdict};
 use settings::{Effective, Part, part};
 
--- a/components/router/src/state.rs
+++ b/components/router/src/state.rs
@@ -6,13 +6,13 @@
 use std::time::{Duration, SystemTime};
 
 use clock::Clock;
-use policy::{Action, Ending, Policy, Scheduler};
+use policy::Scheduler;
 use settings::Effective;
 use settings::node::Node;
 use slab::Slab;
-use slotmap::SecondaryMap;
 use telemetry::Metrics;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
+use turns::Turns;
 
 use crate::revisions::Revisions;
 use crate::terms;
@@ -38,10 +38,7 @@
     /// Why the newest revision was refused, until a good one comes.
     pub(crate) refused: RefCell<Option<String>>,
     pub(crate) revisions: Revisions,
-    pub(crate) scheduler: RefCell<Scheduler>,
-    pub(crate) waiting: RefCell<SecondaryMap<ids::Job, oneshot::Sender<Action>>>,
-    /// How a job that was sent is told to stop.
-    pub(crate) stops: RefCell<SecondaryMap<ids::Job, oneshot::Sender<()>>>,
+    pub(crate) turns: Rc<Turns>,
     pub(crate) view: RefCell<fleet::View>,
     pub(crate) exchange: RefCell<fleet::exchange::Exchange>,
     /// What this node told of itself over the last seconds.
@@ -59,7 +56,6 @@
     pub(crate) http: awc::Client,
     pub(crate) metrics: Metrics,
     pub(crate) draining: Cell<bool>,
-    pub(crate) changed: Notify,
     /// Limits of the callers' listener.
     pub(crate) limits: watch::Sender<listen::Limits>,
     held: RefCell<Slab<ids::Request>>,
@@ -80,9 +76,7 @@
             settings: RefCell::default(),
             refused: RefCell::default(),
             revisions: Revisions::new(),
-            scheduler: RefCell::new(scheduler),
-            waiting: RefCell::default(),
-            stops: RefCell::default(),
+            turns: Turns::new(scheduler, clock),
             view: RefCell::new(fleet::View::new()),
             exchange: RefCell::new(fleet::exchange::Exchange::new(CONTROL, clock.now())),
             past: RefCell::default(),
@@ -95,7 +89,6 @@
             http: awc::Client::default(),
             metrics: Metrics::new(),
             draining: Cell::new(false),
-            changed: Notify::new(),
             limits: watch::channel(listen::Limits::default()).0,
             held: RefCell::default(),
             ended: Notify::new(),
@@ -145,9 +138,9 @@
             return;
         }
         let last = self.settings();
-        terms::apply(&mut self.scheduler.borrow_mut(), last.as_deref(), &effective);
+        terms::apply(&mut self.turns.scheduler.borrow_mut(), last.as_deref(), &effective);
         let leaving = self.leaving.borrow().clone();
-        terms::leave(&mut self.scheduler.borrow_mut(), &effective, &leaving, &leaving);
+        terms::leave(&mut self.turns.scheduler.borrow_mut(), &effective, &leaving, &leaving);
         let limits = &effective.limits;
         let waits = |limits: &settings::Limits| (limits.connect, limits.idle_stream);
         if last.is_none_or(|last| waits(&last.limits) != waits(limits)) {
@@ -160,30 +153,7 @@
         self.metrics.settings.conflict(false);
         *self.refused.borrow_mut() = None;
         *self.settings.borrow_mut() = Some(Rc::new(effective));
-        self.pump();
-    }
-
-    /// Carries out what the decisions ask for now.
-    pub(crate) fn pump(&self) {
-        let mut actions = vec![];
-        self.scheduler.borrow_mut().poll(self.clock.now(), &mut actions);
-        for action in actions {
-            let job = match action {
-                Action::Send { job, .. } | Action::Refuse { job, .. } => job,
-                Action::Stop { job } => {
-                    if let Some(sender) = self.stops.borrow_mut().remove(job) {
-                        let _ = sender.send(());
-                    }
-                    continue;
-                }
-            };
-            let sender = self.waiting.borrow_mut().remove(job);
-            let unheard = sender.is_none_or(|sender| sender.send(action).is_err());
-            if unheard && matches!(action, Action::Send { .. }) {
-                self.scheduler.borrow_mut().ended(job, Ending::Cancelled, self.clock.now());
-            }
-        }
-        self.changed.notify_one();
+        self.turns.pump();
     }
 }
 
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -10,7 +10,7 @@
 use engine::{Call, Failure, Piece, Point, Reply};
 use futures_util::stream;
 use life::{Outcome, Streaming};
-use policy::{Ending, Policy};
+use policy::Ending;
 use tokio::sync::mpsc;
 
 use crate::place::Place;
@@ -102,7 +102,7 @@
         self.tokens += piece.tokens;
         let now = state.clock.now();
         let class = &self.parcel.class.name;
-        state.scheduler.borrow_mut().tokens(self.place.job, piece.tokens, now);
+        self.place.tokens(piece.tokens);
         match self.last.replace(now) {
             None => state.metrics.first_token(class, now - self.parcel.request.arrived),
             Some(last) => state.metrics.token_interval(class, (now - last) / piece.tokens),
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -3,7 +3,9 @@
 mod logs;
 mod metrics;
 mod settings;
+mod sink;
 
 pub use logs::{Form, start};
 pub use metrics::Metrics;
 pub use settings::Settings;
+pub use sink::flush;
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -3,6 +3,8 @@
 use anyhow::Context;
 use log::kv::{Key, Value, VisitSource};
 
+use crate::sink::Sink;
+
 /// Form of a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Form {
@@ -12,7 +14,8 @@
     Json,
 }
 
-/// Starts logging to standard error; a process does this once.
+/// Starts logging to standard output; a process does this once. Logging never waits: lines beyond a
+/// bound are left out and counted.
 pub fn start(form: Form, level: log::LevelFilter) -> anyhow::Result<()> {
     let line = move |out: fern::FormatCallback<'_>,
                      message: &std::fmt::Arguments<'_>,
@@ -21,7 +24,13 @@
     };
     let dispatch =
         fern::Dispatch::new().level(level).level_for("actix_http", log::LevelFilter::Warn);
-    dispatch.format(line).chain(std::io::stderr()).apply().context("the log was started before")
+    let sink = Sink::start().context("can't start the thread that writes the log")?;
+    let write = move |record: &log::Record<'_>| sink.line(record.args().to_string());
+    dispatch
+        .format(line)
+        .chain(fern::Output::call(write))
+        .apply()
+        .context("the log was started before")
 }
 
 struct Pairs(Vec<(String, String)>);
@@ -42,8 +51,13 @@
     let _ = record.key_values().visit(&mut pairs);
     match form {
         Form::Json => {
-            let object = pairs.0.into_iter().map(|(key, value)| (key, value.into()));
-            serde_json::Value::Object(object.collect()).to_string()
+            let mut line = String::from("{");
+            for (index, (key, value)) in pairs.0.iter().enumerate() {
+                let gap = if index == 0 { "" } else { "," };
+                let _ = write!(line, "{gap}{}:{}", quoted(key), quoted(value));
+            }
+            line.push('}');
+            line
         }
         Form::Text => {
             let mut line = String::new();
@@ -59,3 +73,7 @@
         }
     }
 }
+
+fn quoted(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -21,6 +21,7 @@
     outcomes: IntCounterVec,
     refusals: IntCounterVec,
     crossed: IntCounter,
+    connected: IntCounter,
     failed: IntCounterVec,
     wasted: IntCounterVec,
     answers: HistogramVec,
@@ -77,6 +78,12 @@
         )
         .expect("a constant, valid name");
         registry.register(Box::new(crossed.clone())).expect("registered once");
+        let connected = IntCounter::new(
+            "godwitlever_connections_total",
+            "Connections that were opened to backend servers",
+        )
+        .expect("a constant, valid name");
+        registry.register(Box::new(connected.clone())).expect("registered once");
         let failed = counter(
             "godwitlever_attempts_failed_total",
             "Attempts at backend servers that brought no answer",
@@ -109,6 +116,7 @@
             outcomes,
             refusals,
             crossed,
+            connected,
             first_token: histogram("godwitlever_first_token_seconds", "Time to the first token"),
             token_interval: histogram("godwitlever_token_interval_seconds", "Time between tokens"),
             registry,
@@ -130,6 +138,11 @@
         self.crossed.inc();
     }
 
+    /// Counts a connection that was opened to a backend server.
+    pub fn connected(&self) {
+        self.connected.inc();
+    }
+
     /// Counts an attempt that brought no answer.
     pub fn failed(&self, class: &str) {
         self.failed.with_label_values(&[class]).inc();
--- a/examples/idle.rs
+++ b/examples/idle.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use clap::Parser;
-use fakes::{Engine, Pace, Platform};
 use configuration::wire::{Role, Vm};
+use fakes::{Engine, Pace, Platform};
 use router::Router;
 use settings::node::{Log, Node};
 
--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use fakes::Platform;
 use configuration::wire::{Role, Vm};
+use fakes::Platform;
 use router::Router;
 use settings::node::{Log, Node};
 use tokio::time::Instant;
--- a/src/bin/godwitleverd.rs
+++ b/src/bin/godwitleverd.rs
@@ -2,13 +2,20 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use anyhow::Context;
 use clap::Parser;
+use forward::Forward;
+use platform::Platform;
 use router::Router;
+use serde::Deserialize;
 use settings::node::{Log, Node};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// A settings file that changes without a signal is noticed after this.
+const LOOK: Duration = Duration::from_secs(5);
+
 /// Routes language-model traffic with service levels and priorities.
 #[derive(Parser)]
 #[command(version)]
@@ -18,6 +25,13 @@
     settings: PathBuf,
 }
 
+/// Which site the node's settings are for.
+#[derive(Deserialize)]
+struct Kind {
+    /// Name of an adapter; the router's own interface without one.
+    adapter: Option<String>,
+}
+
 fn main() -> ExitCode {
     match actix_rt::System::new().block_on(run(&Cli::parse())) {
         Ok(code) => code,
@@ -29,39 +43,162 @@
 }
 
 async fn run(cli: &Cli) -> anyhow::Result<ExitCode> {
-    let node = Node::load(&cli.settings)?;
-    let form = match node.log {
-        Log::Text => telemetry::Form::Text,
-        Log::Json => telemetry::Form::Json,
+    let text = read(cli)?;
+    let kind: Kind = toml::from_str(&text).with_context(|| origin(cli))?;
+    let node = match kind.adapter.as_deref() {
+        None => Running::own(&text, &origin(cli)).await?,
+        Some("platform") => Running::adapted(&text, &origin(cli)).await?,
+        Some(other) => anyhow::bail!(
+            "{} names the adapter `{other}`; leave it out, or set it to `platform`",
+            origin(cli)
+        ),
     };
-    telemetry::start(form, log::LevelFilter::Info)?;
-    let mut stop = Stop::new()?;
-    let router = Router::start(node).await?;
-    log::info!(callers:% = router.callers(), operators:% = router.operators(); "listening");
-    stop.recv().await;
-    log::info!(held = router.held(); "draining");
+    let mut signals = Signals::new()?;
+    let mut held = text;
+    loop {
+        match tokio::time::timeout(LOOK, signals.next()).await {
+            Ok(Asked::Stop) => break,
+            Ok(Asked::Reload) | Err(_) => reload(cli, &node, &mut held),
+        }
+    }
+    log::info!(held = node.held(); "draining");
     let cut = tokio::select! {
-        cut = router.drain() => cut,
-        () = stop.recv() => router.cut(),
+        cut = node.drain() => cut,
+        () = signals.stop() => node.cut(),
+    };
+    log::info!(cut = cut; "stopped");
+    telemetry::flush();
+    Ok(if cut == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn origin(cli: &Cli) -> String {
+    cli.settings.display().to_string()
+}
+
+fn read(cli: &Cli) -> anyhow::Result<String> {
+    let path = &cli.settings;
+    std::fs::read_to_string(path).with_context(|| {
+        format!("can't read {}; check the path and that it may be read", path.display())
+    })
+}
+
+/// Reads the settings again; what can't be used leaves the last good in force.
+fn reload(cli: &Cli, node: &Running, held: &mut String) {
+    let text = match read(cli) {
+        Ok(text) => text,
+        Err(cause) => {
+            log::warn!(cause:% = format!("{cause:#}"); "settings not read again");
+            return;
+        }
     };
-    log::info!(cut = cut.len(); "stopped");
-    Ok(if cut.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    if text == *held {
+        return;
+    }
+    match node.reload(&text, &origin(cli)) {
+        Ok(()) => log::info!("settings read again"),
+        Err(cause) => log::error!(cause:% = format!("{cause:#}"); "settings refused"),
+    }
+    *held = text;
+}
+
+/// A running node: at the router's own interface, or at a site that an adapter speaks for.
+enum Running {
+    Own(Router),
+    Adapted(Forward<Platform>),
+}
+
+impl Running {
+    async fn own(text: &str, origin: &str) -> anyhow::Result<Self> {
+        let node = Node::parse(text, origin)?;
+        let form = match node.log {
+            Log::Text => telemetry::Form::Text,
+            Log::Json => telemetry::Form::Json,
+        };
+        telemetry::start(form, log::LevelFilter::Info)?;
+        let router = Router::start(node).await?;
+        log::info!(callers:% = router.callers(), operators:% = router.operators(); "listening");
+        Ok(Running::Own(router))
+    }
+
+    async fn adapted(text: &str, origin: &str) -> anyhow::Result<Self> {
+        let node = forward::Node::parse(text, origin)?;
+        telemetry::start(telemetry::Form::Json, log::LevelFilter::Info)?;
+        let dialects = platform::dialects(node.store);
+        let name = node.name.clone();
+        let forward = Forward::start(node, dialects).await?;
+        log::info!(node = name.as_str(), callers:% = forward.callers(), operators:% = forward.operators(); "listening");
+        Ok(Running::Adapted(forward))
+    }
+
+    fn reload(&self, text: &str, origin: &str) -> anyhow::Result<()> {
+        match self {
+            Running::Own(_) => {
+                Node::parse(text, origin)?;
+                log::warn!("the node's own settings changed; restart the node to use them");
+            }
+            Running::Adapted(forward) => forward.reload(forward::Node::parse(text, origin)?),
+        }
+        Ok(())
+    }
+
+    fn held(&self) -> usize {
+        match self {
+            Running::Own(router) => router.held(),
+            Running::Adapted(forward) => forward.held(),
+        }
+    }
+
+    /// Goes down; returns how many requests were cut.
+    async fn drain(&self) -> usize {
+        match self {
+            Running::Own(router) => router.drain().await.len(),
+            Running::Adapted(forward) => forward.drain().await.len(),
+        }
+    }
+
+    /// Ends at once; returns how many requests were cut.
+    fn cut(&self) -> usize {
+        match self {
+            Running::Own(router) => router.cut().len(),
+            Running::Adapted(forward) => forward.cut().len(),
+        }
+    }
+}
+
+/// What a signal asks for.
+enum Asked {
+    Stop,
+    Reload,
 }
 
-/// Signals that ask the process to stop.
-struct Stop {
+/// Signals that the process acts on.
+struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    reload: Signal,
 }
 
-impl Stop {
+impl Signals {
     fn new() -> anyhow::Result<Self> {
         let open = |kind| signal(kind).context("can't wait for signals");
-        let terminate = open(SignalKind::terminate())?;
-        Ok(Stop { terminate, interrupt: open(SignalKind::interrupt())? })
+        let (terminate, interrupt) = (SignalKind::terminate(), SignalKind::interrupt());
+        Ok(Signals {
+            terminate: open(terminate)?,
+            interrupt: open(interrupt)?,
+            reload: open(SignalKind::hangup())?,
+        })
+    }
+
+    async fn next(&mut self) -> Asked {
+        tokio::select! {
+            _ = self.terminate.recv() => Asked::Stop,
+            _ = self.interrupt.recv() => Asked::Stop,
+            _ = self.reload.recv() => Asked::Reload,
+        }
     }
 
-    async fn recv(&mut self) {
+    /// Asked to stop.
+    async fn stop(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fakes::{Engine, Pace, Plain, Platform};
 use configuration::wire::{Role, Vm};
+use fakes::{Engine, Pace, Plain, Platform};
 use router::Router;
 use settings::node::{Log, Node};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/tests/faults/site.rs
+++ b/tests/faults/site.rs
@@ -3,8 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use fakes::{Closed, Platform, Raw, Step};
 use configuration::wire::{Role, Vm};
+use fakes::{Closed, Platform, Raw, Step};
 use router::Router;
 
 use crate::common::{node, post, session};
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use common::{PACE, post, session};
-use fakes::{Engine, Link, Pace, Plain, Platform, Way};
 use configuration::wire::{Role, Vm};
+use fakes::{Engine, Link, Pace, Plain, Platform, Way};
 use router::Router;
 use settings::node::Node;
 
--- a/tests/keyed.rs
+++ b/tests/keyed.rs
@@ -9,9 +9,9 @@
 
 use clock::Clock;
 use common::{node, post, session, tree};
+use configuration::wire::{Role, Vm};
 use fakes::{Plain, Platform, Raw, Step};
 use once::{Home, Member, Terms};
-use configuration::wire::{Role, Vm};
 use router::Router;
 use script::Kind;
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use common::{Site, node, post, session, tree, vms};
-use fakes::{Platform, Stale};
 use configuration::wire::{Manifest, Part, Vm, digest};
+use fakes::{Platform, Stale};
 use router::Router;
 
 /// A change has to be in force everywhere within this.
@@ -154,7 +154,8 @@
     }
     let listed = vms(&site.routers);
     let watch = |name: &str| {
-        configuration::spread::place(&listed, name, "riga-a") == configuration::spread::Place::Watcher
+        configuration::spread::place(&listed, name, "riga-a")
+            == configuration::spread::Place::Watcher
     };
     for index in (0..7).filter(|index| watch(&format!("entry-{index}"))) {
         let mut own = node(index, &site.platform);
