Decisions: homes by session, steady streams apart from long prompts

Ruled out: queues at the servers (no request was refused or preempted), processor of the nodes (0.7%). Change: policy knows what prompts cost an engine to read (reading), keeps two groups of engines by the pause that a class bears (apart) and chooses by cost in engine time with a home for each session (engines); a server that just failed no longer keeps a request from another region. Conclusion: reading again and the first seconds bind next.

--- a/components/catalog/src/roster.rs
+++ b/components/catalog/src/roster.rs
@@ -28,6 +28,8 @@
         pub slots: u32,
         /// Takes no new work.
         pub leaving: bool,
+        /// It reads prompts and generates; a plain service does neither.
+        pub engine: bool,
         /// Models it holds; a plain service has none.
         pub models: Vec<String>,
         /// When it started, by its own time of day; differs between two starts under one name.
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -145,6 +145,7 @@
         model,
         prefix: session,
         prompt_tokens: call.prompt.tokens,
+        shared_tokens: call.prompt.shared(),
         max_tokens: call.prompt.answer,
         arrived: arrived.at,
         deadline: state.clock.now() + left,
--- a/components/forward/src/names.rs
+++ b/components/forward/src/names.rs
@@ -14,6 +14,10 @@
 /// Requests of a class that may wait; beyond that memory would go first.
 const QUEUE: usize = 2_000;
 
+/// Tokens of prompts that an engine reads in a second, as seen at the users' engines. Only its order
+/// of size matters: it weighs prompts against streams and against the way to another region.
+const READS: u32 = 75_000;
+
 /// A class: requests of one route in one tier.
 type ClassName = (String, u8);
 
@@ -98,6 +102,7 @@
             models,
             leaving: entry.leaving,
             resumes: true,
+            reads: entry.engine.then_some(READS),
         };
         scheduler.set_server(key, terms);
     }
--- a/components/forward/src/seam.rs
+++ b/components/forward/src/seam.rs
@@ -113,6 +113,14 @@
     }
 }
 
+impl Prompt {
+    /// Tokens of the parts before the last, which other requests share.
+    pub fn shared(&self) -> u32 {
+        let parts = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+    }
+}
+
 /// A change in the store.
 #[derive(Debug)]
 pub enum Event {
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -166,6 +166,7 @@
             models: vec![keys.model],
             leaving: false,
             resumes: true,
+            reads: None,
         };
         scheduler.set_server(*key, server);
     }
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -60,6 +60,7 @@
             tokens: 0,
             timer: None,
             avoid: None,
+            reading: 0.0,
             sent_at: now,
             last_token: None,
         };
--- /dev/null
+++ b/components/policy/src/apart/tests.rs
@@ -0,0 +1,75 @@
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use slotmap::SlotMap;
+
+use super::{Apart, Group};
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+fn engines(count: usize) -> HashMap<ids::Region, usize> {
+    HashMap::from([(ids::Region::default(), count)])
+}
+
+fn classes() -> [ids::Class; 3] {
+    let mut all: SlotMap<ids::Class, ()> = SlotMap::with_key();
+    [all.insert(()), all.insert(()), all.insert(())]
+}
+
+/// Long prompts and steady streams share engines in proportion to their work, and each class is at
+/// its own; put together, a reader of a stream would see it stutter at each prompt.
+#[test]
+fn classes_that_bear_unlike_pauses_have_engines_of_their_own() {
+    let ([steady, query, draft], now) = (classes(), Instant::now());
+    let mut apart = Apart::default();
+    apart.add(steady, MS(250), 1.0, now);
+    apart.add(query, MS(400), 1.0, now);
+    apart.add(draft, MS(1_000), 2.0, now);
+    apart.measure(&engines(8));
+    assert_eq!(apart.class(MS(250)), Some(Group::Steady));
+    assert_eq!(apart.class(MS(400)), Some(Group::Steady));
+    assert_eq!(apart.class(MS(1_000)), Some(Group::Bulk));
+    let steady = (0..8).filter(|rank| apart.engine(Default::default(), *rank) == Group::Steady);
+    assert_eq!(steady.count(), 4);
+}
+
+/// A small site has two engines and nearly all of its work is long prompts. Both groups keep an
+/// engine, or the streams would have none.
+#[test]
+fn each_group_keeps_an_engine() {
+    let ([steady, _, draft], now) = (classes(), Instant::now());
+    let mut apart = Apart::default();
+    apart.add(steady, MS(250), 0.01, now);
+    apart.add(draft, MS(1_000), 10.0, now);
+    apart.measure(&engines(2));
+    assert_eq!(apart.engine(Default::default(), 0), Group::Steady);
+    assert_eq!(apart.engine(Default::default(), 1), Group::Bulk);
+}
+
+/// Work goes up and down by a few parts in a hundred. The border between the groups stays, or what
+/// engines at it have cached would be read again with each wave.
+#[test]
+fn a_wave_moves_no_border() {
+    let ([steady, _, draft], now) = (classes(), Instant::now());
+    let mut apart = Apart::default();
+    apart.add(steady, MS(250), 1.0, now);
+    apart.add(draft, MS(1_000), 1.0, now);
+    apart.measure(&engines(8));
+    apart.add(draft, MS(1_000), 0.3, now);
+    apart.measure(&engines(8));
+    assert_eq!(apart.engine(Default::default(), 3), Group::Steady);
+    apart.add(draft, MS(1_000), 2.0, now);
+    apart.measure(&engines(8));
+    assert_eq!(apart.engine(Default::default(), 3), Group::Bulk);
+}
+
+/// All classes bear the same pauses, so nothing is gained by keeping them apart.
+#[test]
+fn like_classes_share_all_engines() {
+    let ([one, other, _], now) = (classes(), Instant::now());
+    let mut apart = Apart::default();
+    apart.add(one, MS(250), 1.0, now);
+    apart.add(other, MS(300), 1.0, now);
+    apart.measure(&engines(8));
+    assert_eq!(apart.class(MS(250)), None);
+}
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -69,8 +69,10 @@
     /// Takes the place of an ended attempt back and puts its charge right.
     fn release(&mut self, job: ids::Job, server: ids::Server, ending: Ending, now: Instant) {
         let jitter = self.rng.random();
+        let reading = std::mem::take(&mut self.jobs[job].reading);
         if let Some(known) = self.servers.get_mut(server) {
             known.end(job, now);
+            known.reading.over(reading);
             match ending {
                 Ending::Whole => known.health.good(),
                 Ending::NotRun | Ending::Unreached | Ending::Failed => {
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -4,6 +4,7 @@
 //! A class that waited for its longest wait goes first, with one request: each class costs those
 //! above it at most one place in each longest wait and node.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::action::{Action, Refusal};
@@ -66,6 +67,7 @@
         self.epoch += 1;
         self.link.flow(self.limits.link_bytes as f64, now);
         for key in self.pools.keys().collect::<Vec<_>>() {
+            self.part(key);
             self.measure(key);
             if self.without.has(Mechanism::EarlyRefusal) {
                 self.trim(key, now);
@@ -74,6 +76,16 @@
         true
     }
 
+    /// Works out which engines of a pool are for steady streams.
+    fn part(&mut self, key: Key) {
+        let pool = &mut self.pools[key];
+        let mut engines = HashMap::new();
+        for member in &pool.members {
+            *engines.entry(member.region).or_insert(0) += 1;
+        }
+        pool.apart.measure(&engines);
+    }
+
     /// Measures what a pool can do.
     pub(crate) fn measure(&mut self, key: Key) {
         let waiting = |pool: Key| pool == key || self.pools[pool].waiting() > 0;
@@ -184,15 +196,22 @@
     }
 
     fn choose(&mut self, job: ids::Job, overdue: bool, now: Instant) -> Choice {
+        if !self.staffed(self.jobs[job].pool) {
+            return Choice::Nobody;
+        }
+        if self.reads(&self.jobs[job]) {
+            let (chosen, free) = self.engine(&self.jobs[job], now);
+            let Some(chosen) = chosen else {
+                return if free { Choice::Busy } else { Choice::Full };
+            };
+            self.engaged(job, chosen.server, chosen.reading, now);
+            return Choice::Server(chosen.server);
+        }
         let mut candidates = std::mem::take(&mut self.scratch);
         let (held, without) = (&self.jobs[job], self.without);
-        let choice = if !self.staffed(held.pool) {
-            Choice::Nobody
-        } else {
-            let free = self.candidates(&mut candidates, held, overdue, now);
-            let picked = pick::pick(&candidates, held.request.prefix, &mut self.rng, without);
-            picked.map_or(if free { Choice::Busy } else { Choice::Full }, Choice::Server)
-        };
+        let free = self.candidates(&mut candidates, held, overdue, now);
+        let picked = pick::pick(&candidates, held.request.prefix, &mut self.rng, without);
+        let choice = picked.map_or(if free { Choice::Busy } else { Choice::Full }, Choice::Server);
         candidates.clear();
         self.scratch = candidates;
         choice
@@ -248,8 +267,11 @@
                 far += 1;
             }
         }
-        let only_far = far == into.len();
-        if far > 0 && !(only_far && self.crosses(held, near, now)) {
+        // A server that just failed is as good as none.
+        let spent = |candidate: &Candidate| Some(candidate.server) == held.avoid;
+        let only_far = into[..into.len() - far].iter().all(spent);
+        let again = held.avoid.is_some();
+        if far > 0 && !(only_far && self.crosses(held, near && !again, now)) {
             into.truncate(into.len() - far);
         }
         if into.len() > 1
@@ -277,7 +299,7 @@
         self.without.has(Mechanism::Ejection) && (known.health.ejected(now) || known.silent(now))
     }
 
-    fn barred(&self, server: ids::Server, now: Instant) -> bool {
+    pub(crate) fn barred(&self, server: ids::Server, now: Instant) -> bool {
         let known = &self.servers[server];
         let probed = known.health.probed() && known.sent > 0;
         self.ejected(server, now) || (self.without.has(Mechanism::Ejection) && probed)
--- /dev/null
+++ b/components/policy/src/engines.rs
@@ -0,0 +1,151 @@
+//! Which engine gets a request, where it is known how fast engines read.
+//!
+//! Patterns: prompts that share a long beginning, which an engine that has read it once needn't read
+//! again; steady streams beside long prompts; one session or caller that is far above the rest.
+//! Without this, the reading of what another engine has cached takes most of the engines' time.
+//!
+//! Each session has a home among the engines of its class's group, found by rendezvous, so that all
+//! nodes send it there without a word. A request leaves its home only once it would be late there;
+//! what that costs is counted in seconds of engine time.
+
+use std::time::Instant;
+
+use crate::apart::Group;
+use crate::held::Held;
+use crate::pick::mix;
+use crate::pool::Member;
+use crate::scheduler::Scheduler;
+
+/// Part of the first-token target that a request may wait before another engine is looked at: the
+/// rest covers what can't be seen from here.
+const EASE: f64 = 0.3;
+/// What a second of lateness beyond that is worth against a second of engine time.
+const LATE: f64 = 4.0;
+/// Seconds that an engine of another region must be better by: the way there and back, and the
+/// bytes that cross a link paid by volume.
+const FAR: f64 = 0.06;
+/// Seconds that an engine of the long prompts must be better by for a steady stream: about the
+/// pause that one prompt makes.
+const STUTTERS: f64 = 0.15;
+/// Times its own reading that a long prompt costs the streams of an engine of theirs.
+const DISTURBS: f64 = 3.0;
+/// Seconds that each request which this node has at an engine counts for: what it slows the others
+/// by over its life.
+const CROWD: f64 = 0.003;
+/// Requests that an engine serves at once without slowing down much, by which the time of a stream
+/// is divided among those beside it.
+const BATCH: f64 = 32.0;
+
+/// A choice, and what it costs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Chosen {
+    pub(crate) server: ids::Server,
+    /// Seconds that the engine reads for it.
+    pub(crate) reading: f64,
+    cost: f64,
+}
+
+impl Scheduler {
+    /// Whether it is known how fast the servers of a request read.
+    pub(crate) fn reads(&self, held: &Held) -> bool {
+        let servers = &self.pools[held.pool].servers;
+        servers.iter().any(|key| self.servers[*key].terms.reads.is_some())
+    }
+
+    /// The engine for a request; none if none may take it now. The second part tells whether any had
+    /// a place.
+    pub(crate) fn engine(&self, held: &Held, now: Instant) -> (Option<Chosen>, bool) {
+        let pool = &self.pools[held.pool];
+        let class = self.classes.get(held.request.class);
+        let group = class.and_then(|class| pool.apart.class(class.token_interval));
+        let home = self.home(held, group, now);
+        let usable = pool.members.iter().filter(|member| self.usable(held, member, now));
+        let mut best: Option<Chosen> = None;
+        let mut free = false;
+        for member in usable {
+            free = true;
+            let Some(chosen) = self.cost(held, member, group, home, now) else { continue };
+            if best.is_none_or(|best| chosen.cost < best.cost) {
+                best = Some(chosen);
+            }
+        }
+        (best, free)
+    }
+
+    /// Whether an engine may take a request now.
+    fn usable(&self, held: &Held, member: &Member, now: Instant) -> bool {
+        let known = &self.servers[member.server];
+        let avoided = held.avoid == Some(member.server) && self.pools[held.pool].members.len() > 1;
+        let all_out = || self.pools[held.pool].members.iter().all(|m| self.barred(m.server, now));
+        let barred = self.barred(member.server, now) && !all_out();
+        known.free(self.without) && !known.leaving() && !avoided && !barred
+    }
+
+    /// The engine that has most likely cached the beginning of a request's prompt: of its group, and
+    /// of its region where that has any.
+    fn home(&self, held: &Held, group: Option<Group>, now: Instant) -> Option<ids::Server> {
+        let pool = &self.pools[held.pool];
+        let weight = |member: &&Member| {
+            let known = &self.servers[member.server];
+            let near = known.terms.region == held.request.region;
+            let own =
+                group.is_none_or(|group| pool.apart.engine(member.region, member.rank) == group);
+            (near, own, mix(held.request.prefix ^ known.terms.salt))
+        };
+        let members = pool.members.iter();
+        let able =
+            members.filter(|m| !self.servers[m.server].leaving() && !self.barred(m.server, now));
+        able.max_by_key(weight).map(|member| member.server)
+    }
+
+    /// What a request costs at an engine, in seconds of engine time.
+    fn cost(
+        &self,
+        held: &Held,
+        member: &Member,
+        group: Option<Group>,
+        home: Option<ids::Server>,
+        now: Instant,
+    ) -> Option<Chosen> {
+        let known = &self.servers[member.server];
+        let request = &held.request;
+        let cached = if home == Some(member.server) { request.shared_tokens } else { 0 };
+        let unread = f64::from(request.prompt_tokens.saturating_sub(cached));
+        let reading = unread / f64::from(known.terms.reads?.max(1));
+        let backlog = known.reading.backlog(now);
+        let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
+        let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
+        let first = waited + backlog + reading + known.reading.least();
+        let late = (first - target * EASE).max(0.0) * LATE;
+        let far = if known.terms.region == request.region { 0.0 } else { FAR };
+        let engines = self.pools[held.pool].apart.engine(member.region, member.rank);
+        let strange = match group {
+            Some(Group::Steady) if engines == Group::Bulk => STUTTERS,
+            Some(Group::Bulk) if engines == Group::Steady => reading * DISTURBS,
+            _ => 0.0,
+        };
+        let stutter = if group == Some(Group::Steady) { backlog } else { 0.0 };
+        let crowd = f64::from(known.sent) * CROWD;
+        let cost = reading + late + far + strange + stutter + crowd;
+        Some(Chosen { server: member.server, reading, cost })
+    }
+
+    /// Counts what a request that was sent costs its engine, for the sizes of the groups.
+    pub(crate) fn engaged(
+        &mut self,
+        job: ids::Job,
+        server: ids::Server,
+        reading: f64,
+        now: Instant,
+    ) {
+        let held = &mut self.jobs[job];
+        held.reading = reading;
+        let known = &mut self.servers[server];
+        known.reading.sent(reading);
+        let (class, tokens) = (held.request.class, f64::from(held.tokens));
+        let seconds = reading + tokens * known.interval() / BATCH;
+        let pause = self.classes.get(class).map(|class| class.token_interval);
+        let pool = held.pool;
+        self.pools[pool].apart.add(class, pause.unwrap_or_default(), seconds, now);
+    }
+}
--- a/components/policy/src/held.rs
+++ b/components/policy/src/held.rs
@@ -44,6 +44,8 @@
     pub(crate) last_call: Instant,
     /// Its last attempt failed there.
     pub(crate) avoid: Option<ids::Server>,
+    /// Seconds that the engine reads its prompt for, while its answer hasn't begun.
+    pub(crate) reading: f64,
     pub(crate) sent_at: Instant,
     pub(crate) last_token: Option<Instant>,
 }
--- a/components/policy/src/known.rs
+++ b/components/policy/src/known.rs
@@ -9,6 +9,7 @@
 use crate::health::Health;
 use crate::limit::Limit;
 use crate::mechanism::{Mechanism, Without};
+use crate::reading::Reading;
 use crate::terms::{Report, Server, Share};
 
 /// A report counts half after this time: about a third of a stream's life, by when a third of what
@@ -36,6 +37,7 @@
     pub(crate) share: Option<Share>,
     pub(crate) health: Health,
     pub(crate) limit: Limit,
+    pub(crate) reading: Reading,
     report: Option<Report>,
     /// What was sent less what ended since the report was made.
     since: i32,
@@ -56,6 +58,7 @@
             share: None,
             health: Health::default(),
             limit: Limit::default(),
+            reading: Reading::default(),
             report: None,
             since: 0,
             recent: VecDeque::new(),
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod action;
 mod admit;
+mod apart;
 mod attempt;
 mod belief;
 mod bucket;
 mod dispatch;
+mod engines;
 mod fair;
 mod forecast;
 mod health;
@@ -22,6 +24,7 @@
 mod pool;
 mod queue;
 mod quota;
+mod reading;
 mod scheduler;
 mod stop;
 mod terms;
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -3,6 +3,7 @@
 //! All requests of a pool ask for the same model and may use the same servers, so when the head of
 //! a class finds no place, nothing behind it would either, and a decision needn't look further.
 
+use crate::apart::Apart;
 use crate::forecast::Flow;
 use crate::queue::Band;
 
@@ -44,6 +45,15 @@
     }
 }
 
+/// A server of a pool.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Member {
+    pub(crate) server: ids::Server,
+    pub(crate) region: ids::Region,
+    /// Its place among those of its region that take new work, by a hash that all nodes share.
+    pub(crate) rank: usize,
+}
+
 /// A pool.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -51,6 +61,9 @@
     /// Servers that its workspaces may use; empty means all.
     pub(crate) allowed: Vec<ids::Server>,
     pub(crate) servers: Vec<ids::Server>,
+    /// Those of them that take new work.
+    pub(crate) members: Vec<Member>,
+    pub(crate) apart: Apart,
     /// By tier, then class.
     pub(crate) lines: Vec<Line>,
     /// Epoch in which none of its servers had a place for this node.
@@ -71,6 +84,8 @@
             model,
             allowed,
             servers: vec![],
+            members: vec![],
+            apart: Apart::default(),
             lines: vec![],
             full: 0,
             jobs: 0,
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::mechanism::{Mechanism, Without};
 use crate::need::Needs;
 use crate::pick::Candidate;
-use crate::pool::{Key, Pool};
+use crate::pool::{Key, Member, Pool};
 use crate::terms::{Class, Demand, Limits, Report, Request, Server, Share, Workspace};
 
 /// Retries that may come at once, over what fresh work has earned: those of one server that crashes
@@ -216,6 +216,7 @@
     fn refresh(&mut self) {
         for pool in self.pools.values_mut() {
             pool.servers = members(&self.servers, pool.model, &pool.allowed);
+            pool.members = ranked(&self.servers, &pool.servers);
         }
         self.epoch += 1;
         let Scheduler { pools, index, .. } = self;
@@ -232,6 +233,7 @@
         }
         let mut pool = Pool::new(request.model, allowed.clone());
         pool.servers = members(&self.servers, request.model, &allowed);
+        pool.members = ranked(&self.servers, &pool.servers);
         let key = self.pools.insert(pool);
         self.index.insert((request.model, allowed), key);
         self.measure(key);
@@ -299,6 +301,20 @@
     able.map(|(key, _)| key).filter(may).collect()
 }
 
+/// Those of the servers that take new work, each with its rank in its region.
+fn ranked(servers: &SecondaryMap<ids::Server, Known>, pool: &[ids::Server]) -> Vec<Member> {
+    let open = pool.iter().filter(|key| !servers[**key].leaving());
+    let mut open: Vec<_> = open.map(|key| (&servers[*key].terms, *key)).collect();
+    open.sort_by_key(|(terms, _)| (terms.region, crate::pick::mix(terms.salt)));
+    let mut ranked: Vec<Member> = vec![];
+    for (terms, server) in open {
+        let last = ranked.last().filter(|last| last.region == terms.region);
+        let rank = last.map_or(0, |last| last.rank + 1);
+        ranked.push(Member { server, region: terms.region, rank });
+    }
+    ranked
+}
+
 impl Policy for Scheduler {
     fn submit(&mut self, request: Request, now: Instant) -> ids::Job {
         self.admit(request, now)
@@ -341,7 +357,12 @@
         if let Some(known) = self.servers.get_mut(server) {
             known.health.good();
             match last {
-                None => known.begun(now.saturating_duration_since(sent)),
+                None => {
+                    let took = now.saturating_duration_since(sent);
+                    known.begun(took);
+                    known.reading.begun(held.reading, took.as_secs_f64(), now);
+                    held.reading = 0.0;
+                }
                 Some(last) => known.paced((now - last) / count.max(1)),
             }
             if last.is_some() {
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -47,6 +47,9 @@
         pub leaving: bool,
         /// Goes on with an answer that was begun elsewhere.
         pub resumes: bool,
+        /// Tokens of prompts that it reads in a second; none where that isn't known, or where it
+        /// reads none.
+        pub reads: Option<u32>,
     }
 
     /// Limits of the deployment that bound the decisions of one node.
@@ -109,6 +112,8 @@
         pub prefix: u64,
         /// Length of the prompt in tokens, estimated.
         pub prompt_tokens: u32,
+        /// Tokens at the start of the prompt that other requests with the same `prefix` have too.
+        pub shared_tokens: u32,
         /// Limit on the answer in tokens that the caller set.
         pub max_tokens: Option<u32>,
         /// When it was received.
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -46,6 +46,7 @@
         models: vec![model],
         leaving: false,
         resumes: true,
+        reads: None,
     }
 }
 
@@ -78,6 +79,7 @@
             model: self.model,
             prefix: workspace as u64,
             prompt_tokens: 100,
+            shared_tokens: 0,
             max_tokens: Some(100),
             arrived: self.now,
             deadline: self.now + useful,
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -298,6 +298,7 @@
         model,
         prefix: relay::prefix(&keyed.body),
         prompt_tokens: relay::tokens(&keyed.body),
+        shared_tokens: 0,
         max_tokens: keyed.max_tokens,
         arrived,
         deadline: arrived + useful,
--- a/components/router/src/terms.rs
+++ b/components/router/src/terms.rs
@@ -84,5 +84,6 @@
         models: server.models.clone(),
         leaving: server.leaving,
         resumes: server.resumes,
+        reads: None,
     }
 }
