Decisions: a class is steady if it bears less than an engine that always reads makes

Ruled out: too few steady engines (three served 45 streams a second once the prompts were away). Change: the border between the groups is the time between tokens that an always-reading engine shows, not the largest step between classes; a long prompt costs thirty times its reading at a steady engine. Conclusion: reading again and queries behind long prompts bind next.

--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -66,7 +66,7 @@
     let body = tokio::time::timeout(limit, body(state, &mut head, &book, held)).await;
     let body = body.map_err(|_| Error::Slow)??;
     listen::received(&head);
-    let request = request(state, &call, &found, arrived, limit)?;
+    let request = request(state, &book, &call, &found, arrived, limit)?;
     Ok(Job { call, head, body, found, revision: book.revision, arrived, limit, request })
 }
 
@@ -126,6 +126,7 @@
 /// A request as the decisions see it.
 fn request<S: Site>(
     state: &State<S>,
+    book: &Book,
     call: &Call,
     found: &Found,
     arrived: Moment,
@@ -137,7 +138,7 @@
     let service = found.route.service(session).ok_or(Error::Route)?;
     let mut names = state.names.borrow_mut();
     let model = names.model(service, call.model.as_deref());
-    let (class, workspace) = names.place(&mut state.turns.scheduler.borrow_mut(), found);
+    let (class, workspace) = names.place(&mut state.turns.scheduler.borrow_mut(), book, found);
     let left = limit.saturating_sub(state.since(arrived));
     Ok(policy::Request {
         class,
--- a/components/forward/src/names.rs
+++ b/components/forward/src/names.rs
@@ -118,6 +118,7 @@
     pub(crate) fn place(
         &mut self,
         scheduler: &mut Scheduler,
+        book: &Book,
         found: &Found,
     ) -> (ids::Class, ids::Workspace) {
         let (route, tier) = (&found.route, found.tier());
@@ -127,7 +128,7 @@
             None => {
                 let key = self.classes.insert(());
                 self.by_class.insert(name, key);
-                scheduler.set_class(key, self::class(route, tier));
+                scheduler.set_class(key, self::class(route, tier, book));
                 key
             }
         };
@@ -152,7 +153,7 @@
         let mut dropped = vec![];
         for ((name, tier), key) in &self.by_class {
             match routes.get(name.as_str()) {
-                Some(route) => scheduler.set_class(*key, class(route, *tier)),
+                Some(route) => scheduler.set_class(*key, class(route, *tier, book)),
                 None => dropped.push((name.clone(), *tier)),
             }
         }
@@ -178,12 +179,14 @@
     key
 }
 
-fn class(route: &Route, tier: u8) -> policy::Class {
+fn class(route: &Route, tier: u8, book: &Book) -> policy::Class {
+    let service = route.split.first().and_then(|split| book.services.get(&split.service));
+    let event = service.map_or(1, |service| service.event_tokens.max(1));
     policy::Class {
         tier,
         weight: 1,
         first_token: route.target,
-        token_interval: route.pause.unwrap_or(route.target),
+        token_interval: route.pause.unwrap_or(route.target) / event,
         longest_wait: LONGEST_WAIT,
         queue: QUEUE,
         attempts: route.attempts,
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -38,6 +38,15 @@
     serve(state, job, held).await
 }
 
+/// How a stream went, for the log.
+#[derive(Default)]
+pub(crate) struct Pace {
+    /// Time from its arrival to the first event.
+    pub(crate) first: Option<Duration>,
+    /// Longest pause between two events.
+    pub(crate) longest: Duration,
+}
+
 /// Where a request is on its way, between attempts.
 pub(crate) struct Course<S: Site> {
     pub(crate) state: Rc<State<S>>,
@@ -47,6 +56,7 @@
     held: Held<S>,
     /// The server that it was sent to last.
     pub(crate) server: Option<Rc<Entry>>,
+    pub(crate) pace: Pace,
     /// What a server answered that failed, for the caller if no other does better.
     failure: Option<Whole>,
 }
@@ -54,7 +64,8 @@
 async fn serve<S: Site>(state: Rc<State<S>>, job: Job, held: Held<S>) -> Answer {
     let mut waiting = Waiting::Fresh(life::Request::new(ids::Request::new()).admit().queue());
     let place = Place::new(&state.turns, job.request.clone());
-    let mut course = Course { state, job, place, held, server: None, failure: None };
+    let mut course =
+        Course { state, job, place, held, server: None, pace: Pace::default(), failure: None };
     loop {
         let server = match course.turn().await {
             Ok(server) => server,
@@ -137,6 +148,8 @@
         log::info!(
             request = job.call.id.as_str(), route = route, tier = job.found.tier(),
             server = server, outcome = outcome, status = status, took_ms = time.as_millis() as u64,
+            first_ms = self.pace.first.map(|first| first.as_millis() as u64),
+            pause_ms = self.pace.longest.as_millis() as u64, prompt = job.request.prompt_tokens,
             revision = job.revision, age_ms = self.state.age_ms(); "ended"
         );
     }
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -73,11 +73,11 @@
     }
 
     fn passed(&mut self, part: Part) -> Bytes {
-        let Course { state, job, place, .. } = &self.course;
+        let Course { state, job, place, pace, server, .. } = &mut self.course;
         if part.events > 0 {
             let book = state.book.borrow();
             let services = book.as_ref().map(|book| &book.services);
-            let service = self.course.server.as_ref().map(|server| &server.service);
+            let service = server.as_ref().map(|server| &server.service);
             let service = services.zip(service).and_then(|(all, name)| all.get(name));
             let tokens = part.events * service.map_or(1, |service| service.event_tokens);
             self.tokens += tokens;
@@ -85,8 +85,15 @@
             let now = state.clock.now();
             let route = &job.route().name;
             match self.last.replace(now) {
-                None => state.metrics.first_token(route, now - job.arrived.at),
-                Some(last) => state.metrics.token_interval(route, (now - last) / tokens),
+                None => {
+                    let first = now - job.arrived.at;
+                    state.metrics.first_token(route, first);
+                    pace.first = Some(first);
+                }
+                Some(last) => {
+                    state.metrics.token_interval(route, (now - last) / tokens);
+                    pace.longest = pace.longest.max(now - last);
+                }
             }
         }
         part.bytes
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -20,7 +20,6 @@
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead};
 use bytes::Bytes;
-use futures_util::SinkExt;
 use tokio::net::TcpStream;
 
 pub use body::Body;
@@ -96,7 +95,7 @@
         let bare = body.is_empty() && [Method::GET, Method::HEAD].contains(&head.method);
         let length = if bare { BodySize::None } else { BodySize::Sized(body.len() as u64) };
         let item: Outgoing = Message::Item((RequestHeadType::from(head), length));
-        framed.feed(item).await?;
+        Pin::new(&mut framed).write(item)?;
         if !body.is_empty() {
             let chunk: Outgoing = Message::Chunk(Some(body));
             Pin::new(&mut framed).write(chunk)?;
--- a/components/policy/src/apart.rs
+++ b/components/policy/src/apart.rs
@@ -16,9 +16,10 @@
 /// Work counts half after this time: long against the waves of ordinary traffic, short against a
 /// burst.
 const HALF: Duration = Duration::from_secs(4);
-/// Classes are kept apart only if some bear pauses this many times longer than others: the times
-/// between them are those that reading may fill.
-const UNLIKE: f64 = 1.9;
+/// Seconds between tokens at an engine that reads all the time: it reads some 4,000 tokens between
+/// two, at about 75 a millisecond, and makes a token of each stream in some 10 ms (pauses of 66 to 72
+/// ms a token were seen). Classes that bear less are kept apart from those that bear more.
+const STALL: f64 = 0.075;
 /// A border moves only if it is this many engines off: half of one would let it swing with every
 /// wave, and each move costs the reading of what was cached beyond it.
 const SLACK: f64 = 0.75;
@@ -35,8 +36,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Work {
     class: ids::Class,
-    /// Longest pause that its callers bear, in seconds.
-    pause: f64,
+    /// Longest time between tokens that its callers bear, in seconds.
+    interval: f64,
     /// Engine time of late, in seconds, fading.
     seconds: f64,
 }
@@ -46,20 +47,20 @@
 pub(crate) struct Apart {
     work: Vec<Work>,
     faded: Option<Instant>,
-    /// Classes that bear no longer pauses than this are steady; none while all are alike.
-    limit: Option<f64>,
+    /// Both kinds of classes had work of late.
+    unlike: bool,
     /// Engines of the steady group, by region.
     steady: HashMap<ids::Region, usize>,
 }
 
 impl Apart {
     /// Counts work of a class.
-    pub(crate) fn add(&mut self, class: ids::Class, pause: Duration, seconds: f64, now: Instant) {
+    pub(crate) fn add(&mut self, class: ids::Class, bears: Duration, seconds: f64, now: Instant) {
         self.fade(now);
-        let pause = pause.as_secs_f64();
+        let interval = bears.as_secs_f64();
         match self.work.iter_mut().find(|work| work.class == class) {
-            Some(work) => (work.pause, work.seconds) = (pause, work.seconds + seconds),
-            None => self.work.push(Work { class, pause, seconds }),
+            Some(work) => (work.interval, work.seconds) = (interval, work.seconds + seconds),
+            None => self.work.push(Work { class, interval, seconds }),
         }
     }
 
@@ -71,26 +72,19 @@
         self.work.retain(|work| work.seconds > f64::EPSILON);
     }
 
-    /// The steady group's part of all work, and the longest pause that its classes bear.
-    fn part(&self) -> Option<(f64, f64)> {
-        let mut work = self.work.clone();
-        work.sort_by(|a, b| a.pause.total_cmp(&b.pause));
-        let unlike = |at: &usize| work[*at].pause / work[*at - 1].pause.max(1e-3);
-        let border = (1..work.len()).max_by(|a, b| unlike(a).total_cmp(&unlike(b)))?;
-        if unlike(&border) < UNLIKE {
-            return None;
-        }
-        let sum = |work: &[Work]| work.iter().map(|work| work.seconds).sum::<f64>();
-        Some((work[border - 1].pause, sum(&work[..border]) / sum(&work)))
+    /// The steady group's part of all work; none while all is of one kind.
+    fn part(&self) -> Option<f64> {
+        let steady = self.work.iter().filter(|work| work.interval < STALL);
+        let steady: f64 = steady.map(|work| work.seconds).sum();
+        let all: f64 = self.work.iter().map(|work| work.seconds).sum();
+        (steady > 0.0 && steady < all).then(|| steady / all)
     }
 
     /// Works the groups out; `engines` counts those of each region.
     pub(crate) fn measure(&mut self, engines: &HashMap<ids::Region, usize>) {
-        let Some((limit, part)) = self.part() else {
-            self.limit = None;
-            return;
-        };
-        self.limit = Some(limit);
+        let part = self.part();
+        self.unlike = part.is_some();
+        let Some(part) = part else { return };
         for (region, count) in engines {
             let wanted = part * *count as f64;
             let most = count.saturating_sub(1);
@@ -102,10 +96,10 @@
         }
     }
 
-    /// The group of a class that bears pauses of such a length; none while all are alike.
-    pub(crate) fn class(&self, pause: Duration) -> Option<Group> {
-        let limit = self.limit?;
-        Some(if pause.as_secs_f64() <= limit { Group::Steady } else { Group::Bulk })
+    /// The group of a class that bears so long between tokens; none while all are alike.
+    pub(crate) fn class(&self, bears: Duration) -> Option<Group> {
+        let group = if bears.as_secs_f64() < STALL { Group::Steady } else { Group::Bulk };
+        self.unlike.then_some(group)
     }
 
     /// The group of the engine with a rank among those of its region.
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -18,7 +18,7 @@
 
 /// Part of the first-token target that a request may wait before another engine is looked at: the
 /// rest covers what can't be seen from here.
-const EASE: f64 = 0.3;
+const EASE: f64 = 0.5;
 /// What a second of lateness beyond that is worth against a second of engine time.
 const LATE: f64 = 4.0;
 /// Seconds that an engine of another region must be better by: the way there and back, and the
@@ -27,14 +27,15 @@
 /// Seconds that an engine of the long prompts must be better by for a steady stream: about the
 /// pause that one prompt makes.
 const STUTTERS: f64 = 0.15;
-/// Times its own reading that a long prompt costs the streams of an engine of theirs.
-const DISTURBS: f64 = 3.0;
+/// Times its own reading that a long prompt costs at an engine of the steady streams: each of some
+/// dozens stutters.
+const DISTURBS: f64 = 30.0;
 /// Seconds that each request which this node has at an engine counts for: what it slows the others
 /// by over its life.
 const CROWD: f64 = 0.003;
 /// Requests that an engine serves at once without slowing down much, by which the time of a stream
 /// is divided among those beside it.
-const BATCH: f64 = 32.0;
+const BATCH: f64 = 48.0;
 
 /// A choice, and what it costs.
 #[derive(Clone, Copy, Debug)]
