Decisions: one home for a session over both regions where reading costs more than the way

Cause: with a home in each region a session's 6,300 shared tokens were read twice, and a read of them costs twelve times what the bytes across the link do (0.2 a thousand tokens against 5,800 a GB, 18 KB a prompt); queries waited behind long prompts while steady engines had room. Change: the region decides only where the shared part is short; a prompt read within 60 ms may go to a steady engine.

--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -30,6 +30,10 @@
 /// Times its own reading that a long prompt costs at an engine of the steady streams: each of some
 /// dozens stutters.
 const DISTURBS: f64 = 30.0;
+/// A prompt that is read within so many seconds makes no pause that steady streams notice: it is a
+/// fourth of what they bear.
+const UNNOTICED: f64 = 0.06;
+const UNNOTICED_COST: f64 = 4.0;
 /// Seconds that each request which this node has at an engine counts for: what it slows the others
 /// by over its life.
 const CROWD: f64 = 0.003;
@@ -83,12 +87,14 @@
     }
 
     /// The engine that has most likely cached the beginning of a request's prompt: of its group, and
-    /// of its region where that has any.
+    /// of its region unless reading the beginning anew costs more than the way to another one.
     fn home(&self, held: &Held, group: Option<Group>, now: Instant) -> Option<ids::Server> {
         let pool = &self.pools[held.pool];
         let weight = |member: &&Member| {
             let known = &self.servers[member.server];
-            let near = known.terms.region == held.request.region;
+            let shared = f64::from(held.request.shared_tokens);
+            let crosses = known.terms.reads.is_some_and(|reads| shared / f64::from(reads) > FAR);
+            let near = crosses || known.terms.region == held.request.region;
             let own =
                 group.is_none_or(|group| pool.apart.engine(member.region, member.rank) == group);
             (near, own, mix(held.request.prefix ^ known.terms.salt))
@@ -122,7 +128,10 @@
         let engines = self.pools[held.pool].apart.engine(member.region, member.rank);
         let strange = match group {
             Some(Group::Steady) if engines == Group::Bulk => STUTTERS,
-            Some(Group::Bulk) if engines == Group::Steady => reading * DISTURBS,
+            Some(Group::Bulk) if engines == Group::Steady => {
+                let short = backlog + reading < UNNOTICED;
+                reading * if short { UNNOTICED_COST } else { DISTURBS }
+            }
             _ => 0.0,
         };
         let stutter = if group == Some(Group::Steady) { backlog } else { 0.0 };
