Nodes that lose the store say so at once; groups stand from the first request

Change: two failed reads in a row end readiness, an unready node ends connections with its answers, a request refused for lack of proof may come back at once; groups have a prior, grow early and shrink late.

--- a/components/forward/src/answer.rs
+++ b/components/forward/src/answer.rs
@@ -35,9 +35,9 @@
     Late,
 }
 
-/// When a node that knows too little is worth another try: other nodes may know, and it asks the
-/// store several times a second.
-const SOON: Duration = Duration::from_millis(300);
+/// When a request that a node couldn't take is worth another try: at once, since the balancer
+/// brings it to another node.
+const SOON: Duration = Duration::from_millis(20);
 
 impl Error {
     /// 408, 421, 429 and 503 promise that nothing ran and nothing will; the others don't.
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -198,6 +198,7 @@
     let events = media.is_some_and(|media| media.starts_with("text/event-stream"));
     let success = head.status.is_success();
     let idle = state.site.servers.idle(&head);
+    log::debug!(server = server.name.as_str(), idle:? = idle; "answer begins");
     let mut source = Source {
         status: head.status,
         headers: returned(&head),
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -24,7 +24,6 @@
 
 async fn follow<S: Site>(weak: Weak<State<S>>) {
     let mut at = None;
-    let mut failures = 0;
     loop {
         let Some(state) = weak.upgrade() else { return };
         let step = match at {
@@ -33,12 +32,12 @@
         };
         match step {
             Ok(next) => {
-                answered(&state, failures);
-                failures = 0;
+                answered(&state);
                 at = next;
             }
             Err(cause) => {
-                failures += 1;
+                let failures = state.failures.get() + 1;
+                state.failures.set(failures);
                 failed(&state, failures, &cause);
                 pause(failures).await;
             }
@@ -48,7 +47,8 @@
     }
 }
 
-fn answered<S: Site>(state: &State<S>, failures: u32) {
+fn answered<S: Site>(state: &State<S>) {
+    let failures = state.failures.take();
     state.roster.borrow_mut().answered(state.clock.now());
     if failures > 0 {
         log::info!(failures = failures; "store answers again");
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::{Request, Response};
+use actix_http::{ConnectionType, Request, Response};
 use catalog::Entry;
 use life::{Outcome, Reason, Sending, Waiting};
 use policy::{Ending, Refusal};
@@ -20,8 +20,17 @@
 /// the request may run again. Answers rarely take that long, and as much is left for the next.
 const SILENT: u32 = 2;
 
-/// Answers one request.
+/// Answers one request. A node that isn't ready ends each connection with its answer, so that
+/// callers who keep theirs open move to other nodes as well.
 pub(crate) async fn handle<S: Site>(state: Rc<State<S>>, request: Request) -> Answer {
+    let mut answer = take(state.clone(), request).await;
+    if !state.ready() {
+        answer.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    answer
+}
+
+async fn take<S: Site>(state: Rc<State<S>>, request: Request) -> Answer {
     let arrived = state.moment();
     let name = request.path().to_string();
     let mut held = state.hold(&name);
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -22,6 +22,9 @@
 /// Time that an idle connection is kept to a server that doesn't say for how long it does.
 const IDLE: Duration = Duration::from_millis(800);
 
+/// Failures in a row that make the store lost: one may be a lost packet.
+const LOST: u32 = 2;
+
 /// When something happened, by the clock of the runtime and by one that counts suspension.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Moment {
@@ -41,6 +44,8 @@
     pub(crate) roster: RefCell<Roster>,
     /// The newest revision can't be used, so what is held isn't the newest.
     pub(crate) unusable: Cell<bool>,
+    /// Reads of the store that failed since one succeeded.
+    pub(crate) failures: Cell<u32>,
     /// Settings and servers were read once.
     pub(crate) loaded: Cell<bool>,
     pub(crate) region: ids::Region,
@@ -79,6 +84,7 @@
             book: RefCell::default(),
             roster: RefCell::default(),
             unusable: Cell::new(false),
+            failures: Cell::new(0),
             loaded: Cell::new(false),
             region,
             pool: Pool::new(Kept { most: KEPT, idle: IDLE }),
--- a/components/policy/src/apart.rs
+++ b/components/policy/src/apart.rs
@@ -20,9 +20,17 @@
 /// two, at about 75 a millisecond, and makes a token of each stream in some 10 ms (pauses of 66 to 72
 /// ms a token were seen). Classes that bear less are kept apart from those that bear more.
 const STALL: f64 = 0.075;
-/// A border moves only if it is this many engines off: half of one would let it swing with every
-/// wave, and each move costs the reading of what was cached beyond it.
-const SLACK: f64 = 0.75;
+/// Engine time, in seconds, that each group is taken to have had before anything is known, and that
+/// fades like real work: a sixth for steady streams. Without it the first seconds of a node send
+/// long prompts to where the first streams are.
+const PRIOR: [f64; 2] = [0.35, 1.65];
+/// Less engine time than this, in seconds, is no work of a kind at all.
+const NONE: f64 = 0.01;
+/// The steady group grows once it lacks so much of an engine, and shrinks once it has so much too
+/// many: streams that run at an engine which turns to long prompts stutter to their end, and what an
+/// engine has cached beyond a border is read again.
+const LACKS: f64 = 0.6;
+const SPARES: f64 = 1.25;
 
 /// Which group of engines a class or an engine belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,9 +51,11 @@
 }
 
 /// The two groups of one pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Apart {
     work: Vec<Work>,
+    /// What is left of the work that is taken for granted, of the steady group and of the other.
+    prior: [f64; 2],
     faded: Option<Instant>,
     /// Both kinds of classes had work of late.
     unlike: bool,
@@ -53,6 +63,13 @@
     steady: HashMap<ids::Region, usize>,
 }
 
+impl Default for Apart {
+    fn default() -> Self {
+        let steady = HashMap::new();
+        Apart { work: vec![], prior: PRIOR, faded: None, unlike: false, steady }
+    }
+}
+
 impl Apart {
     /// Counts work of a class.
     pub(crate) fn add(&mut self, class: ids::Class, bears: Duration, seconds: f64, now: Instant) {
@@ -69,15 +86,17 @@
         let age = now.saturating_duration_since(last).as_secs_f64() / HALF.as_secs_f64();
         let keep = (-age).exp2();
         self.work.iter_mut().for_each(|work| work.seconds *= keep);
+        self.prior = self.prior.map(|seconds| seconds * keep);
         self.work.retain(|work| work.seconds > f64::EPSILON);
     }
 
     /// The steady group's part of all work; none while all is of one kind.
     fn part(&self) -> Option<f64> {
         let steady = self.work.iter().filter(|work| work.interval < STALL);
-        let steady: f64 = steady.map(|work| work.seconds).sum();
-        let all: f64 = self.work.iter().map(|work| work.seconds).sum();
-        (steady > 0.0 && steady < all).then(|| steady / all)
+        let steady = self.prior[0] + steady.map(|work| work.seconds).sum::<f64>();
+        let all = self.prior.iter().sum::<f64>() + self.work.iter().map(|w| w.seconds).sum::<f64>();
+        let known = [steady, all - steady].iter().all(|seconds| *seconds > NONE);
+        known.then(|| steady / all)
     }
 
     /// Works the groups out; `engines` counts those of each region.
@@ -90,7 +109,8 @@
             let most = count.saturating_sub(1);
             let whole = (wanted.round() as usize).clamp(1.min(most), most);
             let held = self.steady.entry(*region).or_insert(whole);
-            if (wanted - *held as f64).abs() > SLACK || *held > most {
+            let off = wanted - *held as f64;
+            if off > LACKS || -off > SPARES || *held > most {
                 *held = whole;
             }
         }
--- a/components/policy/src/apart/tests.rs
+++ b/components/policy/src/apart/tests.rs
@@ -22,9 +22,9 @@
 fn classes_that_bear_unlike_pauses_have_engines_of_their_own() {
     let ([steady, query, draft], now) = (classes(), Instant::now());
     let mut apart = Apart::default();
-    apart.add(steady, MS(60), 1.0, now);
-    apart.add(query, MS(65), 1.0, now);
-    apart.add(draft, MS(250), 2.0, now);
+    apart.add(steady, MS(60), 10.0, now);
+    apart.add(query, MS(65), 10.0, now);
+    apart.add(draft, MS(250), 20.0, now);
     apart.measure(&engines(8));
     assert_eq!(apart.class(MS(60)), Some(Group::Steady));
     assert_eq!(apart.class(MS(65)), Some(Group::Steady));
@@ -52,13 +52,13 @@
 fn a_wave_moves_no_border() {
     let ([steady, _, draft], now) = (classes(), Instant::now());
     let mut apart = Apart::default();
-    apart.add(steady, MS(60), 1.0, now);
-    apart.add(draft, MS(250), 1.0, now);
+    apart.add(steady, MS(60), 50.0, now);
+    apart.add(draft, MS(250), 50.0, now);
     apart.measure(&engines(8));
-    apart.add(draft, MS(250), 0.3, now);
+    apart.add(draft, MS(250), 15.0, now);
     apart.measure(&engines(8));
     assert_eq!(apart.engine(Default::default(), 3), Group::Steady);
-    apart.add(draft, MS(250), 2.0, now);
+    apart.add(draft, MS(250), 200.0, now);
     apart.measure(&engines(8));
     assert_eq!(apart.engine(Default::default(), 3), Group::Bulk);
 }
@@ -70,6 +70,20 @@
     let mut apart = Apart::default();
     apart.add(one, MS(60), 1.0, now);
     apart.add(other, MS(70), 1.0, now);
+    let now = now + Duration::from_secs(60);
+    apart.add(one, MS(60), 1.0, now);
     apart.measure(&engines(8));
     assert_eq!(apart.class(MS(60)), None);
 }
+
+/// A node starts into its first requests and knows of no work yet. Long prompts and steady streams
+/// are apart all the same, or the first streams of each start would stutter.
+#[test]
+fn groups_stand_before_any_work_is_known() {
+    let (classes, now) = (classes(), Instant::now());
+    let mut apart = Apart::default();
+    apart.add(classes[2], MS(250), 0.1, now);
+    apart.measure(&engines(8));
+    assert_eq!(apart.engine(Default::default(), 0), Group::Steady);
+    assert_eq!(apart.class(MS(250)), Some(Group::Bulk));
+}
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -77,7 +77,7 @@
     }
 
     /// Works out which engines of a pool are for steady streams.
-    fn part(&mut self, key: Key) {
+    pub(crate) fn part(&mut self, key: Key) {
         let pool = &mut self.pools[key];
         let mut engines = HashMap::new();
         for member in &pool.members {
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -236,6 +236,7 @@
         pool.members = ranked(&self.servers, &pool.servers);
         let key = self.pools.insert(pool);
         self.index.insert((request.model, allowed), key);
+        self.part(key);
         self.measure(key);
         key
     }
