--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -111,8 +111,14 @@
     }
 
     /// Whether callers had better come here: it knows what is in force, and that it is the newest.
+    ///
+    /// A node that the store turns away knows enough for a few seconds more. It says at once that it
+    /// isn't ready, so that the balancer has moved its callers to others by the time at which it has
+    /// to refuse them; where the store is away for all nodes, the balancer goes on using all.
     pub(crate) fn ready(&self) -> bool {
-        self.loaded.get() && self.book.borrow().is_some() && !self.draining.get() && self.fresh()
+        let known = self.loaded.get() && self.book.borrow().is_some();
+        let lost = self.failures.get() >= LOST || !self.fresh();
+        known && !lost && !self.draining.get()
     }
 
     /// Whether what is held may be believed to be the newest.
