Tiers by workspace and then by route; younger proof for fewer calls; repeats bounded by service

(3) the budget of repeats was one for all services and 16 a node at once, 112 over seven nodes where 54 are allowed. Change: rank of the workspace first, then of the route; a watch of 1.2 s that heard nothing is proof up to its last second, changes are taken in together; a bucket a service with 2 at once; such a stream breaks off; only an attempt that another may follow is given up early.

--- a/components/catalog/src/book.rs
+++ b/components/catalog/src/book.rs
@@ -7,6 +7,10 @@
 
 use crate::route::{Intake, Route, Service, Workspace};
 
+/// Ranks of routes that are told apart within one rank of workspaces. Engines tell ten levels apart,
+/// which hold three ranks of workspaces with three of routes each.
+const RANKS: u8 = 3;
+
 /// SHA-256 of a key: neither the time that a look-up takes nor a dump of memory tells a key.
 type KeyDigest = [u8; 32];
 
@@ -95,10 +99,14 @@
 }
 
 impl Found {
-    /// Rank of the request's tier.
+    /// Rank of the request's tier; 0 is the highest. The workspace's rank goes first, and among
+    /// workspaces of one rank the route's. Taken alone, the workspace's would put an availability
+    /// summary and a long draft of one caller on a level, and engines preempt the one for the other.
     pub fn tier(&self) -> u8 {
         let own = self.workspace.as_ref().and_then(|workspace| workspace.tier);
-        own.unwrap_or(self.route.tier)
+        let first = own.unwrap_or(self.route.tier);
+        let second = self.route.tier.min(RANKS - 1);
+        first.saturating_mul(RANKS).saturating_add(second)
     }
 }
 
--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -44,6 +44,8 @@
 type Script = Box<dyn Fn(u64) -> Vec<Step>>;
 
 struct State {
+    /// Header with the id of a request.
+    name: &'static str,
     script: RefCell<Script>,
     received: Cell<u64>,
     runs: RefCell<HashMap<String, u32>>,
@@ -61,9 +63,18 @@
 impl Raw {
     /// Starts a server on a free port; `script` tells what it does with its n-th request, from 0.
     pub async fn start(script: impl Fn(u64) -> Vec<Step> + 'static) -> io::Result<Self> {
+        Self::named(REQUEST_ID, script).await
+    }
+
+    /// As [`Raw::start`], where the header `name` carries the id of a request.
+    pub async fn named(
+        name: &'static str,
+        script: impl Fn(u64) -> Vec<Step> + 'static,
+    ) -> io::Result<Self> {
         let socket = TcpListener::bind(any()).await?;
         let address = socket.local_addr()?.to_string();
         let state = Rc::new(State {
+            name,
             script: RefCell::new(Box::new(script)),
             received: Cell::new(0),
             runs: RefCell::default(),
@@ -131,7 +142,7 @@
         };
         // Load reports, and what a router of an earlier site still asks of a port that was its
         // platform's.
-        if head.starts_with(&format!("GET {LOAD}")) || value(&head, REQUEST_ID).is_empty() {
+        if head.starts_with(&format!("GET {LOAD}")) || value(&head, state.name).is_empty() {
             return stream.write_all(b"HTTP/1.1 404 None\r\ncontent-length: 0\r\n\r\n").await;
         }
         let number = state.received.replace(state.received.get() + 1);
@@ -150,7 +161,7 @@
     read: &mut Vec<u8>,
     steps: Vec<Step>,
 ) -> io::Result<bool> {
-    let id = value(head, REQUEST_ID);
+    let id = value(head, state.name);
     state.seen.borrow_mut().push(Seen {
         id: id.clone(),
         head: head.to_string(),
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -40,6 +40,9 @@
     /// It may have run.
     #[error("{0}")]
     Lost(String),
+    /// Its events aren't those of one answer, so no other server can go on with it.
+    #[error("its events are out of order: {0}")]
+    Disorder(Disorder),
     /// It ran, and the server answered that it failed.
     #[error("it failed with status {}", .0.status.as_u16())]
     Failed(Box<Whole>),
@@ -55,7 +58,7 @@
             Trouble::Unreached(_) | Trouble::Misdirected | Trouble::Declined(_) => {
                 Some(Unsent::vouch())
             }
-            Trouble::Lost(_) | Trouble::Failed(_) | Trouble::Late => None,
+            Trouble::Lost(_) | Trouble::Disorder(_) | Trouble::Failed(_) | Trouble::Late => None,
         }
     }
 
@@ -64,7 +67,7 @@
             Trouble::Unreached(_) | Trouble::Misdirected => Ending::Unreached,
             Trouble::Declined(_) => Ending::NotRun,
             Trouble::Failed(_) => Ending::Faulty,
-            Trouble::Lost(_) | Trouble::Late => Ending::Failed,
+            Trouble::Lost(_) | Trouble::Disorder(_) | Trouble::Late => Ending::Failed,
         }
     }
 }
@@ -125,9 +128,7 @@
                 return Ok((!rest.is_empty()).then_some(Part { bytes: rest, events: 0 }));
             };
             let Some(scan) = &mut self.scan else { return Ok(Some(Part { bytes, events: 1 })) };
-            let piece = scan.push(&bytes).map_err(|cause: Disorder| {
-                Trouble::Lost(format!("its events are out of order: {cause}"))
-            })?;
+            let piece = scan.push(&bytes).map_err(Trouble::Disorder)?;
             if let Some(piece) = piece {
                 return Ok(Some(Part { bytes: piece.bytes, events: piece.events }));
             }
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -10,8 +10,16 @@
 use crate::state::State;
 
 /// How long a watch waits for a change. Each answer proves anew that nothing newer is in force, and
-/// each call is paid for.
-const WAIT: Duration = Duration::from_millis(1_500);
+/// each call is paid for; but the younger the proof when the store goes away, the longer a node can
+/// serve without it. With this, nearly all nodes serve for the first three seconds of an outage.
+const WAIT: Duration = Duration::from_millis(1_200);
+/// A store that is about to drop its history leaves its watches unanswered for a second while changes
+/// are made, and then cuts them. So a watch that heard nothing to its end is no proof for its last
+/// second, but it is one for all before, as it is longer than that second itself.
+const DEAF: Duration = Duration::from_millis(1_050);
+/// Time from one watch to the next at least, so that changes which come in quick succession are
+/// taken in together. Well under the time in which a leaving server must get no new work.
+const SPACE: Duration = Duration::from_millis(700);
 /// First pause after a failure; doubled by each.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause, so that a store which is back is found within half a second.
@@ -97,10 +105,17 @@
         }
     };
     state.roster.borrow_mut().answered(state.clock.now());
+    let waited = state.clock.awake().saturating_sub(asked);
+    let heard = !value.is_empty();
     for event in value {
         take(state, event);
     }
-    confirm(state, asked);
+    if heard || waited < WAIT {
+        confirm(state, asked);
+        tokio::time::sleep(SPACE.saturating_sub(waited)).await;
+    } else {
+        confirm(state, asked + WAIT - DEAF);
+    }
     Ok(Some(at.max(after)))
 }
 
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -24,7 +24,7 @@
 use tokio::sync::watch;
 
 pub use attempt::end_to_end;
-pub use node::{Error, Node};
+pub use node::{Error, Node, Promises, Room};
 
 use crate::seam::{Dialects, Site};
 use crate::state::State;
--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -72,9 +72,9 @@
     },
 }
 
-/// Part of the promised time for a withdrawn key within which the proof must be young: the rest is
-/// for watches that hear nothing for a second while the store drops its history.
-const PROOF: f64 = 0.8;
+/// Part of the promised time for a withdrawn key within which the proof must be young; the rest is
+/// for the difference between two machines' clocks.
+const PROOF: f64 = 0.97;
 
 impl Node {
     /// Reads a node's settings from TOML; `origin` names the text in errors.
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -81,7 +81,8 @@
             Err(refused) => return course.refuse(waiting, refused),
         };
         let sending = waiting.send();
-        let trouble = match course.attempt(&server, course.job.call.after).await {
+        let trouble = match course.attempt(sending.attempt(), &server, course.job.call.after).await
+        {
             Ok(start) => return course.pass(sending, start),
             Err(trouble) => trouble,
         };
@@ -124,17 +125,19 @@
         }
     }
 
-    /// One attempt, within the time that is left.
+    /// One attempt, within the time that is left. Only one that another may follow is given up
+    /// early.
     pub(crate) async fn attempt(
         &mut self,
+        number: u32,
         server: &Entry,
         after: Option<u64>,
     ) -> Result<Start, Trouble> {
         let left = self.job.left(&self.state);
-        let repeatable = self.job.repeatable().is_some();
+        let followed = number < u32::from(self.job.route().attempts);
+        let early = followed && self.job.repeatable().is_some();
         let silent = self.job.route().target * SILENT;
-        let within =
-            if repeatable && self.job.route().attempts > 1 { left.min(silent) } else { left };
+        let within = if early { left.min(silent) } else { left };
         let asking = attempt::ask(&self.state, &self.job, server, after);
         tokio::time::timeout(within, asking).await.unwrap_or(Err(Trouble::Late))
     }
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -32,6 +32,19 @@
     awake: Duration,
 }
 
+/// Repeats that a node may make at once at one service, over what its fresh requests have earned.
+/// What all nodes make together is bounded by their fresh requests and by this for each node, also
+/// for one that has just started anew; no node needs to know how many others there are.
+const BURST: u32 = 2;
+/// Bytes a second that a node may send to another region.
+const LINK: u64 = 400 << 10;
+
+/// The limits that bound the decisions of a node.
+fn limits(node: &Node) -> policy::Limits {
+    let retry_percent = (node.promises.repeats * 100.0).floor() as u32;
+    policy::Limits { retry_percent, retry_burst: BURST, link_bytes: LINK }
+}
+
 /// Shared state of one node.
 pub(crate) struct State<S: Site> {
     node: RefCell<Rc<Node>>,
@@ -64,13 +77,14 @@
     pub(crate) fn new(node: Node, site: Dialects<S>) -> Rc<Self> {
         let clock = clock::Runtime::new();
         let seed = xxhash_rust::xxh3::xxh3_64(node.name.as_bytes());
-        let scheduler = Scheduler::with_seed(seed)
+        let mut scheduler = Scheduler::with_seed(seed)
             .without(Mechanism::Fit)
             .without(Mechanism::EarlyRefusal)
             .without(Mechanism::Stopping);
+        scheduler.set_limits(limits(&node));
         let mut names = Names::default();
         let region = names.region(node.region());
-        let limits = listen::Limits {
+        let intake = listen::Limits {
             connections: (node.room.descriptors / 2) as usize,
             ..listen::Limits::default()
         };
@@ -90,7 +104,7 @@
             pool: Pool::new(Kept { most: KEPT, idle: IDLE }),
             metrics: Metrics::new(),
             draining: Cell::new(false),
-            limits: watch::channel(limits).0,
+            limits: watch::channel(intake).0,
             bytes: Cell::new(0),
             held: RefCell::default(),
             ended: Notify::new(),
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -131,7 +131,8 @@
                 self.course.note(life.attempt(), &server, &trouble);
             }
             let ending = trouble.ending();
-            let Some(proof) = self.course.job.repeatable() else {
+            let sound = !matches!(trouble, Trouble::Disorder(_));
+            let Some(proof) = self.course.job.repeatable().filter(|_| sound) else {
                 self.course.place.end(ending);
                 break;
             };
@@ -140,7 +141,7 @@
             }
             let Ok(server) = self.course.turn().await else { break };
             life = life.pause(proof).resume();
-            trouble = match self.course.attempt(&server, last).await {
+            trouble = match self.course.attempt(life.attempt(), &server, last).await {
                 Ok(Start::Passing(source)) => {
                     self.source = Some(source);
                     self.life = Some(life);
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -149,7 +149,11 @@
     keys: &Keys,
     classes: SecondaryMap<ids::Class, Class>,
 ) -> Scheduler {
-    scheduler.set_limits(Limits { retry_percent: 10, link_bytes: 200_000 });
+    scheduler.set_limits(Limits {
+        retry_percent: 10,
+        retry_burst: policy::RETRIES,
+        link_bytes: 200_000,
+    });
     for (key, class) in classes {
         scheduler.set_class(key, class);
     }
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -59,11 +59,12 @@
             Ending::Failed | Ending::Faulty => held.request.idempotent,
             Ending::Whole | Ending::Cancelled => false,
         };
+        let model = held.request.model;
         let attempts = self.classes.get(held.request.class).map_or(1, |class| class.attempts);
         if !repeatable || held.attempts >= attempts || now >= held.last_call {
             return false;
         }
-        !self.without.has(Mechanism::RetryBudget) || self.retries.take(1.0)
+        !self.without.has(Mechanism::RetryBudget) || self.retries(model).take(1.0)
     }
 
     /// Takes the place of an ended attempt back and puts its charge right.
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -322,6 +322,7 @@
         held.sent_at = now;
         let (class, workspace, tier) = (held.request.class, held.request.workspace, held.tier);
         let (pool, tokens, first) = (held.pool, held.tokens, held.attempts == 1);
+        let model = held.request.model;
         let bytes = held.request.prompt_tokens * PROMPT_BYTES + tokens * EVENT_BYTES;
         let charge = fair::cost(held.request.prompt_tokens, held.produced + tokens);
         let more = i64::from(charge) - i64::from(held.charged);
@@ -341,7 +342,8 @@
             self.link.owe(f64::from(bytes));
         }
         if first {
-            self.retries.add(f64::from(self.limits.retry_percent) / 100.0);
+            let part = f64::from(self.limits.retry_percent) / 100.0;
+            self.retries(model).add(part);
         }
         if let Some(entry) = self.in_flight.entry(workspace) {
             *entry.or_default() += 1;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -33,5 +33,5 @@
 pub use belief::{Belief, Unused};
 pub use mechanism::Mechanism;
 pub use quota::Wait;
-pub use scheduler::Scheduler;
+pub use scheduler::{RETRIES, Scheduler};
 pub use terms::{Class, Demand, Limits, Report, Request, Server, Share, Workspace};
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -21,7 +21,7 @@
 
 /// Retries that may come at once, over what fresh work has earned: those of one server that crashes
 /// with its places full.
-const RETRIES: f64 = 16.0;
+pub const RETRIES: u32 = 16;
 /// Bytes of the link that may be sent at once: two seconds' worth.
 const LINK_SECONDS: f64 = 2.0;
 
@@ -45,7 +45,8 @@
     pub(crate) in_flight: SecondaryMap<ids::Workspace, u32>,
     pub(crate) fair: Fair,
     pub(crate) lengths: Lengths,
-    pub(crate) retries: Bucket,
+    /// By what is asked for: retries at one service must not be paid for by work at another.
+    pub(crate) retries: SecondaryMap<ids::Model, Bucket>,
     pub(crate) link: Bucket,
     pub(crate) limits: Limits,
     pub(crate) timers: BTreeSet<(Instant, ids::Job)>,
@@ -100,9 +101,9 @@
             in_flight: SecondaryMap::new(),
             fair: Fair::default(),
             lengths: Lengths::default(),
-            retries: Bucket::new(RETRIES),
+            retries: SecondaryMap::new(),
             link: Bucket::new(0.0),
-            limits: Limits { retry_percent: 10, link_bytes: 1 << 20 },
+            limits: Limits { retry_percent: 10, retry_burst: RETRIES, link_bytes: 1 << 20 },
             timers: BTreeSet::new(),
             refused: vec![],
             scratch: vec![],
@@ -137,6 +138,9 @@
 
     /// Sets the limits of the deployment.
     pub fn set_limits(&mut self, limits: Limits) {
+        if limits.retry_burst != self.limits.retry_burst {
+            self.retries.clear();
+        }
         if limits != self.limits || self.link.part() == 0.0 {
             self.link = Bucket::new(limits.link_bytes as f64 * LINK_SECONDS);
         }
@@ -197,6 +201,15 @@
         self.refresh();
     }
 
+    /// Retries that requests for a model may spend.
+    pub(crate) fn retries(&mut self, model: ids::Model) -> &mut Bucket {
+        let burst = f64::from(self.limits.retry_burst);
+        if !self.retries.contains_key(model) {
+            self.retries.insert(model, Bucket::new(burst));
+        }
+        &mut self.retries[model]
+    }
+
     /// Number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -57,6 +57,8 @@
     pub struct Limits {
         /// Retries as a part of fresh work, in percent.
         pub retry_percent: u32,
+        /// Retries that may come at once for one model, over what fresh work has earned.
+        pub retry_burst: u32,
         /// Bytes a second that this node may send over the link between regions.
         pub link_bytes: u64,
     }
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -58,7 +58,11 @@
         let workspaces = keys(workspaces);
         let servers = keys(servers);
         let model = keys(1)[0];
-        scheduler.set_limits(Limits { retry_percent: 10, link_bytes: 1 << 20 });
+        scheduler.set_limits(Limits {
+            retry_percent: 10,
+            retry_burst: policy::RETRIES,
+            link_bytes: 1 << 20,
+        });
         for (tier, key) in classes.iter().enumerate() {
             scheduler.set_class(*key, class(tier as u8, queue));
         }
--- a/components/router/src/terms.rs
+++ b/components/router/src/terms.rs
@@ -13,6 +13,7 @@
 pub(crate) fn apply(scheduler: &mut Scheduler, last: Option<&Effective>, effective: &Effective) {
     scheduler.set_limits(policy::Limits {
         retry_percent: effective.limits.retry_percent,
+        retry_burst: policy::RETRIES,
         link_bytes: effective.limits.link_bytes,
     });
     for (key, class) in changed(&effective.classes, last.map(|last| &last.classes)) {
