No budget for the link between regions, whose width no site tells

Ruled out: retries (the failing calls had no attempt). Change: the budget is out of the way; what crosses is priced where servers are chosen. Requests dropped while they wait are logged too.

--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -1,5 +1,6 @@
 //! Carries a request from its arrival to its end: waits for a place, sends, passes the answer on.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -47,6 +48,9 @@
     serve(state, job, held).await
 }
 
+/// Outcome in logs and metrics of a request whose caller went away.
+const GONE: &str = "caller-gone";
+
 /// How a stream went, for the log.
 #[derive(Default)]
 pub(crate) struct Pace {
@@ -66,6 +70,8 @@
     /// The server that it was sent to last.
     pub(crate) server: Option<Rc<Entry>>,
     pub(crate) pace: Pace,
+    /// Its end was logged.
+    over: Cell<bool>,
     /// What a server answered that failed, for the caller if no other does better.
     failure: Option<Whole>,
 }
@@ -73,8 +79,16 @@
 async fn serve<S: Site>(state: Rc<State<S>>, job: Job, held: Held<S>) -> Answer {
     let mut waiting = Waiting::Fresh(life::Request::new(ids::Request::new()).admit().queue());
     let place = Place::new(&state.turns, job.request.clone());
-    let mut course =
-        Course { state, job, place, held, server: None, pace: Pace::default(), failure: None };
+    let mut course = Course {
+        state,
+        job,
+        place,
+        held,
+        server: None,
+        pace: Pace::default(),
+        over: Cell::new(false),
+        failure: None,
+    };
     loop {
         let server = match course.turn().await {
             Ok(server) => server,
@@ -156,6 +170,7 @@
         let route = job.route().name.as_str();
         let time = self.state.since(job.arrived);
         let server = self.server.as_ref().map_or("", |server| &server.name);
+        self.over.set(true);
         self.state.metrics.outcome(route, outcome);
         log::info!(
             request = job.call.id.as_str(), route = route, tier = job.found.tier(),
@@ -230,6 +245,15 @@
     }
 }
 
+/// A request whose caller went away is dropped wherever it stands.
+impl<S: Site> Drop for Course<S> {
+    fn drop(&mut self) {
+        if !self.over.get() {
+            self.ended(GONE, 0);
+        }
+    }
+}
+
 /// Time that is left of a pause until the answer counts as stalled.
 pub(crate) fn stall(pause: Option<Duration>) -> Duration {
     /// Pauses beyond the longest that callers hope for happen in a full batch; three of them don't.
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -36,8 +36,10 @@
 /// What all nodes make together is bounded by their fresh requests and by this for each node, also
 /// for one that has just started anew; no node needs to know how many others there are.
 const BURST: u32 = 2;
-/// Bytes a second that a node may send to another region.
-const LINK: u64 = 400 << 10;
+/// Bytes a second that a node may send to another region: as many as it likes. A site doesn't say how
+/// wide the link is, and a budget that is too small keeps requests from the only server that is left
+/// for them; what crosses is bounded by its price in the choice of servers.
+const LINK: u64 = 1 << 40;
 
 /// The limits that bound the decisions of a node.
 fn limits(node: &Node) -> policy::Limits {
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -17,8 +17,6 @@
 
 /// Time for the last events to reach the socket before the connection is cut under them.
 const FLUSH: Duration = Duration::from_millis(50);
-/// Outcome in logs and metrics of an answer whose caller went away.
-const GONE: &str = "caller-gone";
 
 /// An answer under way from a server to a caller.
 pub(crate) struct Passing<S: Site> {
@@ -160,9 +158,6 @@
 
 impl<S: Site> Drop for Passing<S> {
     fn drop(&mut self) {
-        if self.life.is_some() {
-            self.course.ended(GONE, 0);
-        }
         if self.tokens > 0 {
             let route = &self.course.job.route().name;
             self.course.state.metrics.wasted(route, self.tokens.into());
