--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -13,6 +13,8 @@
 /// each call is paid for; but the younger the proof when the store goes away, the longer a node can
 /// serve without it. With this, nearly all nodes serve for the first three seconds of an outage.
 const WAIT: Duration = Duration::from_millis(1_200);
+/// The same after a failure, so that a node which was lost for a moment is soon ready again.
+const GLANCE: Duration = Duration::from_millis(100);
 /// A store that is about to drop its history leaves its watches unanswered for a second while changes
 /// are made, and then cuts them. So a watch that heard nothing to its end is no proof for its last
 /// second, but it is one for all before, as it is longer than that second itself.
@@ -97,7 +99,8 @@
 /// Waits for changes; returns the position to go on from, none if all has to be read again.
 async fn watch<S: Site>(state: &Rc<State<S>>, after: u64) -> Result<Option<u64>, StoreError> {
     let asked = state.clock.awake();
-    let Reading { value, at } = match state.site.store.watch(after, WAIT).await? {
+    let wait = if state.failures.get() > 0 { GLANCE } else { WAIT };
+    let Reading { value, at } = match state.site.store.watch(after, wait).await? {
         Watched::Events(reading) => reading,
         Watched::Forgotten => {
             log::info!(after = after; "the store forgot its history; all is read again");
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -22,9 +22,6 @@
 /// Time that an idle connection is kept to a server that doesn't say for how long it does.
 const IDLE: Duration = Duration::from_millis(800);
 
-/// Failures in a row that make the store lost: one may be a lost packet.
-const LOST: u32 = 2;
-
 /// When something happened, by the clock of the runtime and by one that counts suspension.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Moment {
@@ -133,7 +130,7 @@
     /// to refuse them; where the store is away for all nodes, the balancer goes on using all.
     pub(crate) fn ready(&self) -> bool {
         let known = self.loaded.get() && self.book.borrow().is_some();
-        let lost = self.failures.get() >= LOST || !self.fresh();
+        let lost = self.failures.get() > 0 || !self.fresh();
         known && !lost && !self.draining.get()
     }
 
