--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -35,12 +35,12 @@
         );
         std::fs::write(&path, settings).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_godwitleverd"));
-        command.arg("--settings").arg(path).stderr(Stdio::piped());
+        command.arg("--settings").arg(path).stdout(Stdio::piped());
         let mut child = command.spawn().unwrap();
-        let stderr = child.stderr.take().unwrap();
+        let stdout = child.stdout.take().unwrap();
         let (sender, lines) = mpsc::unbounded_channel();
         std::thread::spawn(move || {
-            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
                 let _ = sender.send(line);
             }
         });
