Requests that cross the closing of idle connections are answered

Cause: a node that stops ends its idle connections once the balancer has noticed. Ruled out: the grace (it had seconds left). Change: bytes of a further request keep a connection from being idle, and a connection is served for 5 ms more before it is closed. A request that still crosses isn't read, which its caller can tell.

--- a/components/listen/src/accept.rs
+++ b/components/listen/src/accept.rs
@@ -25,6 +25,9 @@
 /// Time to go on reading from a caller that was answered before it had sent all. Closing at once
 /// resets the connection, and the caller may never see the answer.
 const LINGER: Duration = Duration::from_secs(1);
+/// Time that a connection is served on before it is closed as idle: a request that has arrived and
+/// wasn't read yet would be lost with it.
+const SETTLE: Duration = Duration::from_millis(5);
 /// Connections above the limit that are told so at once; further ones are closed without a word.
 const TOLD: usize = 64;
 
@@ -140,6 +143,10 @@
                     return;
                 }
                 if now == State::Closing {
+                    let settled = tokio::time::timeout(SETTLE, &mut serving).await;
+                    if settled.is_ok() {
+                        return;
+                    }
                     conn.close();
                 }
             }
--- a/components/listen/src/io.rs
+++ b/components/listen/src/io.rs
@@ -65,6 +65,12 @@
         }
     }
 
+    /// No request is under way, and nothing of a further one came. Bytes that were read and not yet
+    /// taken for a request would else be served on a connection that is being closed under them.
+    fn idle(&self) -> bool {
+        !self.conn.active() && self.begun != Some(self.conn.served())
+    }
+
     /// No bytes are there; whether the connection stood between two requests for too long. The
     /// HTTP library itself watches the first head only.
     fn stale(&mut self, cx: &mut Context<'_>) -> bool {
@@ -106,7 +112,7 @@
                 this.came(count);
                 Poll::Ready(done)
             }
-            Poll::Pending if this.conn.is_closing() && !this.conn.active() => Poll::Ready(Ok(())),
+            Poll::Pending if this.conn.is_closing() && this.idle() => Poll::Ready(Ok(())),
             Poll::Pending if this.stale(cx) => Poll::Ready(Err(timeout("no request came"))),
             Poll::Pending => Poll::Pending,
         }
