Servers that fail a part of their requests are passed over

Change: the part of attempts that failed of late counts against a server, fading in three seconds. A node that hears the store again says so before it pauses, not after.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -37,13 +37,14 @@
     loop {
         let Some(state) = weak.upgrade() else { return };
         let step = match at {
-            None => load(&state).await.map(Some),
+            None => load(&state).await.map(|at| (Some(at), Duration::ZERO)),
             Some(after) => watch(&state, after).await,
         };
         match step {
-            Ok(next) => {
+            Ok((next, space)) => {
                 answered(&state);
                 at = next;
+                tokio::time::sleep(space).await;
             }
             Err(cause) => {
                 let failures = state.failures.get() + 1;
@@ -96,15 +97,19 @@
     Ok(settings.at.min(servers.at))
 }
 
-/// Waits for changes; returns the position to go on from, none if all has to be read again.
-async fn watch<S: Site>(state: &Rc<State<S>>, after: u64) -> Result<Option<u64>, StoreError> {
+/// Waits for changes; returns the position to go on from, none if all has to be read again, and the
+/// time to let pass before.
+async fn watch<S: Site>(
+    state: &Rc<State<S>>,
+    after: u64,
+) -> Result<(Option<u64>, Duration), StoreError> {
     let asked = state.clock.awake();
     let wait = if state.failures.get() > 0 { GLANCE } else { WAIT };
     let Reading { value, at } = match state.site.store.watch(after, wait).await? {
         Watched::Events(reading) => reading,
         Watched::Forgotten => {
             log::info!(after = after; "the store forgot its history; all is read again");
-            return Ok(None);
+            return Ok((None, Duration::ZERO));
         }
     };
     state.roster.borrow_mut().answered(state.clock.now());
@@ -113,13 +118,13 @@
     for event in value {
         take(state, event);
     }
+    let next = Some(at.max(after));
     if heard || waited < WAIT {
         confirm(state, asked);
-        tokio::time::sleep(SPACE.saturating_sub(waited)).await;
-    } else {
-        confirm(state, asked + WAIT - DEAF);
+        return Ok((next, SPACE.saturating_sub(waited)));
     }
-    Ok(Some(at.max(after)))
+    confirm(state, asked + WAIT - DEAF);
+    Ok((next, Duration::ZERO))
 }
 
 /// What is held was the newest when the read began, unless the newest can't be used.
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -74,6 +74,9 @@
         if let Some(known) = self.servers.get_mut(server) {
             known.end(job, now);
             known.reading.over(reading);
+            if !matches!(ending, Ending::Cancelled | Ending::Stopped) {
+                known.health.ended(ending == Ending::Whole, now);
+            }
             match ending {
                 Ending::Whole => known.health.good(),
                 Ending::NotRun | Ending::Unreached | Ending::Failed => {
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -35,6 +35,9 @@
 const PROMPT_BYTES: u32 = 4;
 const EVENT_BYTES: u32 = 200;
 
+/// Times its own time that a server which fails all requests seems to take: one that fails a tenth is
+/// passed over for any other whose load is usual.
+const FAULTY: f64 = 10.0;
 /// Tokens of a usual answer, for how soon a place comes free at a full server. Only its order of
 /// size matters: it must outweigh the differences between free servers.
 const USUAL: u32 = 100;
@@ -259,6 +262,7 @@
                 continue;
             }
             let load = load / f64::from(known.slots().max(1));
+            let time = time * (1.0 + self.faults(known, now) * FAULTY);
             let candidate = Candidate { server: *key, salt: known.terms.salt, load, time };
             if here || !link {
                 into.insert(into.len() - far, candidate);
@@ -294,6 +298,11 @@
         held.tier == self.top && self.in_danger(held, now)
     }
 
+    /// Part of its attempts of late that failed.
+    pub(crate) fn faults(&self, known: &Known, now: Instant) -> f64 {
+        if self.without.has(Mechanism::Ejection) { known.health.faults(now) } else { 0.0 }
+    }
+
     pub(crate) fn ejected(&self, server: ids::Server, now: Instant) -> bool {
         let known = &self.servers[server];
         self.without.has(Mechanism::Ejection) && (known.health.ejected(now) || known.silent(now))
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -34,6 +34,8 @@
 /// fourth of what they bear.
 const UNNOTICED: f64 = 0.06;
 const UNNOTICED_COST: f64 = 4.0;
+/// Seconds that a request is worth which an engine fails: about what it takes to serve two anew.
+const FAILS: f64 = 1.0;
 /// Seconds that each request which this node has at an engine counts for: what it slows the others
 /// by over its life.
 const CROWD: f64 = 0.003;
@@ -136,7 +138,8 @@
         };
         let stutter = if group == Some(Group::Steady) { backlog } else { 0.0 };
         let crowd = f64::from(known.sent) * CROWD;
-        let cost = reading + late + far + strange + stutter + crowd;
+        let faulty = self.faults(known, now) * FAILS;
+        let cost = reading + late + far + strange + stutter + crowd + faulty;
         Some(Chosen { server: member.server, reading, cost })
     }
 
--- a/components/policy/src/health.rs
+++ b/components/policy/src/health.rs
@@ -1,7 +1,9 @@
 //! Which backend servers are left out for a while, and how they come back.
 //!
-//! Pattern: a backend server that crashes and refuses connections at once. It looks idle, so without
-//! this the least loaded choice sends everything to it, and attempts run out.
+//! Patterns: a backend server that crashes and refuses connections at once. It looks idle, so without
+//! this the least loaded choice sends everything to it, and attempts run out. And one that fails a
+//! part of its requests: it never fails often enough in a row to be left out, and a charge that it
+//! loses is lost for good; so the part that failed of late counts against it beside its load.
 
 use std::time::{Duration, Instant};
 
@@ -13,17 +15,41 @@
 /// Longest time out, so that a server which is back is found within ten seconds.
 const LONGEST: Duration = Duration::from_secs(8);
 
+/// Weight of an attempt's end in the part that failed: ten attempts show a change.
+const WEIGHT: f64 = 0.1;
+/// The part that failed counts half after this time, so that a server which is well again is found.
+const HALF: Duration = Duration::from_secs(3);
+
 /// What attempts at one backend server tell of it.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
     failures: u32,
     until: Option<Instant>,
+    /// Part of the attempts of late that failed.
+    part: f64,
+    ended: Option<Instant>,
 }
 
 impl Health {
     /// An attempt got an answer.
     pub(crate) fn good(&mut self) {
-        *self = Health::default();
+        self.failures = 0;
+        self.until = None;
+    }
+
+    /// An attempt ended, well or not.
+    pub(crate) fn ended(&mut self, well: bool, now: Instant) {
+        let held = self.faults(now);
+        let sample = if well { 0.0 } else { 1.0 };
+        self.part = held + (sample - held) * WEIGHT;
+        self.ended = Some(now);
+    }
+
+    /// Part of the attempts of late that failed.
+    pub(crate) fn faults(&self, now: Instant) -> f64 {
+        let Some(ended) = self.ended else { return 0.0 };
+        let age = now.saturating_duration_since(ended).as_secs_f64() / HALF.as_secs_f64();
+        self.part * (-age).exp2()
     }
 
     /// An attempt failed. `jitter` is from 0 to 1 and keeps nodes from probing in step.
@@ -47,3 +73,6 @@
         self.until.is_some()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/policy/src/health/tests.rs
@@ -0,0 +1,20 @@
+use std::time::{Duration, Instant};
+
+use super::Health;
+
+/// A server fails a third of its requests and answers the rest, so it is never left out. Its part of
+/// failures tells of it, and fades once it is well or unused.
+#[test]
+fn a_part_that_fails_is_seen_and_forgotten() {
+    let (mut health, now) = (Health::default(), Instant::now());
+    for n in 0..60 {
+        health.ended(n % 3 != 0, now);
+    }
+    let faults = health.faults(now);
+    assert!((0.15..0.5).contains(&faults), "{faults}");
+    assert!(health.faults(now + Duration::from_secs(30)) < 0.01);
+    for _ in 0..60 {
+        health.ended(true, now);
+    }
+    assert!(health.faults(now) < 0.01);
+}
