--- a/components/catalog/src/roster.rs
+++ b/components/catalog/src/roster.rs
@@ -75,20 +75,6 @@
         }
     }
 
-    /// Takes in a whole list; what it doesn't name is missing.
-    pub fn replace(&mut self, entries: Vec<Entry>, now: Instant) -> Vec<String> {
-        let listed: Vec<_> = entries.iter().map(|entry| entry.name.clone()).collect();
-        let held: Vec<_> = self.entries.keys().cloned().collect();
-        let mut changed = vec![];
-        for entry in entries {
-            changed.extend(self.apply(Change::Listed(entry), now));
-        }
-        for name in held.into_iter().filter(|name| !listed.contains(name)) {
-            changed.extend(self.missing(name, now));
-        }
-        changed
-    }
-
     fn missing(&mut self, name: String, now: Instant) -> Vec<String> {
         let Some(entry) = self.entries.get(&name) else { return vec![] };
         // One that said it leaves didn't lapse.
@@ -100,15 +86,22 @@
         vec![name]
     }
 
-    fn doubtful(&self, now: Instant) -> bool {
-        self.away || self.returned.is_some_and(|at| now < at + RETURN)
-    }
-
     /// The list's keeper gives no answer.
     pub fn away(&mut self) {
         self.away = true;
     }
 
+    /// The list's keeper was away just before, as someone says who asked it.
+    pub fn doubt(&mut self, now: Instant) {
+        self.away = false;
+        self.returned = Some(now);
+    }
+
+    /// Whether what is missing may only have lapsed.
+    pub fn doubtful(&self, now: Instant) -> bool {
+        self.away || self.returned.is_some_and(|at| now < at + RETURN)
+    }
+
     /// The list's keeper answered.
     pub fn answered(&mut self, now: Instant) {
         if std::mem::take(&mut self.away) {
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the store: what is in force, and which backend servers there are.
+//! Follows what is published: what is in force, and which backend servers there are.
 
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -6,7 +6,9 @@
 use clock::Clock;
 use rand::Rng;
 
-use crate::seam::{Event, Reading, Site, Store, StoreError, Watched};
+use crate::news;
+use crate::seam::{Event, Item, Reading, Site, Store, StoreError, Watched};
+use crate::source::Source;
 use crate::state::State;
 
 /// How long a watch waits for a change. Each answer proves anew that nothing newer is in force, and
@@ -22,35 +24,47 @@
 /// Time from one watch to the next at least, so that changes which come in quick succession are
 /// taken in together. Well under the time in which a leaving server must get no new work.
 const SPACE: Duration = Duration::from_millis(700);
-/// First pause after a failure; doubled by each.
+/// A peer whose proof is older than this has lost the store: one that reads it has a proof of at most
+/// [`WAIT`] and [`DEAF`], and the way.
+const PEERS: Duration = Duration::from_millis(2_600);
+/// How often seeds tell each other of work: it is averaged over seconds.
+const EXCHANGE: Duration = Duration::from_secs(1);
+/// First pause after all sources failed; doubled by each time.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause, so that a store which is back is found within half a second.
 const LONGEST: Duration = Duration::from_millis(500);
 
-/// Starts the task; it ends with the node.
+/// Starts the tasks; they end with the node.
 pub(crate) fn start<S: Site>(state: &Rc<State<S>>) {
     actix_rt::spawn(follow(Rc::downgrade(state)));
+    for seed in state.exchanged() {
+        actix_rt::spawn(exchange(Rc::downgrade(state), seed));
+    }
 }
 
 async fn follow<S: Site>(weak: Weak<State<S>>) {
-    let mut at = None;
+    let Some(mut sources) = weak.upgrade().map(|state| state.sources()) else { return };
+    let mut rounds = 0;
     loop {
         let Some(state) = weak.upgrade() else { return };
-        let step = match at {
-            None => load(&state).await.map(|at| (Some(at), Duration::ZERO)),
-            Some(after) => watch(&state, after).await,
+        let source = sources.now(state.clock.now());
+        let step = match source {
+            Source::Store => store(&state).await,
+            Source::Peer(peer) => self::peer(&state, peer).await,
         };
         match step {
-            Ok((next, space)) => {
+            Ok(space) => {
                 answered(&state);
-                at = next;
+                sources.answered();
+                rounds = 0;
                 tokio::time::sleep(space).await;
             }
             Err(cause) => {
-                let failures = state.failures.get() + 1;
-                state.failures.set(failures);
-                failed(&state, failures, &cause);
-                pause(failures).await;
+                failed(&state, source, &cause);
+                if sources.failed(state.clock.now()) {
+                    rounds += 1;
+                    pause(rounds).await;
+                }
             }
         }
         let gone = state.roster.borrow_mut().expire(state.clock.now());
@@ -60,91 +74,141 @@
 
 fn answered<S: Site>(state: &State<S>) {
     let failures = state.failures.take();
-    state.roster.borrow_mut().answered(state.clock.now());
     if failures > 0 {
         log::info!(failures = failures; "store answers again");
     }
 }
 
-fn failed<S: Site>(state: &State<S>, failures: u32, cause: &StoreError) {
-    state.roster.borrow_mut().away();
+fn failed<S: Site>(state: &State<S>, source: Source, cause: &StoreError) {
+    if source == Source::Store {
+        state.roster.borrow_mut().away();
+    }
+    let failures = state.failures.get() + 1;
+    state.failures.set(failures);
+    state.told.notify_waiters();
     state.metrics.settings.event("unread");
     if failures.is_power_of_two() {
         log::warn!(cause:% = cause, failures = failures, age_ms = state.age_ms(); "store lost");
     }
 }
 
-async fn pause(failures: u32) {
-    let pause = (PAUSE * (1 << failures.min(4))).min(LONGEST);
+async fn pause(rounds: u32) {
+    let pause = (PAUSE * (1 << rounds.min(4))).min(LONGEST);
     let jitter = rand::rng().random_range(0.5..1.0);
     tokio::time::sleep(pause.mul_f64(jitter)).await;
 }
 
-/// Reads all; returns the position to watch from.
-async fn load<S: Site>(state: &Rc<State<S>>) -> Result<u64, StoreError> {
-    let asked = state.clock.awake();
-    let settings = state.site.store.settings().await?;
-    let servers = state.site.store.servers().await?;
-    let now = state.clock.now();
-    state.roster.borrow_mut().answered(now);
-    let changed = state.roster.borrow_mut().replace(servers.value, now);
-    state.changed(changed);
-    if let Some(event) = settings.value {
-        take(state, event);
-    }
-    confirm(state, asked);
-    state.loaded.set(true);
-    Ok(settings.at.min(servers.at))
-}
-
-/// Waits for changes; returns the position to go on from, none if all has to be read again, and the
-/// time to let pass before.
-async fn watch<S: Site>(
-    state: &Rc<State<S>>,
-    after: u64,
-) -> Result<(Option<u64>, Duration), StoreError> {
+/// Reads the store, or waits there for changes; returns the time to let pass before the next call.
+async fn store<S: Site>(state: &Rc<State<S>>) -> Result<Duration, StoreError> {
     let asked = state.clock.awake();
+    let at = state.mirror.borrow().at().filter(|_| !state.forgotten.take());
+    let Some(after) = at else {
+        let Reading { value, at } = state.site.store.read().await?;
+        state.roster.borrow_mut().answered(state.clock.now());
+        let news = state.mirror.borrow_mut().replace(value, at);
+        take(state, news);
+        confirm(state, asked);
+        state.loaded.set(true);
+        return Ok(Duration::ZERO);
+    };
     let wait = if state.failures.get() > 0 { GLANCE } else { WAIT };
     let Reading { value, at } = match state.site.store.watch(after, wait).await? {
-        Watched::Events(reading) => reading,
+        Watched::Changes(reading) => reading,
         Watched::Forgotten => {
             log::info!(after = after; "the store forgot its history; all is read again");
-            return Ok((None, Duration::ZERO));
+            state.forgotten.set(true);
+            return Ok(Duration::ZERO);
         }
     };
     state.roster.borrow_mut().answered(state.clock.now());
     let waited = state.clock.awake().saturating_sub(asked);
     let heard = !value.is_empty();
-    for event in value {
-        take(state, event);
-    }
-    let next = Some(at.max(after));
+    let news = state.mirror.borrow_mut().apply(value, at);
+    take(state, news);
     if heard || waited < WAIT {
         confirm(state, asked);
-        return Ok((next, SPACE.saturating_sub(waited)));
+        return Ok(SPACE.saturating_sub(waited));
     }
     confirm(state, asked + WAIT - DEAF);
-    Ok((next, Duration::ZERO))
+    Ok(Duration::ZERO)
 }
 
-/// What is held was the newest when the read began, unless the newest can't be used.
-fn confirm<S: Site>(state: &State<S>, asked: Duration) {
+/// Asks a peer that reads the store. Its proof is as old as it says, counted from when the answer was
+/// made, which is no earlier than the question and the time for which it was held.
+async fn peer<S: Site>(
+    state: &Rc<State<S>>,
+    peer: std::net::SocketAddr,
+) -> Result<Duration, StoreError> {
+    let asked = state.clock.awake();
+    let wait = if state.failures.get() > 0 { GLANCE } else { WAIT };
+    let news = news::ask(state, peer, wait).await?;
+    let now = state.clock.now();
+    if news.lost {
+        // The store may be well, and only this peer cut off from it; others will tell.
+        return Err(StoreError::Down(format!("peer {peer} has lost the store")));
+    }
+    if news.doubtful {
+        state.roster.borrow_mut().doubt(now);
+    } else {
+        state.roster.borrow_mut().answered(now);
+    }
+    state.set_fleet(news.work);
+    let items = {
+        let mut mirror = state.mirror.borrow_mut();
+        if news.whole {
+            mirror.replace(news.items, news.at)
+        } else {
+            mirror.apply(news.items, news.at)
+        }
+    };
+    take(state, items);
+    state.loaded.set(true);
+    let Some(age) = news.age_ms.map(|age| Duration::from_millis(age.into())) else {
+        return Err(StoreError::Down(format!("peer {peer} has no proof")));
+    };
+    let made = asked + Duration::from_millis(news.held_ms.into());
+    confirm(state, made.saturating_sub(age));
+    if age > PEERS {
+        return Err(StoreError::Down(format!("peer {peer} has a proof of {} ms", age.as_millis())));
+    }
+    Ok(Duration::ZERO)
+}
+
+/// What is held was the newest at that time, unless the newest can't be used.
+fn confirm<S: Site>(state: &State<S>, at: Duration) {
     if !state.unusable.get() {
-        state.freshness.borrow_mut().confirm(asked);
+        state.freshness.borrow_mut().confirm(at);
     }
+    state.told.notify_waiters();
 }
 
-fn take<S: Site>(state: &State<S>, event: Event) {
-    match event {
-        Event::Settings(book) => state.accept(book),
-        Event::Unusable(cause) => {
-            log::error!(cause = cause.as_str(); "a revision can't be used; the last good one stays in force");
-            state.metrics.settings.event("refused");
-            state.unusable.set(true);
+fn take<S: Site>(state: &State<S>, items: Vec<Item>) {
+    for item in items {
+        match state.site.store.decode(&item) {
+            Some(Event::Settings(book)) => state.accept(book),
+            Some(Event::Unusable(cause)) => {
+                log::error!(cause = cause.as_str(); "a revision can't be used; the last good one stays in force");
+                state.metrics.settings.event("refused");
+                state.unusable.set(true);
+            }
+            Some(Event::Server(change)) => {
+                let changed = state.roster.borrow_mut().apply(change, state.clock.now());
+                state.changed(changed);
+            }
+            None => {}
         }
-        Event::Server(change) => {
-            let changed = state.roster.borrow_mut().apply(change, state.clock.now());
-            state.changed(changed);
+    }
+}
+
+/// Nodes that read the store tell each other of the work that they heard of. A seed that takes none is
+/// told again the next time; nothing depends on it.
+async fn exchange<S: Site>(weak: Weak<State<S>>, seed: std::net::SocketAddr) {
+    while let Some(state) = weak.upgrade() {
+        if let Err(cause) = news::tell(&state, seed).await {
+            log::debug!(cause:% = cause; "a seed wasn't told of work");
         }
+        state.set_fleet(state.fleet_work());
+        drop(state);
+        tokio::time::sleep(EXCHANGE).await;
     }
 }
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -7,11 +7,14 @@
 mod events;
 mod follow;
 mod intake;
+mod mirror;
 mod names;
+mod news;
 mod node;
 mod operators;
 pub mod seam;
 mod serve;
+mod source;
 mod state;
 mod stream;
 
@@ -42,6 +45,7 @@
     state: Rc<State<S>>,
     callers: Listener,
     operators: Listener,
+    peers: Listener,
 }
 
 impl<S: Site> Forward<S> {
@@ -50,7 +54,7 @@
     /// # Errors
     /// When an address can't be listened at.
     pub async fn start(node: Node, site: Dialects<S>) -> anyhow::Result<Self> {
-        let (callers, operators) = (node.callers, node.operators);
+        let (callers, operators, peers) = (node.callers, node.operators, node.peers);
         let state = State::new(node, site);
         let shared = state.clone();
         let handler = move |request| serve::handle(shared.clone(), request);
@@ -64,9 +68,15 @@
         let operators = Listener::open_with(operators, own, handler).await.with_context(|| {
             format!("can't listen for operators at {operators}; free the port or set another")
         })?;
+        let shared = state.clone();
+        let handler = move |request| news::handle(shared.clone(), request);
+        let own = watch::channel(Limits::default()).1;
+        let peers = Listener::open_with(peers, own, handler).await.with_context(|| {
+            format!("can't listen for peers at {peers}; free the port or set another")
+        })?;
         follow::start(&state);
         state.turns.start();
-        Ok(Forward { state, callers, operators })
+        Ok(Forward { state, callers, operators, peers })
     }
 
     /// Where callers reach it.
@@ -79,6 +89,11 @@
         self.operators.address()
     }
 
+    /// Where peers reach it.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
     /// Whether it knows what is in force and isn't draining.
     pub fn ready(&self) -> bool {
         self.state.ready()
--- /dev/null
+++ b/components/forward/src/news.rs
@@ -0,0 +1,152 @@
+//! What nodes tell each other of what is published, and of their work.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::{Method, Request, Response, StatusCode};
+use bytes::BytesMut;
+use clock::Clock;
+use futures_util::StreamExt;
+use wire::news::{Ask, News, Work};
+
+use crate::answer::Answer;
+use crate::seam::{Site, StoreError};
+use crate::state::State;
+
+/// Path of the question for news on the peers' listener.
+const NEWS: &str = "/news";
+/// Path at which seeds tell each other of work.
+const WORK: &str = "/work";
+/// Largest question: a name and a few numbers.
+const QUESTION: usize = 4 << 10;
+/// Largest answer: all that is published, several megabytes for ten thousand servers.
+const ANSWER: usize = 16 << 20;
+/// Time beyond its wait in which a peer must have answered.
+const OVERDUE: Duration = Duration::from_millis(500);
+/// Time to connect to a peer.
+const CONNECT: Duration = Duration::from_millis(300);
+/// What a node told of its work counts for so long.
+const HEARD: Duration = Duration::from_secs(5);
+/// Nodes whose work is remembered, against a flood of names.
+const NODES: usize = 2_000;
+
+/// The work that others told of.
+#[derive(Default)]
+pub(crate) struct Heard {
+    nodes: RefCell<HashMap<String, (Instant, Work)>>,
+}
+
+impl Heard {
+    fn note(&self, name: &str, work: Work, now: Instant) {
+        let mut nodes = self.nodes.borrow_mut();
+        nodes.retain(|_, (at, _)| now < *at + HEARD);
+        if nodes.len() < NODES || nodes.contains_key(name) {
+            nodes.insert(name.to_string(), (now, work));
+        }
+    }
+
+    /// The sum of all of it.
+    pub(crate) fn sum(&self, now: Instant) -> Work {
+        let nodes = self.nodes.borrow();
+        let fresh = nodes.values().filter(|(at, _)| now < *at + HEARD);
+        fresh.fold(Work::default(), |sum, (_, work)| sum.plus(*work))
+    }
+}
+
+/// A client of peers.
+pub(crate) fn client() -> awc::Client {
+    let connector = awc::Connector::new().timeout(CONNECT);
+    awc::Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+}
+
+/// Asks a peer for what changed after a position.
+pub(crate) async fn ask<S: Site>(
+    state: &State<S>,
+    peer: SocketAddr,
+    wait: Duration,
+) -> Result<News, StoreError> {
+    let ask = Ask {
+        from: state.node().name.clone(),
+        position: state.mirror.borrow().at(),
+        wait_ms: wait.as_millis() as u32,
+        work: state.own_work(),
+    };
+    let down = |cause: &dyn std::fmt::Display| StoreError::Down(format!("peer {peer}: {cause}"));
+    let call = async {
+        let request = state.peers.post(format!("http://{peer}{NEWS}"));
+        let mut response = request.send_body(ask.encode()).await.map_err(|cause| down(&cause))?;
+        let body = response.body().limit(ANSWER).await.map_err(|cause| down(&cause))?;
+        match response.status() {
+            StatusCode::OK => News::decode(&body).map_err(|cause| down(&cause)),
+            status => Err(down(&status)),
+        }
+    };
+    let answer = tokio::time::timeout(wait + OVERDUE, call).await;
+    answer.unwrap_or_else(|_| Err(down(&"it is silent")))
+}
+
+/// Tells a seed of the work that this one heard of itself.
+pub(crate) async fn tell<S: Site>(state: &State<S>, seed: SocketAddr) -> Result<(), StoreError> {
+    let work = state.own_work().plus(state.heard.sum(state.clock.now()));
+    let ask = Ask { from: state.node().name.clone(), work, ..Ask::default() };
+    let request = state.peers.post(format!("http://{seed}{WORK}")).timeout(OVERDUE);
+    let sent = request.send_body(ask.encode()).await;
+    sent.map(|_| ()).map_err(|cause| StoreError::Down(format!("seed {seed}: {cause}")))
+}
+
+/// Answers a call of a peer.
+pub(crate) async fn handle<S: Site>(state: Rc<State<S>>, mut request: Request) -> Answer {
+    let status = |status| Response::new(status).map_into_boxed_body();
+    let path = request.path().to_string();
+    if request.method() != Method::POST || ![NEWS, WORK].contains(&path.as_str()) {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let mut body = BytesMut::new();
+    let mut payload = request.take_payload();
+    while let Some(bytes) = payload.next().await {
+        match bytes {
+            Ok(bytes) if body.len() + bytes.len() <= QUESTION => body.extend_from_slice(&bytes),
+            Ok(_) => return status(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(_) => return status(StatusCode::BAD_REQUEST),
+        }
+    }
+    listen::received(&request);
+    let Ok(ask) = Ask::decode(&body) else { return status(StatusCode::BAD_REQUEST) };
+    let now = state.clock.now();
+    if path == WORK {
+        state.seeds_heard.note(&ask.from, ask.work, now);
+        return status(StatusCode::OK);
+    }
+    if !state.loaded.get() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    state.heard.note(&ask.from, ask.work, now);
+    tell_news(&state, &ask).await
+}
+
+/// Answers once there is news, or a younger proof that there is none.
+async fn tell_news<S: Site>(state: &State<S>, ask: &Ask) -> Answer {
+    let asked = state.clock.awake();
+    let news = || state.mirror.borrow().at() > ask.position;
+    if ask.position.is_some() && !news() {
+        let wait = Duration::from_millis(ask.wait_ms.into());
+        let _ = tokio::time::timeout(wait, state.told.notified()).await;
+    }
+    let (whole, items) = state.mirror.borrow().since(ask.position);
+    let now = state.clock.now();
+    let news = News {
+        at: state.mirror.borrow().at().unwrap_or_default(),
+        whole,
+        items,
+        age_ms: state.age_ms().map(|age| age.try_into().unwrap_or(u32::MAX)),
+        held_ms: state.clock.awake().saturating_sub(asked).as_millis() as u32,
+        lost: state.failures.get() > 0,
+        doubtful: state.roster.borrow().doubtful(now),
+        work: state.fleet_work(),
+    };
+    let mut response = Response::build(StatusCode::OK);
+    response.body(news.encode()).map_into_boxed_body()
+}
--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -20,6 +20,11 @@
         pub callers: SocketAddr,
         /// Listener for operators and for the balancer's question whether the node is ready.
         pub operators: SocketAddr,
+        /// Listener for peers.
+        pub peers: SocketAddr,
+        /// Peers' listeners of the nodes that read the store for the others; all nodes know the same.
+        #[serde(default)]
+        pub seeds: Vec<SocketAddr>,
         /// Where settings and servers are published.
         pub store: SocketAddr,
         /// What the node may use.
--- a/components/forward/src/seam.rs
+++ b/components/forward/src/seam.rs
@@ -8,6 +8,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use catalog::{Book, Change, Entry};
+pub use wire::news::Item;
 
 derives::data! {
     /// A part of a prompt, alike in all requests that begin with the same parts.
@@ -121,7 +122,7 @@
     }
 }
 
-/// A change in the store.
+/// What an item of the store says.
 #[derive(Debug)]
 pub enum Event {
     /// A revision of the settings.
@@ -136,7 +137,7 @@
 #[derive(Debug)]
 pub enum Watched {
     /// Changes in order; none if the time passed without one.
-    Events(Reading<Vec<Event>>),
+    Changes(Reading<Vec<Item>>),
     /// The store has forgotten what happened since; all has to be read again.
     Forgotten,
 }
@@ -162,14 +163,14 @@
 /// Where settings and servers are published.
 #[allow(async_fn_in_trait)]
 pub trait Store {
-    /// The settings in force; none if none were published yet.
-    async fn settings(&self) -> Result<Reading<Option<Event>>, StoreError>;
-
-    /// All backend servers.
-    async fn servers(&self) -> Result<Reading<Vec<Entry>>, StoreError>;
+    /// All items: the settings in force, if any were published, and the backend servers.
+    async fn read(&self) -> Result<Reading<Vec<Item>>, StoreError>;
 
     /// What changed after a position, as soon as there is a change, or after `wait`.
     async fn watch(&self, after: u64, wait: Duration) -> Result<Watched, StoreError>;
+
+    /// What an item says; none if it is nothing that the product knows.
+    fn decode(&self, item: &Item) -> Option<Event>;
 }
 
 /// A site: what its callers, its servers and its store speak.
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a forwarding node share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,10 +13,14 @@
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 use turns::Turns;
+use wire::news::Work;
 
+use crate::mirror::Mirror;
 use crate::names::Names;
+use crate::news::{self, Heard};
 use crate::node::Node;
 use crate::seam::{Dialects, Site};
+use crate::source::Sources;
 
 /// Idle connections kept to one server. Servers take a limited number from all nodes together.
 const KEPT: usize = 24;
@@ -64,6 +69,17 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) draining: Cell<bool>,
+    /// What the store holds, as far as known.
+    pub(crate) mirror: RefCell<Mirror>,
+    /// The store forgot its history, so all has to be read anew.
+    pub(crate) forgotten: Cell<bool>,
+    /// Something was learned that peers wait for.
+    pub(crate) told: Notify,
+    pub(crate) peers: awc::Client,
+    /// Work that other nodes told this one of.
+    pub(crate) heard: Heard,
+    /// Work that other seeds heard of.
+    pub(crate) seeds_heard: Heard,
     /// Limits of the callers' listener.
     pub(crate) limits: watch::Sender<listen::Limits>,
     /// Bytes of bodies that are held.
@@ -103,6 +119,12 @@
             pool: Pool::new(Kept { most: KEPT, idle: IDLE }),
             metrics: Metrics::new(),
             draining: Cell::new(false),
+            mirror: RefCell::default(),
+            forgotten: Cell::new(false),
+            told: Notify::new(),
+            peers: news::client(),
+            heard: Heard::default(),
+            seeds_heard: Heard::default(),
             limits: watch::channel(intake).0,
             bytes: Cell::new(0),
             held: RefCell::default(),
@@ -123,6 +145,41 @@
         self.changed(all);
     }
 
+    /// Whom this node asks for what is published.
+    pub(crate) fn sources(&self) -> Sources {
+        let node = self.node();
+        Sources::new(&node.name, node.peers, &node.seeds)
+    }
+
+    /// The other seeds, if this node is one.
+    pub(crate) fn exchanged(&self) -> Vec<SocketAddr> {
+        let node = self.node();
+        let seed = node.seeds.contains(&node.peers);
+        let others = node.seeds.iter().filter(|other| seed && **other != node.peers);
+        others.copied().collect()
+    }
+
+    /// Work of this node at engines of late.
+    pub(crate) fn own_work(&self) -> Work {
+        let [steady, bulk] = self.turns.scheduler.borrow().engaged_of_late();
+        let millis = |seconds: f64| (seconds * 1_000.0) as u32;
+        Work { nodes: 1, steady_ms: millis(steady), bulk_ms: millis(bulk) }
+    }
+
+    /// Work of all nodes that this one heard of.
+    pub(crate) fn fleet_work(&self) -> Work {
+        let now = self.clock.now();
+        self.own_work().plus(self.heard.sum(now)).plus(self.seeds_heard.sum(now))
+    }
+
+    /// Work of all nodes, as it is known where this node asks.
+    pub(crate) fn set_fleet(&self, work: Work) {
+        if work.nodes > 1 {
+            let seconds = [work.steady_ms, work.bulk_ms].map(|millis| f64::from(millis) / 1_000.0);
+            self.turns.scheduler.borrow_mut().set_fleet(seconds, self.clock.now());
+        }
+    }
+
     /// Whether callers had better come here: it knows what is in force, and that it is the newest.
     ///
     /// A node that the store turns away knows enough for a few seconds more. It says at once that it
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -41,7 +41,7 @@
     pub(crate) fn admit(&mut self, request: Request, now: Instant) -> ids::Job {
         let (class, workspace) = (request.class, request.workspace);
         let tier = self.classes.get(class).map_or(u8::MAX, |class| class.tier);
-        let pool = self.pool(&request);
+        let pool = self.pool(&request, now);
         self.pools[pool].jobs += 1;
         if let Some(turn) = self.turns.get_mut(class) {
             turn.since.get_or_insert(now);
--- a/components/policy/src/apart.rs
+++ b/components/policy/src/apart.rs
@@ -32,6 +32,9 @@
 const LACKS: f64 = 0.6;
 const SPARES: f64 = 1.25;
 
+/// What is heard of all nodes' work counts for so long; then a node goes by its own.
+const HEARD: Duration = Duration::from_secs(5);
+
 /// Which group of engines a class or an engine belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Group {
@@ -57,6 +60,8 @@
     /// What is left of the work that is taken for granted, of the steady group and of the other.
     prior: [f64; 2],
     faded: Option<Instant>,
+    /// Work of all nodes, as [`Apart::seconds`] of each, and when it was heard.
+    fleet: Option<([f64; 2], Instant)>,
     /// Both kinds of classes had work of late.
     unlike: bool,
     /// Engines of the steady group, by region.
@@ -66,7 +71,7 @@
 impl Default for Apart {
     fn default() -> Self {
         let steady = HashMap::new();
-        Apart { work: vec![], prior: PRIOR, faded: None, unlike: false, steady }
+        Apart { work: vec![], prior: PRIOR, faded: None, fleet: None, unlike: false, steady }
     }
 }
 
@@ -90,18 +95,32 @@
         self.work.retain(|work| work.seconds > f64::EPSILON);
     }
 
+    /// Engine time of late of the steady classes and of the others, in seconds.
+    pub(crate) fn seconds(&self) -> [f64; 2] {
+        let (steady, bulk): (Vec<&Work>, Vec<&Work>) =
+            self.work.iter().partition(|work| work.interval < STALL);
+        [steady, bulk].map(|work| work.iter().map(|work| work.seconds).sum())
+    }
+
+    /// Takes in the work of all nodes: what one node sees of hundreds varies, and with it the border,
+    /// which is worth most where all nodes draw it alike.
+    pub(crate) fn set_fleet(&mut self, seconds: [f64; 2], now: Instant) {
+        self.fleet = Some((seconds, now));
+    }
+
     /// The steady group's part of all work; none while all is of one kind.
-    fn part(&self) -> Option<f64> {
-        let steady = self.work.iter().filter(|work| work.interval < STALL);
-        let steady = self.prior[0] + steady.map(|work| work.seconds).sum::<f64>();
-        let all = self.prior.iter().sum::<f64>() + self.work.iter().map(|w| w.seconds).sum::<f64>();
+    fn part(&self, now: Instant) -> Option<f64> {
+        let fleet = self.fleet.filter(|(_, heard)| now < *heard + HEARD);
+        let [steady, bulk] = fleet.map_or_else(|| self.seconds(), |(seconds, _)| seconds);
+        let steady = self.prior[0] + steady;
+        let all = steady + self.prior[1] + bulk;
         let known = [steady, all - steady].iter().all(|seconds| *seconds > NONE);
         known.then(|| steady / all)
     }
 
     /// Works the groups out; `engines` counts those of each region.
-    pub(crate) fn measure(&mut self, engines: &HashMap<ids::Region, usize>) {
-        let part = self.part();
+    pub(crate) fn measure(&mut self, engines: &HashMap<ids::Region, usize>, now: Instant) {
+        let part = self.part(now);
         self.unlike = part.is_some();
         let Some(part) = part else { return };
         for (region, count) in engines {
--- a/components/policy/src/apart/tests.rs
+++ b/components/policy/src/apart/tests.rs
@@ -25,7 +25,7 @@
     apart.add(steady, MS(60), 10.0, now);
     apart.add(query, MS(65), 10.0, now);
     apart.add(draft, MS(250), 20.0, now);
-    apart.measure(&engines(8));
+    apart.measure(&engines(8), now);
     assert_eq!(apart.class(MS(60)), Some(Group::Steady));
     assert_eq!(apart.class(MS(65)), Some(Group::Steady));
     assert_eq!(apart.class(MS(250)), Some(Group::Bulk));
@@ -41,7 +41,7 @@
     let mut apart = Apart::default();
     apart.add(steady, MS(60), 0.01, now);
     apart.add(draft, MS(250), 10.0, now);
-    apart.measure(&engines(2));
+    apart.measure(&engines(2), now);
     assert_eq!(apart.engine(Default::default(), 0), Group::Steady);
     assert_eq!(apart.engine(Default::default(), 1), Group::Bulk);
 }
@@ -54,12 +54,12 @@
     let mut apart = Apart::default();
     apart.add(steady, MS(60), 50.0, now);
     apart.add(draft, MS(250), 50.0, now);
-    apart.measure(&engines(8));
+    apart.measure(&engines(8), now);
     apart.add(draft, MS(250), 15.0, now);
-    apart.measure(&engines(8));
+    apart.measure(&engines(8), now);
     assert_eq!(apart.engine(Default::default(), 3), Group::Steady);
     apart.add(draft, MS(250), 200.0, now);
-    apart.measure(&engines(8));
+    apart.measure(&engines(8), now);
     assert_eq!(apart.engine(Default::default(), 3), Group::Bulk);
 }
 
@@ -72,7 +72,7 @@
     apart.add(other, MS(70), 1.0, now);
     let now = now + Duration::from_secs(60);
     apart.add(one, MS(60), 1.0, now);
-    apart.measure(&engines(8));
+    apart.measure(&engines(8), now);
     assert_eq!(apart.class(MS(60)), None);
 }
 
@@ -83,7 +83,22 @@
     let (classes, now) = (classes(), Instant::now());
     let mut apart = Apart::default();
     apart.add(classes[2], MS(250), 0.1, now);
-    apart.measure(&engines(8));
+    apart.measure(&engines(8), now);
     assert_eq!(apart.engine(Default::default(), 0), Group::Steady);
     assert_eq!(apart.class(MS(250)), Some(Group::Bulk));
 }
+
+/// One node of many sees few streams by chance. It draws the border by the work of all of them, and
+/// by its own again once nobody tells it of theirs.
+#[test]
+fn the_border_follows_the_work_of_all_nodes() {
+    let ([_, _, draft], now) = (classes(), Instant::now());
+    let mut apart = Apart::default();
+    apart.add(draft, MS(250), 100.0, now);
+    apart.set_fleet([500.0, 500.0], now);
+    apart.measure(&engines(8), now);
+    assert_eq!(apart.engine(Default::default(), 3), Group::Steady);
+    let later = now + Duration::from_secs(6);
+    apart.measure(&engines(8), later);
+    assert_eq!(apart.engine(Default::default(), 3), Group::Bulk);
+}
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -70,7 +70,7 @@
         self.epoch += 1;
         self.link.flow(self.limits.link_bytes as f64, now);
         for key in self.pools.keys().collect::<Vec<_>>() {
-            self.part(key);
+            self.part(key, now);
             self.measure(key);
             if self.without.has(Mechanism::EarlyRefusal) {
                 self.trim(key, now);
@@ -80,13 +80,13 @@
     }
 
     /// Works out which engines of a pool are for steady streams.
-    pub(crate) fn part(&mut self, key: Key) {
+    pub(crate) fn part(&mut self, key: Key, now: Instant) {
         let pool = &mut self.pools[key];
         let mut engines = HashMap::new();
         for member in &pool.members {
             *engines.entry(member.region).or_insert(0) += 1;
         }
-        pool.apart.measure(&engines);
+        pool.apart.measure(&engines, now);
     }
 
     /// Measures what a pool can do.
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -220,6 +220,24 @@
         self.servers.get(server).map_or(0, |known| known.sent)
     }
 
+    /// Engine time of late of steady streams and of all else, in seconds, where engines are known to
+    /// read. Both fade in the same way, so those of several nodes can be added.
+    ///
+    /// ```
+    /// assert_eq!(policy::Scheduler::new().engaged_of_late(), [0.0, 0.0]);
+    /// ```
+    pub fn engaged_of_late(&self) -> [f64; 2] {
+        let all = self.pools.values().map(|pool| pool.apart.seconds());
+        all.fold([0.0; 2], |sum, own| [sum[0] + own[0], sum[1] + own[1]])
+    }
+
+    /// Takes in the sum of [`Scheduler::engaged_of_late`] over all nodes.
+    pub fn set_fleet(&mut self, seconds: [f64; 2], now: Instant) {
+        for pool in self.pools.values_mut() {
+            pool.apart.set_fleet(seconds, now);
+        }
+    }
+
     /// Work by class, for peers: a mean over the last seconds.
     pub fn demand(&self) -> Vec<Demand> {
         self.needs.demand()
@@ -238,7 +256,7 @@
     }
 
     /// The pool of a request.
-    pub(crate) fn pool(&mut self, request: &Request) -> Key {
+    pub(crate) fn pool(&mut self, request: &Request, now: Instant) -> Key {
         let allowed = self.workspaces.get(request.workspace).map(|w| w.servers.clone());
         let allowed = allowed.unwrap_or_default();
         if let Some(key) = self.index.get(&(request.model, allowed.clone())) {
@@ -249,7 +267,7 @@
         pool.members = ranked(&self.servers, &pool.servers);
         let key = self.pools.insert(pool);
         self.index.insert((request.model, allowed), key);
-        self.part(key);
+        self.part(key, now);
         self.measure(key);
         key
     }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! within a list are arrays: a row never changes its shape, a newer build adds another list.
 
 mod keyed;
+pub mod news;
 
 pub use keyed::{Handover, Keyed};
 /// Parts of a [`Handover`].
--- /dev/null
+++ b/components/wire/src/news.rs
@@ -0,0 +1,138 @@
+//! What a node asks a peer that reads the store, so that not every node has to read it.
+
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+
+use crate::Error;
+
+derives::data! {
+    /// A node asks for what changed.
+    #[derive(Default, Serialize, Deserialize)]
+    pub struct Ask {
+        /// Name of the node.
+        #[serde(rename = "f")]
+        pub from: String,
+        /// Position in the store's history up to which it knows all; none if it knows nothing.
+        #[serde(rename = "p", default)]
+        pub position: Option<u64>,
+        /// How long the answer may wait for a change, in milliseconds.
+        #[serde(rename = "w", default)]
+        pub wait_ms: u32,
+        /// Work of the node, and of those that tell it theirs.
+        #[serde(rename = "q", default)]
+        pub work: Work,
+    }
+
+    /// Work of some nodes at engines of late.
+    #[derive(Copy, Default, Serialize, Deserialize)]
+    pub struct Work {
+        /// How many nodes it is of.
+        #[serde(rename = "n", default)]
+        pub nodes: u32,
+        /// Engine time of steady streams, in milliseconds.
+        #[serde(rename = "s", default)]
+        pub steady_ms: u32,
+        /// Engine time of all else, in milliseconds.
+        #[serde(rename = "b", default)]
+        pub bulk_ms: u32,
+    }
+
+    /// What changed.
+    #[derive(Default, Serialize, Deserialize)]
+    pub struct News {
+        /// Position in the store's history up to which the writer knows all.
+        #[serde(rename = "p")]
+        pub at: u64,
+        /// The items are all that there are, not only what changed.
+        #[serde(rename = "a", default)]
+        pub whole: bool,
+        /// Items that changed.
+        #[serde(rename = "i", default)]
+        pub items: Vec<Item>,
+        /// Age of the writer's proof that nothing is newer, in milliseconds; none without one.
+        #[serde(rename = "o", default)]
+        pub age_ms: Option<u32>,
+        /// How long the writer held the question, in milliseconds.
+        #[serde(rename = "h", default)]
+        pub held_ms: u32,
+        /// The store gives the writer no answer.
+        #[serde(rename = "l", default)]
+        pub lost: bool,
+        /// The store was away just before, and missing items may come back.
+        #[serde(rename = "d", default)]
+        pub doubtful: bool,
+        /// Work of all nodes that the writer heard of.
+        #[serde(rename = "q", default)]
+        pub work: Work,
+    }
+
+    /// Something published, as it stands in the store.
+    #[derive(Eq, Serialize, Deserialize)]
+    pub struct Item {
+        /// Its key.
+        #[serde(rename = "k")]
+        pub key: String,
+        /// Position of its last change.
+        #[serde(rename = "r")]
+        pub revision: u64,
+        /// Its bytes; none once it was deleted.
+        #[serde(rename = "v", default)]
+        pub value: Option<ByteBuf>,
+    }
+}
+
+impl Work {
+    /// The sum of both.
+    ///
+    /// ```
+    /// let one = wire::news::Work { nodes: 1, steady_ms: 5, bulk_ms: 7 };
+    /// assert_eq!(one.plus(one).bulk_ms, 14);
+    /// ```
+    pub fn plus(self, other: Work) -> Work {
+        Work {
+            nodes: self.nodes.saturating_add(other.nodes),
+            steady_ms: self.steady_ms.saturating_add(other.steady_ms),
+            bulk_ms: self.bulk_ms.saturating_add(other.bulk_ms),
+        }
+    }
+}
+
+impl Ask {
+    /// The frame as bytes.
+    ///
+    /// ```
+    /// let ask = wire::news::Ask::default();
+    /// assert_eq!(wire::news::Ask::decode(&ask.encode()).unwrap(), ask);
+    /// ```
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec_named(self).expect("plain fields")
+    }
+
+    /// Reads a frame.
+    ///
+    /// # Errors
+    /// When the bytes aren't one.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        Ok(rmp_serde::from_slice(bytes)?)
+    }
+}
+
+impl News {
+    /// The frame as bytes.
+    ///
+    /// ```
+    /// let news = wire::news::News::default();
+    /// assert_eq!(wire::news::News::decode(&news.encode()).unwrap(), news);
+    /// ```
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec_named(self).expect("plain fields")
+    }
+
+    /// Reads a frame.
+    ///
+    /// # Errors
+    /// When the bytes aren't one.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        Ok(rmp_serde::from_slice(bytes)?)
+    }
+}
