--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -262,7 +262,7 @@
         server,
         left: job.left(state),
         workspace: job.found.workspace.as_ref().map(|workspace| workspace.name.as_str()),
-        tier: job.found.tier(),
+        urgency: job.found.urgency(),
         after,
     };
     let mut head = RequestHead::default();
--- a/components/forward/src/seam.rs
+++ b/components/forward/src/seam.rs
@@ -59,8 +59,8 @@
         pub left: Duration,
         /// Workspace of the caller.
         pub workspace: Option<&'a str>,
-        /// Rank of the tier.
-        pub tier: u8,
+        /// Rank among the requests at an engine; 0 is the most urgent.
+        pub urgency: u8,
         /// The stream goes on after this event.
         pub after: Option<u64>,
     }
