Sessions leave their homes only when they would miss most of their target; places by slots

And steady streams waited for slots of 48, for the group was sized as if an engine held 48 of them at ease. Change: a home is left at four fifths of the target, not half; who leaves goes to a second home; an engine counts as full at 0.6 of its slots.

--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -18,7 +18,7 @@
 
 /// Part of the first-token target that a request may wait before another engine is looked at: the
 /// rest covers what can't be seen from here.
-const EASE: f64 = 0.5;
+const EASE: f64 = 0.8;
 /// What a second of lateness beyond that is worth against a second of engine time.
 const LATE: f64 = 4.0;
 /// Seconds that an engine of another region must be better by: the way there and back, and the
@@ -40,8 +40,10 @@
 /// by over its life.
 const CROWD: f64 = 0.003;
 /// Requests that an engine serves at once without slowing down much, by which the time of a stream
-/// is divided among those beside it.
+/// is divided among those beside it; and the part of an engine's places that may be taken on average,
+/// so that a wave finds some free.
 const BATCH: f64 = 48.0;
+const TAKEN: f64 = 0.6;
 
 /// A choice, and what it costs.
 #[derive(Clone, Copy, Debug)]
@@ -65,13 +67,13 @@
         let pool = &self.pools[held.pool];
         let class = self.classes.get(held.request.class);
         let group = class.and_then(|class| pool.apart.class(class.token_interval));
-        let home = self.home(held, group, now);
+        let homes = self.homes(held, group, now);
         let usable = pool.members.iter().filter(|member| self.usable(held, member, now));
         let mut best: Option<Chosen> = None;
         let mut free = false;
         for member in usable {
             free = true;
-            let Some(chosen) = self.cost(held, member, group, home, now) else { continue };
+            let Some(chosen) = self.cost(held, member, group, &homes, now) else { continue };
             if best.is_none_or(|best| chosen.cost < best.cost) {
                 best = Some(chosen);
             }
@@ -90,7 +92,8 @@
 
     /// The engine that has most likely cached the beginning of a request's prompt: of its group, and
     /// of its region unless reading the beginning anew costs more than the way to another one.
-    fn home(&self, held: &Held, group: Option<Group>, now: Instant) -> Option<ids::Server> {
+    /// The second is where requests go that leave the first, so that it has mostly cached it as well.
+    fn homes(&self, held: &Held, group: Option<Group>, now: Instant) -> [Option<ids::Server>; 2] {
         let pool = &self.pools[held.pool];
         let weight = |member: &&Member| {
             let known = &self.servers[member.server];
@@ -104,7 +107,16 @@
         let members = pool.members.iter();
         let able =
             members.filter(|m| !self.servers[m.server].leaving() && !self.barred(m.server, now));
-        able.max_by_key(weight).map(|member| member.server)
+        let mut homes: [Option<(_, ids::Server)>; 2] = [None, None];
+        for member in able {
+            let found = Some((weight(&member), member.server));
+            if found > homes[0] {
+                homes = [found, homes[0]];
+            } else if found > homes[1] {
+                homes[1] = found;
+            }
+        }
+        homes.map(|home| home.map(|(_, server)| server))
     }
 
     /// What a request costs at an engine, in seconds of engine time.
@@ -113,12 +125,16 @@
         held: &Held,
         member: &Member,
         group: Option<Group>,
-        home: Option<ids::Server>,
+        homes: &[Option<ids::Server>; 2],
         now: Instant,
     ) -> Option<Chosen> {
         let known = &self.servers[member.server];
         let request = &held.request;
-        let cached = if home == Some(member.server) { request.shared_tokens } else { 0 };
+        let cached = match homes.iter().position(|home| *home == Some(member.server)) {
+            Some(0) => request.shared_tokens,
+            Some(_) => request.shared_tokens / 2,
+            None => 0,
+        };
         let unread = f64::from(request.prompt_tokens.saturating_sub(cached));
         let reading = unread / f64::from(known.terms.reads?.max(1));
         let backlog = known.reading.backlog(now);
@@ -156,7 +172,8 @@
         let known = &mut self.servers[server];
         known.reading.sent(reading);
         let (class, tokens) = (held.request.class, f64::from(held.tokens));
-        let seconds = reading + tokens * known.interval() / BATCH;
+        let batch = BATCH.min(f64::from(known.slots()) * TAKEN).max(1.0);
+        let seconds = reading + tokens * known.interval() / batch;
         let pause = self.classes.get(class).map(|class| class.token_interval);
         let pool = held.pool;
         self.pools[pool].apart.add(class, pause.unwrap_or_default(), seconds, now);
