--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -18,7 +18,11 @@
 
 /// Part of the first-token target that a request may wait before another engine is looked at: the
 /// rest covers what can't be seen from here.
-const EASE: f64 = 0.8;
+const EASE: f64 = 0.5;
+/// The same for one whose beginning takes longer to read anew than the way to any engine: it stays
+/// until it would be late at its home. In a burst each that leaves costs the engines three times its
+/// own reading, and makes others leave.
+const STAYS: f64 = 1.1;
 /// What a second of lateness beyond that is worth against a second of engine time.
 const LATE: f64 = 4.0;
 /// Seconds that an engine of another region must be better by: the way there and back, and the
@@ -141,7 +145,9 @@
         let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
         let first = waited + backlog + reading + known.reading.least();
-        let late = (first - target * EASE).max(0.0) * LATE;
+        let shared = f64::from(request.shared_tokens) / f64::from(known.terms.reads?.max(1));
+        let ease = if shared > FAR { STAYS } else { EASE };
+        let late = (first - target * ease).max(0.0) * LATE;
         let far = if known.terms.region == request.region { 0.0 } else { FAR };
         let engines = self.pools[held.pool].apart.engine(member.region, member.rank);
         let strange = match group {
