--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -100,6 +100,11 @@
         self.state.runs.borrow().values().sum()
     }
 
+    /// How often a request with this id was run.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.state.runs.borrow().get(id).copied().unwrap_or(0)
+    }
+
     /// What was read so far.
     pub fn seen(&self) -> Vec<Seen> {
         self.state.seen.borrow().clone()
--- /dev/null
+++ b/tests/soak/nodes.rs
@@ -0,0 +1,96 @@
+//! Nodes as processes, and the signals that reach them.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A process that was asked to stop is killed after this.
+const GRACE: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_millis(20);
+
+/// One node: its addresses, its settings and its process.
+pub struct Node {
+    pub callers: SocketAddr,
+    operators: SocketAddr,
+    peers: SocketAddr,
+    settings: PathBuf,
+    child: RefCell<Option<Child>>,
+}
+
+pub fn free() -> SocketAddr {
+    std::net::TcpListener::bind(fakes::any()).unwrap().local_addr().unwrap()
+}
+
+impl Node {
+    /// Nodes of one fleet, each with its own way to the store; the first two are its seeds.
+    pub fn fleet(seed: u64, stores: &[SocketAddr]) -> Vec<Node> {
+        let mut nodes = vec![];
+        for index in 0..stores.len() {
+            let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+            let settings = folder.join(format!("soak-{}-{seed}-{index}.toml", std::process::id()));
+            let (callers, operators, peers) = (free(), free(), free());
+            nodes.push(Node { callers, operators, peers, settings, child: RefCell::default() });
+        }
+        let seeds: Vec<_> = nodes.iter().take(2).map(|n| format!("\"{}\"", n.peers)).collect();
+        for (index, (node, store)) in nodes.iter().zip(stores).enumerate() {
+            let Node { callers, operators, peers, .. } = node;
+            let text = format!(
+                "adapter = \"platform\"\nname = \"node-{index}\"\ndomain = \"riga-a\"\n\
+                 callers = \"{callers}\"\noperators = \"{operators}\"\npeers = \"{peers}\"\n\
+                 seeds = [{}]\nstore = \"{store}\"\n[domains]\nriga-a = \"riga\"\n\
+                 [room]\nmemory_mb = 110\ndescriptors = 1000\n\
+                 [promises]\nrevocation_ms = 5000\ngrace_s = 4\nrepeats = 0.2\n",
+                seeds.join(", ")
+            );
+            std::fs::write(&node.settings, text).unwrap();
+            node.start();
+        }
+        nodes
+    }
+
+    pub fn start(&self) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_godwitleverd"));
+        command.arg("--settings").arg(&self.settings).stdout(Stdio::null());
+        *self.child.borrow_mut() = Some(command.spawn().unwrap());
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &*self.child.borrow() {
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
+    pub fn kill(&self) {
+        if let Some(mut child) = self.child.borrow_mut().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until the process has ended, and kills it if that takes too long.
+    pub async fn ended(&self) {
+        let ends = tokio::time::Instant::now() + GRACE;
+        loop {
+            let over = match self.child.borrow_mut().as_mut() {
+                Some(child) => child.try_wait().is_ok_and(|status| status.is_some()),
+                None => true,
+            };
+            if over || tokio::time::Instant::now() > ends {
+                self.kill();
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
--- /dev/null
+++ b/tests/soak/world.rs
@@ -0,0 +1,272 @@
+//! What the nodes stand in: callers, servers, the store, and what goes wrong.
+
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+use fakes::{Link, Raw, Step, Way};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rustix::process::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::nodes::Node;
+use crate::site::store::{Mood, Store};
+use crate::site::{
+    CONFIGURATION, ID, KEY, KINDS, Kind, ROUTES, Told, answer, configuration, runner,
+};
+
+const NODES: usize = 4;
+const CALLERS: usize = 6;
+/// Key that is taken away in the middle.
+const BRIEF: &str = "k-brief";
+/// A request with a withdrawn key may run if it was sent before this, after the withdrawal.
+const REVOCATION: Duration = Duration::from_millis(5_050);
+/// A caller gives up after this.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// After the last fault, nodes and servers have this long to be well again.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// One request, and what came of it.
+struct Sent {
+    id: String,
+    kind: Kind,
+    brief: bool,
+    at: Instant,
+    told: Option<Told>,
+}
+
+pub struct World {
+    seed: u64,
+    store: Store,
+    servers: Vec<Raw>,
+    /// Ways of the nodes to the store, and of all nodes to the servers.
+    links: Vec<Link>,
+    nodes: Vec<Node>,
+    sent: RefCell<Vec<Sent>>,
+    withdrawn: Cell<Option<Instant>>,
+    version: Cell<u64>,
+}
+
+/// Servers of streams have a service of their own.
+fn routes() -> String {
+    let streams = |line: &str| {
+        if line.contains("\"streaming\"") {
+            line.replace("\"service\":\"plain\"", "\"service\":\"streams\"")
+        } else {
+            line.to_string()
+        }
+    };
+    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n")
+}
+
+/// What a server does with a request: mostly what it should.
+fn script(rng: &mut SmallRng, kind: Kind) -> Vec<Step> {
+    let whole = answer(kind);
+    let cut = whole.len() * 2 / 3;
+    match rng.random_range(0..30) {
+        0 => vec![Step::Reset],
+        1 => vec![Step::Run, Step::Reset],
+        2 => vec![Step::Run, Step::Close],
+        3 => vec![Step::Run, Step::Write(whole[..cut].to_string()), Step::Reset],
+        4 => vec![Step::Run, Step::Wait(Duration::from_millis(900)), Step::Write(whole)],
+        5 => vec![Step::Run, Step::Write(format!("{whole}{whole}"))],
+        6 => vec![Step::Run, Step::Hang],
+        _ => vec![Step::Run, Step::Write(whole)],
+    }
+}
+
+impl World {
+    pub async fn start(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let store = Store::start().await;
+        let (mut servers, mut links) = (vec![], vec![]);
+        for _ in 0..NODES {
+            links.push(Link::start(store.address()).await.unwrap());
+        }
+        let stores: Vec<_> = links.iter().map(Link::address).collect();
+        for (index, kind) in
+            [Kind::Charge, Kind::Charge, Kind::Stream, Kind::Stream].into_iter().enumerate()
+        {
+            let dice = RefCell::new(SmallRng::seed_from_u64(rng.random()));
+            let server =
+                Raw::named(ID, move |_| script(&mut dice.borrow_mut(), kind)).await.unwrap();
+            let link = Link::start(server.address().parse().unwrap()).await.unwrap();
+            let text = runner(&link.address().to_string(), "ready");
+            let service = if kind == Kind::Stream { "streams" } else { "plain" };
+            let text = text.replace("\"plain\"", &format!("\"{service}\""));
+            store.put(&format!("servers/i-{index}"), &text);
+            servers.push(server);
+            links.push(link);
+        }
+        let world = World {
+            seed,
+            nodes: Node::fleet(seed, &stores),
+            store,
+            servers,
+            links,
+            sent: RefCell::default(),
+            withdrawn: Cell::new(None),
+            version: Cell::new(0),
+        };
+        world.publish(&[KEY, BRIEF]);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        world
+    }
+
+    fn publish(&self, keys: &[&str]) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        self.store.put(CONFIGURATION, &configuration(version, &routes(), keys));
+    }
+
+    /// Injects faults, one after the other and overlapping; returns how many.
+    pub async fn faults(&self, time: Duration) -> u32 {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ 1);
+        let (start, mut count) = (Instant::now(), 0);
+        while start.elapsed() < time {
+            if start.elapsed() > time / 4 && self.withdrawn.get().is_none() {
+                self.publish(&[KEY]);
+                self.withdrawn.set(Some(Instant::now()));
+            }
+            self.fault(&mut rng).await;
+            count += 1;
+            tokio::time::sleep(Duration::from_millis(rng.random_range(50..400))).await;
+        }
+        self.heal().await;
+        count
+    }
+
+    async fn fault(&self, rng: &mut SmallRng) {
+        let node = &self.nodes[rng.random_range(0..NODES)];
+        let link = &self.links[rng.random_range(0..self.links.len())];
+        match rng.random_range(0..12) {
+            0 => {
+                node.kill();
+                node.start();
+            }
+            1 => {
+                node.signal(Signal::TERM);
+                node.ended().await;
+                node.start();
+            }
+            2 => node.signal(Signal::STOP),
+            3 | 4 => node.signal(Signal::CONT),
+            5 => node.signal(Signal::HUP),
+            6 => link.set(Way { deaf: rng.random(), mute: rng.random(), ..Way::default() }),
+            7 => link.set(Way {
+                delay: Duration::from_millis(rng.random_range(5..150)),
+                ..Way::default()
+            }),
+            8 | 9 => link.set(Way::default()),
+            10 => {
+                let moods = [Mood::Well, Mood::Busy, Mood::Silent];
+                self.store.set_mood(moods[rng.random_range(0..3)]);
+            }
+            _ => {
+                self.store.set_mood(Mood::Well);
+                let keys =
+                    if self.withdrawn.get().is_some() { vec![KEY] } else { vec![KEY, BRIEF] };
+                self.publish(&keys);
+                if rng.random() {
+                    self.store.forget();
+                }
+            }
+        }
+    }
+
+    async fn heal(&self) {
+        self.store.set_mood(Mood::Well);
+        self.links.iter().for_each(|link| link.set(Way::default()));
+        for node in &self.nodes {
+            node.signal(Signal::CONT);
+        }
+    }
+
+    /// Callers send all the while, each its requests one after the other.
+    pub async fn callers(&self, time: Duration) {
+        let callers = (0..CALLERS).map(|number| self.caller(number, time));
+        futures_util::future::join_all(callers).await;
+    }
+
+    async fn caller(&self, number: usize, time: Duration) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ (number as u64) << 8);
+        let start = Instant::now();
+        let mut count = 0;
+        while start.elapsed() < time {
+            let kind = KINDS[rng.random_range(0..KINDS.len())];
+            let brief = rng.random_range(0..3) == 0;
+            let id = format!("{}-{number}-{count}", self.seed);
+            count += 1;
+            let node = rng.random_range(0..NODES);
+            self.send(node, kind, id, brief).await;
+            tokio::time::sleep(Duration::from_millis(rng.random_range(1..30))).await;
+        }
+    }
+
+    async fn send(&self, node: usize, kind: Kind, id: String, brief: bool) {
+        let mut text = kind.request(&id);
+        if brief {
+            text = text.replace(KEY, BRIEF);
+        }
+        let at = Instant::now();
+        let told = tokio::time::timeout(PATIENCE, exchange(self.nodes[node].callers, &text)).await;
+        let told = told.ok().flatten();
+        self.sent.borrow_mut().push(Sent { id, kind, brief, at, told });
+    }
+
+    /// Checks what was promised; returns what callers were told, in numbers.
+    pub async fn check(&self) -> String {
+        self.recovers().await;
+        let sent = self.sent.borrow();
+        let (mut whole, mut refused) = (0, 0);
+        for request in sent.iter() {
+            let Sent { id, kind, .. } = request;
+            let runs: u32 = self.servers.iter().map(|server| server.runs(id)).sum();
+            assert!(kind.repeatable() || runs <= 1, "{id}, {kind:?}, ran {runs} times");
+            if let Some(withdrawn) = self.withdrawn.get() {
+                let late = request.brief && request.at > withdrawn + REVOCATION;
+                assert!(!late || runs == 0, "{id} ran with a key that was withdrawn long before");
+            }
+            let Some(told) = &request.told else { continue };
+            let promised = [408, 421, 429, 503].contains(&told.status);
+            assert!(!promised || kind.repeatable() || runs == 0, "{id} ran; told {told:?}");
+            let success = (200..300).contains(&told.status);
+            let ended = success && told.ended;
+            assert!(!ended || told.whole(*kind), "{id}, {kind:?}: a part passed for all: {told:?}");
+            whole += u32::from(ended);
+            refused += u32::from(promised);
+        }
+        assert!(whole > 0, "nobody was served");
+        format!("{} requests, {whole} whole, {refused} refused", sent.len())
+    }
+
+    /// Once all faults are over, requests are served again at every node.
+    async fn recovers(&self) {
+        let ends = Instant::now() + RECOVERY;
+        for node in 0..NODES {
+            let mut served = 0;
+            for count in 0.. {
+                self.send(node, Kind::Read, format!("{}-r{node}-{count}", self.seed), false).await;
+                let told = |sent: &Sent| sent.told.as_ref().is_some_and(|told| told.status == 200);
+                served += u32::from(self.sent.borrow().last().is_some_and(told));
+                if served >= 5 {
+                    break;
+                }
+                assert!(
+                    Instant::now() < ends,
+                    "node {node} served {served} of {count} after all faults"
+                );
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn exchange(address: std::net::SocketAddr, text: &str) -> Option<Told> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.write_all(text.as_bytes()).await.ok()?;
+    let mut bytes = vec![];
+    let _ = stream.read_to_end(&mut bytes).await;
+    Some(Told::read(&String::from_utf8_lossy(&bytes)))
+}
