Servers that hang are left before anything failed; declined requests may come back at once

And a request that its server declined, with no further attempt allowed, was told to come back after a second though others stood free. Change: the request that waits longest for its first token counts as backlog; such a request may come back after 50 ms.

--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -48,6 +48,10 @@
     serve(state, job, held).await
 }
 
+/// A server declined and no further attempt is allowed. Others may be free, and the next try of its
+/// caller finds them.
+const DECLINED: Refused = Refused { refusal: Refusal::Full, again: Duration::from_millis(50) };
+
 /// Outcome in logs and metrics of a request whose caller went away.
 const GONE: &str = "caller-gone";
 
@@ -112,7 +116,7 @@
             Err(outcome) => return course.unknown(outcome, late),
         };
         if !again {
-            return course.refuse(waiting, Refused::NOBODY);
+            return course.refuse(waiting, DECLINED);
         }
     }
 }
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -262,7 +262,12 @@
                 continue;
             }
             let load = load / f64::from(known.slots().max(1));
-            let time = time * (1.0 + self.faults(known, now) * FAULTY);
+            let hangs = if known.terms.reads.is_some() || !self.without.has(Mechanism::Ejection) {
+                0.0
+            } else {
+                self.hangs(known, now)
+            };
+            let time = time * (1.0 + self.faults(known, now) * FAULTY) + hangs;
             let candidate = Candidate { server: *key, salt: known.terms.salt, load, time };
             if here || !link {
                 into.insert(into.len() - far, candidate);
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -12,6 +12,7 @@
 
 use crate::apart::Group;
 use crate::held::Held;
+use crate::known::Known;
 use crate::pick::mix;
 use crate::pool::Member;
 use crate::scheduler::Scheduler;
@@ -141,7 +142,7 @@
         };
         let unread = f64::from(request.prompt_tokens.saturating_sub(cached));
         let reading = unread / f64::from(known.terms.reads?.max(1));
-        let backlog = known.reading.backlog(now);
+        let backlog = known.reading.backlog(now).max(self.hangs(known, now));
         let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
         let first = waited + backlog + reading + known.reading.least();
@@ -165,6 +166,20 @@
         Some(Chosen { server: member.server, reading, cost })
     }
 
+    /// Seconds by which the request that waits longest for the start of its answer at a server is
+    /// beyond what is usual there. One that hangs or falls silent ends no attempt for as long as its
+    /// callers wait; all that is sent there meanwhile waits as well.
+    pub(crate) fn hangs(&self, known: &Known, now: Instant) -> f64 {
+        let waiting = known.jobs.iter().filter_map(|job| self.jobs.get(*job));
+        let overdue = waiting.filter(|held| held.last_token.is_none()).map(|held| {
+            let target = self.classes.get(held.request.class).map(|class| class.first_token);
+            let usual = target.unwrap_or_default().as_secs_f64() * EASE;
+            let waited = now.saturating_duration_since(held.sent_at).as_secs_f64();
+            waited - usual.max(held.reading + known.reading.least())
+        });
+        overdue.fold(0.0, f64::max)
+    }
+
     /// Counts what a request that was sent costs its engine, for the sizes of the groups.
     pub(crate) fn engaged(
         &mut self,
--- a/components/policy/tests/engines.rs
+++ b/components/policy/tests/engines.rs
@@ -161,6 +161,21 @@
     assert!(there < 30, "{there} of 60 requests at the engine that fails");
 }
 
+/// An engine hangs: it takes requests and begins none. No attempt there ends for as long as its callers
+/// wait; those who come seconds later are sent elsewhere all the same.
+#[test]
+fn an_engine_that_hangs_is_left_before_anything_failed() {
+    let mut fixture = fixture();
+    warm(&mut fixture);
+    let (_hanging, bad) = send(&mut fixture, DRAFT, 7);
+    fixture.now += Duration::from_secs(3);
+    for _ in 0..20 {
+        let (job, server) = send(&mut fixture, DRAFT, 7);
+        assert_ne!(server, bad);
+        serve(&mut fixture, job, Duration::from_millis(50));
+    }
+}
+
 /// The near engines are gone. Requests go to the other region at once, since nothing else is left.
 #[test]
 fn the_other_region_serves_when_nothing_near_is_left() {
