--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -147,6 +147,9 @@
         // The store may be well, and only this peer cut off from it; others will tell.
         return Err(StoreError::Down(format!("peer {peer} has lost the store")));
     }
+    if news.unknown {
+        return Err(StoreError::Down(format!("peer {peer} knows too little of what changed")));
+    }
     if news.doubtful {
         state.roster.borrow_mut().doubt(now);
     } else {
--- a/components/forward/src/news.rs
+++ b/components/forward/src/news.rs
@@ -136,10 +136,15 @@
         let _ = tokio::time::timeout(wait, state.told.notified()).await;
     }
     let (whole, items) = state.mirror.borrow().since(ask.position);
+    // All there is may be megabytes, and hundreds of nodes that start would be sent it over a narrow
+    // link. One that has read the store itself gets the few changes that it lacks from there.
+    let unknown = whole && ask.position.is_some();
+    let items = if unknown { vec![] } else { items };
     let now = state.clock.now();
     let news = News {
         at: state.mirror.borrow().at().unwrap_or_default(),
-        whole,
+        whole: whole && !unknown,
+        unknown,
         items,
         age_ms: state.age_ms().map(|age| age.try_into().unwrap_or(u32::MAX)),
         held_ms: state.clock.awake().saturating_sub(asked).as_millis() as u32,
--- a/components/forward/src/source.rs
+++ b/components/forward/src/source.rs
@@ -8,7 +8,7 @@
 //! A seed may be stale, down or itself turned away: what it says carries the age of its proof, and a
 //! node that gets no young answer goes on to the next seed and in the end to the store.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -40,7 +40,10 @@
     /// The sources of the node `name` that listens for peers at `own`.
     pub(crate) fn new(name: &str, own: SocketAddr, seeds: &[SocketAddr]) -> Self {
         let mut peers: Vec<_> = seeds.iter().copied().filter(|seed| *seed != own).collect();
-        peers.sort_by_key(|seed| xxh3_64(format!("{name} {seed}").as_bytes()));
+        peers.sort_by_key(|seed| {
+            let hash = xxh3_64(format!("{name} {seed}").as_bytes());
+            (network(seed.ip()) != network(own.ip()), hash)
+        });
         let mut order: Vec<_> = peers.into_iter().map(Source::Peer).collect();
         if seeds.contains(&own) {
             order.clear();
@@ -77,5 +80,14 @@
     }
 }
 
+/// The network of an address, as far as can be told from it: a failure domain mostly has one of its
+/// own. What is published crosses to another domain once for its seed, not for each of its nodes.
+fn network(address: IpAddr) -> [u8; 2] {
+    match address {
+        IpAddr::V4(address) => [address.octets()[0], address.octets()[1]],
+        IpAddr::V6(address) => [address.octets()[4], address.octets()[5]],
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/forward/src/source/tests.rs
+++ b/components/forward/src/source/tests.rs
@@ -56,3 +56,16 @@
     sources.failed(now);
     assert!(sources.failed(now));
 }
+
+/// Seeds stand in three failure domains, one of them behind a narrow link. A node asks the seed of its
+/// own domain, or each change would cross that link once for every node behind it.
+#[test]
+fn the_seed_of_the_own_network_is_asked_first() {
+    let seed = |domain: u8| SocketAddr::from(([10, domain, 0, 1], 7));
+    let seeds = [seed(1), seed(2), seed(3)];
+    for node in 0..20 {
+        let own = SocketAddr::from(([10, 2, 0, 9 + node], 7));
+        let mut sources = started(&format!("n{node}"), own, &seeds);
+        assert_eq!(sources.now(Instant::now()), Source::Peer(seed(2)));
+    }
+}
--- a/components/wire/src/news.rs
+++ b/components/wire/src/news.rs
@@ -46,6 +46,9 @@
         /// The items are all that there are, not only what changed.
         #[serde(rename = "a", default)]
         pub whole: bool,
+        /// The writer doesn't know all that changed after the position asked for; none of it is told.
+        #[serde(rename = "u", default)]
+        pub unknown: bool,
         /// Items that changed.
         #[serde(rename = "i", default)]
         pub items: Vec<Item>,
