--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -66,6 +66,9 @@
     let body = tokio::time::timeout(limit, body(state, &mut head, &book, held)).await;
     let body = body.map_err(|_| Error::Slow)??;
     listen::received(&head);
+    if call.prompt.tokens > 0 {
+        state.crossing.add(body.len(), state.clock.now());
+    }
     let request = request(state, &book, &call, &found, arrived, limit)?;
     Ok(Job { call, head, body, found, revision: book.revision, arrived, limit, request })
 }
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod answer;
 mod attempt;
+mod crossing;
 mod events;
 mod follow;
 mod intake;
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -15,6 +15,7 @@
 use turns::Turns;
 use wire::news::Work;
 
+use crate::crossing::Crossing;
 use crate::mirror::Mirror;
 use crate::names::Names;
 use crate::news::{self, Heard};
@@ -80,6 +81,7 @@
     pub(crate) heard: Heard,
     /// Work that other seeds heard of.
     pub(crate) seeds_heard: Heard,
+    pub(crate) crossing: Crossing,
     /// Limits of the callers' listener.
     pub(crate) limits: watch::Sender<listen::Limits>,
     /// Bytes of bodies that are held.
@@ -125,6 +127,7 @@
             peers: news::client(),
             heard: Heard::default(),
             seeds_heard: Heard::default(),
+            crossing: Crossing::new(clock.now()),
             limits: watch::channel(intake).0,
             bytes: Cell::new(0),
             held: RefCell::default(),
@@ -163,7 +166,8 @@
     pub(crate) fn own_work(&self) -> Work {
         let [steady, bulk] = self.turns.scheduler.borrow().engaged_of_late();
         let millis = |seconds: f64| (seconds * 1_000.0) as u32;
-        Work { nodes: 1, steady_ms: millis(steady), bulk_ms: millis(bulk) }
+        let kib_per_s = self.crossing.kib_per_s(self.clock.now());
+        Work { nodes: 1, steady_ms: millis(steady), bulk_ms: millis(bulk), kib_per_s }
     }
 
     /// Work of all nodes that this one heard of.
@@ -174,6 +178,8 @@
 
     /// Work of all nodes, as it is known where this node asks.
     pub(crate) fn set_fleet(&self, work: Work) {
+        let crosses = self.crossing.allowed(work.kib_per_s);
+        self.turns.scheduler.borrow_mut().set_crossing(crosses);
         if work.nodes > 1 {
             let seconds = [work.steady_ms, work.bulk_ms].map(|millis| f64::from(millis) / 1_000.0);
             self.turns.scheduler.borrow_mut().set_fleet(seconds, self.clock.now());
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -103,7 +103,8 @@
         let weight = |member: &&Member| {
             let known = &self.servers[member.server];
             let shared = f64::from(held.request.shared_tokens);
-            let crosses = known.terms.reads.is_some_and(|reads| shared / f64::from(reads) > FAR);
+            let dear = known.terms.reads.is_some_and(|reads| shared / f64::from(reads) > FAR);
+            let crosses = dear && self.crosses;
             let near = crosses || known.terms.region == held.request.region;
             let own =
                 group.is_none_or(|group| pool.apart.engine(member.region, member.rank) == group);
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -64,6 +64,8 @@
     pub(crate) top: u8,
     pub(crate) rng: SmallRng,
     pub(crate) without: Without,
+    /// A session may have its home in another region.
+    pub(crate) crosses: bool,
 }
 
 impl Default for Scheduler {
@@ -116,6 +118,7 @@
             top: u8::MAX,
             rng: SmallRng::seed_from_u64(seed),
             without: Without::default(),
+            crosses: true,
         }
         .with_limits()
     }
@@ -231,6 +234,11 @@
         all.fold([0.0; 2], |sum, own| [sum[0] + own[0], sum[1] + own[1]])
     }
 
+    /// Says whether a session may have its home in another region than its caller's.
+    pub fn set_crossing(&mut self, crosses: bool) {
+        self.crosses = crosses;
+    }
+
     /// Takes in the sum of [`Scheduler::engaged_of_late`] over all nodes.
     pub fn set_fleet(&mut self, seconds: [f64; 2], now: Instant) {
         for pool in self.pools.values_mut() {
--- a/components/wire/src/news.rs
+++ b/components/wire/src/news.rs
@@ -35,6 +35,9 @@
         /// Engine time of all else, in milliseconds.
         #[serde(rename = "b", default)]
         pub bulk_ms: u32,
+        /// Bytes of requests to engines, a second, in KiB.
+        #[serde(rename = "k", default)]
+        pub kib_per_s: u32,
     }
 
     /// What changed.
@@ -88,7 +91,7 @@
     /// The sum of both.
     ///
     /// ```
-    /// let one = wire::news::Work { nodes: 1, steady_ms: 5, bulk_ms: 7 };
+    /// let one = wire::news::Work { nodes: 1, steady_ms: 5, bulk_ms: 7, kib_per_s: 9 };
     /// assert_eq!(one.plus(one).bulk_ms, 14);
     /// ```
     pub fn plus(self, other: Work) -> Work {
@@ -96,6 +99,7 @@
             nodes: self.nodes.saturating_add(other.nodes),
             steady_ms: self.steady_ms.saturating_add(other.steady_ms),
             bulk_ms: self.bulk_ms.saturating_add(other.bulk_ms),
+            kib_per_s: self.kib_per_s.saturating_add(other.kib_per_s),
         }
     }
 }
