Requests that aren't taken in are logged with their caller's id

Cause: found on reading the change as a newcomer: the page for operators goes from a request's id to its cause, and the line of a refused request had only its path. Change: the head is read before, so the line carries the id and the cause; long calls of the log are broken into lines. No decision changed.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -190,7 +190,10 @@
         match state.site.store.decode(&item) {
             Some(Event::Settings(book)) => state.accept(book),
             Some(Event::Unusable(cause)) => {
-                log::error!(cause = cause.as_str(); "a revision can't be used; the last good one stays in force");
+                log::error!(
+                    cause = cause.as_str();
+                    "a revision can't be used; the last good one stays in force"
+                );
                 state.metrics.settings.event("refused");
                 state.unusable.set(true);
             }
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::Error;
-use crate::seam::{Call, Callers, Malformed, Site};
+use crate::seam::{Call, Malformed, Site};
 use crate::state::{Held, Moment, State};
 
 /// Bytes around a header's name and value on the wire.
@@ -54,12 +54,12 @@
 pub(crate) async fn take<S: Site>(
     state: &Rc<State<S>>,
     mut head: Request,
+    call: Result<Call, Malformed>,
     arrived: Moment,
     held: &mut Held<S>,
 ) -> Result<Job, Error> {
     let book = state.book.borrow().clone().ok_or(Error::Stale)?;
     sized(&head, &book)?;
-    let call = state.site.callers.read(head.head());
     let call = call.map_err(|Malformed(what)| Error::Malformed(what))?;
     let found = find(state, &book, &call)?;
     let limit = call.patience.min(found.route.timeout);
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::answer::{Answer, Error};
 use crate::attempt::{self, Start, Trouble, Whole};
 use crate::intake::{self, Job};
-use crate::seam::Site;
+use crate::seam::{Callers, Site};
 use crate::state::{Held, State};
 use crate::stream::{self, Passing};
 
@@ -33,18 +33,22 @@
 
 async fn take<S: Site>(state: Rc<State<S>>, request: Request) -> Answer {
     let arrived = state.moment();
-    let name = request.path().to_string();
+    let call = state.site.callers.read(request.head());
+    let name = call.as_ref().map_or("", |call| call.id.as_str()).to_string();
+    let path = request.path().to_string();
     let mut held = state.hold(&name);
-    let job = match intake::take(&state, request, arrived, &mut held).await {
+    let job = match intake::take(&state, request, call, arrived, &mut held).await {
         Ok(job) => job,
         Err(error) => {
             state.metrics.refusal(error.word());
             let revision = state.book.borrow().as_ref().map(|book| book.revision);
-            log::info!(path = name.as_str(), outcome = error.word(), revision = revision, age_ms = state.age_ms(); "not taken in");
+            log::info!(
+                request = name.as_str(), path = path.as_str(), outcome = error.word(),
+                cause:% = error, revision = revision, age_ms = state.age_ms(); "not taken in"
+            );
             return error.answer();
         }
     };
-    held.name(&job.call.id);
     serve(state, job, held).await
 }
 
@@ -165,7 +169,10 @@
         let (request, server) = (self.job.call.id.as_str(), server.name.as_str());
         let left_ms = self.job.left(&self.state).as_millis() as u64;
         self.state.metrics.failed(&self.job.route().name);
-        log::warn!(request = request, server = server, attempt = attempt, left_ms = left_ms, cause:% = trouble; "attempt failed");
+        log::warn!(
+            request = request, server = server, attempt = attempt, left_ms = left_ms,
+            cause:% = trouble; "attempt failed"
+        );
     }
 
     /// Logs and counts how the request ended.
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -253,7 +253,10 @@
             // Callers use connections that were idle for nearly as long as this allows.
             limits.keep_alive = book.intake.idle;
         });
-        log::info!(revision = book.revision, last = last, routes = book.routes().count(); "settings in force");
+        log::info!(
+            revision = book.revision, last = last, routes = book.routes().count();
+            "settings in force"
+        );
         self.metrics.settings.event("accepted");
         self.metrics.settings.revision(book.revision);
         *self.book.borrow_mut() = Some(Rc::new(book));
@@ -271,7 +274,11 @@
         for name in servers {
             match roster.get(&name) {
                 Some(entry) => {
-                    log::info!(server = name.as_str(), service = entry.service.as_str(), address = entry.address.as_str(), leaving = entry.leaving; "server listed");
+                    log::info!(
+                        server = name.as_str(), service = entry.service.as_str(),
+                        address = entry.address.as_str(), leaving = entry.leaving;
+                        "server listed"
+                    );
                     names.set_server(&mut scheduler, entry, &self.node().domains);
                 }
                 None => {
@@ -293,13 +300,6 @@
 }
 
 impl<S: Site> Held<S> {
-    /// Calls it by the caller's name for it.
-    pub(crate) fn name(&mut self, id: &str) {
-        if let Some(name) = self.state.held.borrow_mut().get_mut(self.key) {
-            *name = id.to_string();
-        }
-    }
-
     /// Counts the bytes of its body as held too.
     pub(crate) fn weigh(&mut self, bytes: usize) {
         self.bytes += bytes;
--- a/src/bin/godwitleverd.rs
+++ b/src/bin/godwitleverd.rs
@@ -126,7 +126,10 @@
         let dialects = platform::dialects(node.store);
         let name = node.name.clone();
         let forward = Forward::start(node, dialects).await?;
-        log::info!(node = name.as_str(), callers:% = forward.callers(), operators:% = forward.operators(); "listening");
+        let (callers, operators) = (forward.callers(), forward.operators());
+        log::info!(
+            node = name.as_str(), callers:% = callers, operators:% = operators; "listening"
+        );
         Ok(Running::Adapted(forward))
     }
 
