Mechanisms can be left out by a node's settings; logs tell what was expected

Cause: an ablation needed a change of code for each mechanism, and the log of a request said how late its first token was but not what the decisions had expected of its engine. "ended" carries sends, time to the last send, home, expected reading and backlog, target and limit; numbers in JSON logs are numbers.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -13,6 +13,7 @@
 
 use crate::events::{Disorder, Scan};
 use crate::intake::Job;
+use crate::mechanism::Mechanism;
 use crate::seam::{Attempt, Servers, Site, Verdict};
 use crate::state::State;
 
@@ -217,10 +218,11 @@
     if success && job.route().kind.streams() {
         return Err(Trouble::Lost("its answer isn't a stream of events".to_string()));
     }
+    let hold = if state.without.has(Mechanism::WholeAnswers) { WHOLE } else { 0 };
     let mut all = BytesMut::new();
     while let Some(part) = source.next().await? {
         all.extend_from_slice(&part.bytes);
-        if all.len() > WHOLE {
+        if all.len() > hold {
             source.first = Some(Part { bytes: all.freeze(), events: 1 });
             return Ok(Start::Passing(Box::new(source)));
         }
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -6,6 +6,7 @@
 use clock::Clock;
 use rand::Rng;
 
+use crate::mechanism::Mechanism;
 use crate::seam::{Event, Item, Reading, Site, Store, StoreError, Watched};
 use crate::source::Source;
 use crate::state::State;
@@ -106,7 +107,7 @@
 }
 
 fn failed<S: Site>(state: &State<S>, source: Source, cause: &StoreError) {
-    if source == Source::Store {
+    if source == Source::Store && state.without.has(Mechanism::Doubt) {
         state.roster.borrow_mut().away();
     }
     let failures = state.failures.get() + 1;
@@ -179,8 +180,10 @@
         return Err(StoreError::Down(format!("peer {peer} knows too little of what changed")));
     }
     match news.returned_ms.map(|ago| Duration::from_millis(ago.into())) {
-        Some(ago) => state.roster.borrow_mut().doubt(now.checked_sub(ago).unwrap_or(now)),
-        None => state.roster.borrow_mut().answered(now),
+        Some(ago) if state.without.has(Mechanism::Doubt) => {
+            state.roster.borrow_mut().doubt(now.checked_sub(ago).unwrap_or(now));
+        }
+        _ => state.roster.borrow_mut().answered(now),
     }
     state.set_fleet(news.work);
     let garbled = |cause: wire::Error| StoreError::Garbled(cause.to_string());
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -8,6 +8,7 @@
 mod events;
 mod follow;
 mod intake;
+mod mechanism;
 mod mirror;
 mod names;
 mod news;
@@ -69,6 +70,10 @@
         let handler = move |request| news::handle(shared.clone(), request);
         let own = watch::channel(Limits::default()).1;
         let peers = Listener::open_for("peers", peers, own, handler).await?;
+        let left_out = state.node().without.join(", ");
+        if !left_out.is_empty() {
+            log::warn!(without = left_out.as_str(); "mechanisms are left out");
+        }
         follow::start(&state);
         state.turns.start();
         Ok(Forward { state, callers, operators, peers })
--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -6,6 +6,8 @@
 
 use serde::Deserialize;
 
+use crate::mechanism::Without;
+
 derives::data! {
     /// A node's own settings.
     #[derive(Deserialize)]
@@ -27,6 +29,9 @@
         pub seeds: Vec<SocketAddr>,
         /// Where settings and servers are published.
         pub store: SocketAddr,
+        /// Mechanisms that the node leaves out, by the words that docs/SETTINGS.md lists.
+        #[serde(default)]
+        pub without: Vec<String>,
         /// What the node may use.
         pub room: Room,
         /// What operators and callers were promised.
@@ -65,6 +70,16 @@
         /// What the reader said.
         cause: Box<toml::de::Error>,
     },
+    /// A mechanism that there isn't.
+    #[error("{origin}: `without` names `{word}`; name some of: {known}")]
+    Mechanism {
+        /// Where the text came from.
+        origin: String,
+        /// What it names.
+        word: String,
+        /// What there is.
+        known: String,
+    },
     /// A value that can't be worked with.
     #[error("{origin}: {what}; set it to {remedy}")]
     Value {
@@ -109,9 +124,19 @@
         if !(0.0..=3_600.0).contains(&node.promises.grace_s) {
             return Err(value("promises.grace_s is out of range", "seconds from 0 to 3600"));
         }
+        for word in &node.without {
+            let (origin, word) = (origin.to_string(), word.clone());
+            Without::parse(std::slice::from_ref(&word))
+                .map_err(|known| Error::Mechanism { origin, word, known })?;
+        }
         Ok(node)
     }
 
+    /// What the node leaves out.
+    pub(crate) fn left_out(&self) -> Without {
+        Without::parse(&self.without).unwrap_or_default()
+    }
+
     /// The region that the node stands in.
     pub fn region(&self) -> &str {
         self.domains.get(&self.domain).map_or("", String::as_str)
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -7,7 +7,7 @@
 use actix_http::{ConnectionType, Request, Response};
 use catalog::Entry;
 use life::{Outcome, Reason, Sending, Waiting};
-use policy::{Ending, Refusal};
+use policy::{Ending, Expected, Refusal};
 use turns::{Place, Refused};
 
 use crate::answer::{Answer, Error};
@@ -66,6 +66,12 @@
     pub(crate) first: Option<Duration>,
     /// Longest pause between two events.
     pub(crate) longest: Duration,
+    /// Time from its arrival to its last send.
+    sent: Option<Duration>,
+    /// Sends of it.
+    sends: u32,
+    /// What was expected of the engine at the last send.
+    expected: Option<Expected>,
 }
 
 /// Where a request is on its way, between attempts.
@@ -139,6 +145,9 @@
             match server {
                 Some(server) => {
                     self.server = Some(server.clone());
+                    self.pace.sent = Some(self.state.since(self.job.arrived));
+                    self.pace.sends += 1;
+                    self.pace.expected = self.place.expected();
                     return Ok(server);
                 }
                 None if self.place.end(Ending::Unreached) => {}
@@ -183,11 +192,18 @@
         let server = self.server.as_ref().map_or("", |server| &server.name);
         self.over.set(true);
         self.state.metrics.outcome(route, outcome);
+        let millis = |time: Duration| time.as_millis() as u64;
+        let Pace { first, longest, sent, sends, expected } = &self.pace;
+        let route_terms = job.route();
         log::info!(
             request = job.call.id.as_str(), route = route, tier = job.found.tier(),
-            server = server, outcome = outcome, status = status, took_ms = time.as_millis() as u64,
-            first_ms = self.pace.first.map(|first| first.as_millis() as u64),
-            pause_ms = self.pace.longest.as_millis() as u64, prompt = job.request.prompt_tokens,
+            server = server, outcome = outcome, status = status, took_ms = millis(time),
+            first_ms = first.map(millis), pause_ms = millis(*longest), sends = sends,
+            sent_ms = sent.map(millis), home = expected.map(|expected| expected.home),
+            reading_ms = expected.map(|expected| millis(expected.reading)),
+            backlog_ms = expected.map(|expected| millis(expected.backlog)),
+            prompt = job.request.prompt_tokens, target_ms = millis(route_terms.target),
+            bears_ms = route_terms.pause.map(millis), limit_ms = millis(job.limit),
             revision = job.revision, age_ms = self.state.age_ms(); "ended"
         );
     }
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -16,6 +16,7 @@
 use wire::news::Work;
 
 use crate::crossing::Crossing;
+use crate::mechanism::{Mechanism as Own, Without};
 use crate::mirror::Mirror;
 use crate::names::Names;
 use crate::news::{self, Heard};
@@ -53,6 +54,8 @@
 /// Shared state of one node.
 pub(crate) struct State<S: Site> {
     node: RefCell<Rc<Node>>,
+    /// Mechanisms that this node leaves out, as its settings said at its start.
+    pub(crate) without: Without,
     pub(crate) clock: clock::Runtime,
     pub(crate) site: Dialects<S>,
     pub(crate) turns: Rc<Turns>,
@@ -99,6 +102,10 @@
             .without(Mechanism::EarlyRefusal)
             .without(Mechanism::Stopping);
         scheduler.set_limits(limits(&node));
+        let without = node.left_out();
+        for mechanism in &without.decisions {
+            scheduler = scheduler.without(*mechanism);
+        }
         let mut names = Names::default();
         let region = names.region(node.region());
         let intake = listen::Limits {
@@ -108,6 +115,7 @@
         Rc::new(State {
             freshness: RefCell::new(Freshness::new(node.proof())),
             node: RefCell::new(Rc::new(node)),
+            without,
             clock,
             site,
             turns: Turns::new(scheduler, clock),
@@ -151,7 +159,8 @@
     /// Whom this node asks for what is published.
     pub(crate) fn sources(&self) -> Sources {
         let node = self.node();
-        Sources::new(&node.name, node.peers, &node.seeds, self.clock.now())
+        let seeds = if self.without.has(Own::Seeds) { &node.seeds[..] } else { &[] };
+        Sources::new(&node.name, node.peers, seeds, self.clock.now())
     }
 
     /// The other seeds, if this node is one.
@@ -178,7 +187,8 @@
 
     /// Work of all nodes, as it is known where this node asks.
     pub(crate) fn set_fleet(&self, work: Work) {
-        let crosses = self.crossing.allowed(work.kib_per_s);
+        let bounded = self.without.has(Own::Crossing);
+        let crosses = !bounded || self.crossing.allowed(work.kib_per_s);
         self.turns.scheduler.borrow_mut().set_crossing(crosses);
         if work.nodes > 1 {
             let seconds = [work.steady_ms, work.bulk_ms].map(|millis| f64::from(millis) / 1_000.0);
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -12,6 +12,7 @@
 use policy::Ending;
 
 use crate::attempt::{Part, Source, Start, Trouble};
+use crate::mechanism::Mechanism;
 use crate::seam::Site;
 use crate::serve::Course;
 
@@ -134,7 +135,8 @@
                 self.course.note(life.attempt(), &server, &trouble);
             }
             let ending = trouble.ending();
-            let sound = !matches!(trouble, Trouble::Disorder(_));
+            let resumes = self.course.state.without.has(Mechanism::Resumption);
+            let sound = resumes && !matches!(trouble, Trouble::Disorder(_));
             let Some(proof) = self.course.job.repeatable().filter(|_| sound) else {
                 self.course.place.end(ending);
                 break;
--- a/components/policy/examples/patterns/main.rs
+++ b/components/policy/examples/patterns/main.rs
@@ -132,7 +132,7 @@
             );
         };
         line("-", whole);
-        for mechanism in Mechanism::ALL {
+        for mechanism in Mechanism::ALL.iter().copied() {
             line(&format!("{mechanism:?}"), sums(pattern, seeds, Some(mechanism)));
         }
     }
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -62,6 +62,7 @@
             timer: None,
             avoid: None,
             reading: 0.0,
+            expected: None,
             sent_at: now,
             last_token: None,
         };
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -208,7 +208,7 @@
             let Some(chosen) = chosen else {
                 return if free { Choice::Busy } else { Choice::Full };
             };
-            self.engaged(job, chosen.server, chosen.reading, now);
+            self.engaged(job, chosen, now);
             return Choice::Server(chosen.server);
         }
         let mut candidates = std::mem::take(&mut self.scratch);
@@ -306,7 +306,8 @@
 
     /// Part of its attempts of late that failed.
     pub(crate) fn faults(&self, known: &Known, now: Instant) -> f64 {
-        if self.without.has(Mechanism::Ejection) { known.health.faults(now) } else { 0.0 }
+        let told = self.without.has(Mechanism::Ejection) && self.without.has(Mechanism::Faults);
+        if told { known.health.faults(now) } else { 0.0 }
     }
 
     pub(crate) fn ejected(&self, server: ids::Server, now: Instant) -> bool {
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -8,11 +8,12 @@
 //! nodes send it there without a word. A request leaves its home only once it would be late there;
 //! what that costs is counted in seconds of engine time.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::apart::Group;
-use crate::held::Held;
+use crate::held::{Expected, Held};
 use crate::known::Known;
+use crate::mechanism::Mechanism;
 use crate::pick::mix;
 use crate::pool::Member;
 use crate::scheduler::Scheduler;
@@ -59,6 +60,9 @@
     pub(crate) server: ids::Server,
     /// Seconds that the engine reads for it.
     pub(crate) reading: f64,
+    /// Seconds until it begins to.
+    backlog: f64,
+    home: bool,
     cost: f64,
 }
 
@@ -66,7 +70,8 @@
     /// Whether it is known how fast the servers of a request read.
     pub(crate) fn reads(&self, held: &Held) -> bool {
         let servers = &self.pools[held.pool].servers;
-        servers.iter().any(|key| self.servers[*key].terms.reads.is_some())
+        self.without.has(Mechanism::Reading)
+            && servers.iter().any(|key| self.servers[*key].terms.reads.is_some())
     }
 
     /// The engine for a request; none if none may take it now. The second part tells whether any had
@@ -74,7 +79,9 @@
     pub(crate) fn engine(&self, held: &Held, now: Instant) -> (Option<Chosen>, bool) {
         let pool = &self.pools[held.pool];
         let class = self.classes.get(held.request.class);
-        let group = class.and_then(|class| pool.apart.class(class.token_interval));
+        let group = class
+            .filter(|_| self.without.has(Mechanism::Groups))
+            .and_then(|class| pool.apart.class(class.token_interval));
         let homes = self.homes(held, group, now);
         let all_out = pool.members.iter().all(|member| self.barred(member.server, now));
         let usable = pool.members.iter().filter(|member| {
@@ -103,6 +110,9 @@
     /// of its region unless reading the beginning anew costs more than the way to another one.
     /// The second is where requests go that leave the first, so that it has mostly cached it as well.
     fn homes(&self, held: &Held, group: Option<Group>, now: Instant) -> [Option<ids::Server>; 2] {
+        if !self.without.has(Mechanism::Homes) {
+            return [None; 2];
+        }
         let pool = &self.pools[held.pool];
         let weight = |member: &&Member| {
             let known = &self.servers[member.server];
@@ -168,13 +178,17 @@
         let crowd = f64::from(known.sent) * CROWD;
         let faulty = self.faults(known, now) * FAILS;
         let cost = reading + late + far + strange + stutter + crowd + faulty;
-        Some(Chosen { server: member.server, reading, cost })
+        let home = homes[0] == Some(member.server);
+        Some(Chosen { server: member.server, reading, backlog, home, cost })
     }
 
     /// Seconds by which the request that waits longest for the start of its answer at a server is
     /// beyond what is usual there. One that hangs or falls silent ends no attempt for as long as its
     /// callers wait; all that is sent there meanwhile waits as well.
     pub(crate) fn hangs(&self, known: &Known, now: Instant) -> f64 {
+        if !self.without.has(Mechanism::Hanging) {
+            return 0.0;
+        }
         let waiting = known.jobs.iter().filter_map(|job| self.jobs.get(*job));
         waiting.map(|held| self.overdue_by(held, known, now)).fold(0.0, f64::max)
     }
@@ -195,21 +209,18 @@
     /// is usual, and the engine has begun nothing else since it was sent.
     pub(crate) fn hung(&self, held: &Held, server: ids::Server, now: Instant) -> bool {
         let Some(known) = self.servers.get(server) else { return false };
-        let reads = known.terms.reads.is_some();
+        let reads = known.terms.reads.is_some() && self.without.has(Mechanism::Hanging);
         let silent = !known.reading.begun_since(held.sent_at);
         reads && silent && self.overdue_by(held, known, now) > SILENT
     }
 
     /// Counts what a request that was sent costs its engine, for the sizes of the groups.
-    pub(crate) fn engaged(
-        &mut self,
-        job: ids::Job,
-        server: ids::Server,
-        reading: f64,
-        now: Instant,
-    ) {
+    pub(crate) fn engaged(&mut self, job: ids::Job, chosen: Chosen, now: Instant) {
+        let Chosen { server, reading, backlog, home, .. } = chosen;
         let held = &mut self.jobs[job];
         held.reading = reading;
+        let [reading_time, backlog] = [reading, backlog].map(Duration::from_secs_f64);
+        held.expected = Some(Expected { home, reading: reading_time, backlog });
         let known = &mut self.servers[server];
         known.reading.sent(reading);
         let (class, tokens) = (held.request.class, f64::from(held.tokens));
--- a/components/policy/src/held.rs
+++ b/components/policy/src/held.rs
@@ -1,6 +1,6 @@
 //! A request as the decisions hold it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::pool::Key;
 use crate::queue::Entry;
@@ -22,6 +22,19 @@
     Over,
 }
 
+derives::data! {
+    /// What the decisions expected of the engine that they sent a request to.
+    #[derive(Copy)]
+    pub struct Expected {
+        /// The engine is the home of the request's session.
+        pub home: bool,
+        /// Time in which it reads the prompt.
+        pub reading: Duration,
+        /// Time until it begins to.
+        pub backlog: Duration,
+    }
+}
+
 /// A request from its submission to its one end.
 #[derive(Debug)]
 pub(crate) struct Held {
@@ -48,6 +61,8 @@
     pub(crate) avoid: Option<ids::Server>,
     /// Seconds that the engine reads its prompt for, while its answer hasn't begun.
     pub(crate) reading: f64,
+    /// What was expected of the engine that it was sent to last.
+    pub(crate) expected: Option<Expected>,
     pub(crate) sent_at: Instant,
     pub(crate) last_token: Option<Instant>,
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -31,6 +31,7 @@
 
 pub use action::{Action, Ending, Policy, Refusal};
 pub use belief::{Belief, Unused};
+pub use held::Expected;
 pub use mechanism::Mechanism;
 pub use quota::Wait;
 pub use scheduler::{RETRIES, Scheduler};
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::action::{Action, Ending, Policy, Refusal};
 use crate::bucket::Bucket;
 use crate::fair::{self, Fair};
-use crate::held::{Held, Stage};
+use crate::held::{Expected, Held, Stage};
 use crate::known::Known;
 use crate::length::Lengths;
 use crate::mechanism::{Mechanism, Without};
@@ -218,6 +218,12 @@
         self.waiting
     }
 
+    /// What was expected of the engine that a request was sent to; none if it went to none whose
+    /// reading is known.
+    pub fn expected(&self, job: ids::Job) -> Option<Expected> {
+        self.jobs.get(job)?.expected
+    }
+
     /// Number of requests sent to a server that haven't ended.
     pub fn sent(&self, server: ids::Server) -> u32 {
         self.servers.get(server).map_or(0, |known| known.sent)
@@ -241,6 +247,9 @@
 
     /// Takes in the sum of [`Scheduler::engaged_of_late`] over all nodes.
     pub fn set_fleet(&mut self, seconds: [f64; 2], now: Instant) {
+        if !self.without.has(Mechanism::FleetWork) {
+            return;
+        }
         for pool in self.pools.values_mut() {
             pool.apart.set_fleet(seconds, now);
         }
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -1,7 +1,7 @@
 use std::fmt::Write;
 
 use anyhow::Context;
-use log::kv::{Key, Value, VisitSource};
+use log::kv::{Key, Value, VisitSource, VisitValue};
 
 use crate::sink::Sink;
 
@@ -33,20 +33,57 @@
         .context("the log was started before")
 }
 
-struct Pairs(Vec<(String, String)>);
+/// A value of a record in JSON: numbers, truths and nothing stay what they are, all else is text.
+struct Json(serde_json::Value);
+
+impl VisitValue<'_> for Json {
+    fn visit_any(&mut self, value: Value<'_>) -> Result<(), log::kv::Error> {
+        self.0 = value.to_string().into();
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), log::kv::Error> {
+        self.0 = serde_json::Value::Null;
+        Ok(())
+    }
+
+    fn visit_u64(&mut self, value: u64) -> Result<(), log::kv::Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+
+    fn visit_i64(&mut self, value: i64) -> Result<(), log::kv::Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+
+    fn visit_f64(&mut self, value: f64) -> Result<(), log::kv::Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+
+    fn visit_bool(&mut self, value: bool) -> Result<(), log::kv::Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+}
+
+struct Pairs(Vec<(String, serde_json::Value)>);
 
 impl<'kvs> VisitSource<'kvs> for Pairs {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        self.0.push((key.to_string(), value.to_string()));
+        let mut json = Json(serde_json::Value::Null);
+        value.visit(&mut json)?;
+        self.0.push((key.to_string(), json.0));
         Ok(())
     }
 }
 
 fn render(form: Form, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
     let mut pairs = Pairs(vec![
-        ("level".to_string(), record.level().to_string().to_lowercase()),
-        ("target".to_string(), record.target().to_string()),
-        ("msg".to_string(), message.to_string()),
+        ("level".to_string(), record.level().to_string().to_lowercase().into()),
+        ("target".to_string(), record.target().into()),
+        ("msg".to_string(), message.to_string().into()),
     ]);
     let _ = record.key_values().visit(&mut pairs);
     match form {
@@ -54,7 +91,7 @@
             let mut line = String::from("{");
             for (index, (key, value)) in pairs.0.iter().enumerate() {
                 let gap = if index == 0 { "" } else { "," };
-                let _ = write!(line, "{gap}{}:{}", quoted(key), quoted(value));
+                let _ = write!(line, "{gap}{}:{value}", serde_json::Value::from(key.as_str()));
             }
             line.push('}');
             line
@@ -63,17 +100,14 @@
             let mut line = String::new();
             for (key, value) in &pairs.0 {
                 let gap = if line.is_empty() { "" } else { " " };
-                if value.contains([' ', '"', '=', '\n']) {
-                    let _ = write!(line, "{gap}{key}={value:?}");
+                let text = value.as_str().map_or_else(|| value.to_string(), str::to_string);
+                if text.contains([' ', '"', '=', '\n']) {
+                    let _ = write!(line, "{gap}{key}={text:?}");
                 } else {
-                    let _ = write!(line, "{gap}{key}={value}");
+                    let _ = write!(line, "{gap}{key}={text}");
                 }
             }
             line
         }
     }
 }
-
-fn quoted(text: &str) -> String {
-    serde_json::Value::from(text).to_string()
-}
--- a/components/turns/src/place.rs
+++ b/components/turns/src/place.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use clock::Clock;
-use policy::{Action, Ending, Policy, Refusal};
+use policy::{Action, Ending, Expected, Policy, Refusal};
 use tokio::sync::oneshot;
 
 use crate::Turns;
@@ -67,6 +67,11 @@
         Ok(server)
     }
 
+    /// What was expected of the engine that the request was sent to.
+    pub fn expected(&self) -> Option<Expected> {
+        self.turns.scheduler.borrow().expected(self.job)
+    }
+
     /// Waits until the decisions want the attempt stopped.
     pub async fn stopped(&mut self) {
         if let Some(stop) = &mut self.stop
