--- a/components/catalog/src/book.rs
+++ b/components/catalog/src/book.rs
@@ -7,10 +7,6 @@
 
 use crate::route::{Intake, Route, Service, Workspace};
 
-/// Ranks that are told apart within one rank of what goes before. Engines tell ten levels apart, which
-/// hold three ranks of routes with three of workspaces each.
-const RANKS: u8 = 3;
-
 /// SHA-256 of a key: neither the time that a look-up takes nor a dump of memory tells a key.
 type KeyDigest = [u8; 32];
 
@@ -103,26 +99,23 @@
     /// workspaces of one rank the route's. Taken alone, the workspace's would put an availability
     /// summary and a long draft of one caller on a level, and engines preempt the one for the other.
     pub fn tier(&self) -> u8 {
-        ranked(self.workspace_tier(), self.route.tier)
+        self.route.tier_of(self.workspace_tier())
     }
 
     /// Rank of the request among those at one engine; 0 is the most urgent. Here the route's rank goes
     /// first: an engine preempts in the middle of an answer, and a long draft of a favoured workspace
     /// would put back every steady stream of the others.
     pub fn urgency(&self) -> u8 {
-        ranked(self.route.tier, self.workspace_tier())
+        self.route.urgency_of(self.workspace_tier())
     }
 
-    fn workspace_tier(&self) -> u8 {
+    /// Rank that the workspace has, or the route gives it.
+    pub fn workspace_tier(&self) -> u8 {
         let own = self.workspace.as_ref().and_then(|workspace| workspace.tier);
         own.unwrap_or(self.route.tier)
     }
 }
 
-fn ranked(first: u8, second: u8) -> u8 {
-    first.saturating_mul(RANKS).saturating_add(second.min(RANKS - 1))
-}
-
 fn digest(key: &str) -> KeyDigest {
     Sha256::digest(key.as_bytes()).into()
 }
--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -1,5 +1,9 @@
 use std::time::Duration;
 
+/// Ranks that are told apart within one rank of what goes before. Engines tell ten levels apart, which
+/// hold three ranks of routes with three of workspaces each.
+const RANKS: u8 = 3;
+
 derives::data! {
     /// What may be done with a request of a route a second time.
     #[derive(Copy, Eq)]
@@ -55,6 +59,8 @@
         pub name: String,
         /// Tokens in one event of a stream.
         pub event_tokens: u32,
+        /// Tokens of prompts that one engine takes over from another in a second; none where it can't.
+        pub fetch_tokens: Option<f64>,
     }
 
     /// Who calls.
@@ -100,6 +106,16 @@
 }
 
 impl Route {
+    /// Rank of the tier of requests whose workspace has the rank `workspace`; see [`crate::Found`].
+    pub fn tier_of(&self, workspace: u8) -> u8 {
+        ranked(workspace, self.tier)
+    }
+
+    /// Rank of such requests among those at one engine.
+    pub fn urgency_of(&self, workspace: u8) -> u8 {
+        ranked(self.tier, workspace)
+    }
+
     /// The service that a request goes to; requests with the same `session` go to the same one
     /// while the weights stay, so that what an engine has cached of a session is found again.
     pub fn service(&self, session: u64) -> Option<&str> {
@@ -115,6 +131,10 @@
     }
 }
 
+fn ranked(first: u8, second: u8) -> u8 {
+    first.saturating_mul(RANKS).saturating_add(second.min(RANKS - 1))
+}
+
 fn mixed(session: u64) -> u64 {
     xxhash_rust::xxh3::xxh3_64(&session.to_le_bytes())
 }
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -152,6 +152,7 @@
     job: &Job,
     server: &Entry,
     after: Option<u64>,
+    fetch: Option<Rc<Entry>>,
 ) -> Result<Start, Trouble> {
     let link = match state.pool.take(&server.address) {
         Some(link) => link,
@@ -161,7 +162,7 @@
             link.map_err(|cause| Trouble::Unreached(cause.to_string()))?
         }
     };
-    let head = outgoing(state, job, server, after);
+    let head = outgoing(state, job, server, after, fetch);
     let lost = |cause: link::Error| Trouble::Lost(cause.to_string());
     let (mut head, mut body) = link.exchange(head, job.body.clone()).await.map_err(lost)?;
     let mut crossed = 0;
@@ -259,6 +260,7 @@
     job: &Job,
     server: &Entry,
     after: Option<u64>,
+    fetch: Option<Rc<Entry>>,
 ) -> RequestHead {
     let attempt = Attempt {
         server,
@@ -266,6 +268,7 @@
         workspace: job.found.workspace.as_ref().map(|workspace| workspace.name.as_str()),
         urgency: job.found.urgency(),
         after,
+        fetch: fetch.as_deref(),
     };
     let mut head = RequestHead::default();
     head.method = job.head.method().clone();
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -141,7 +141,7 @@
         model,
         prefix: session,
         prompt_tokens: call.prompt.tokens,
-        shared_tokens: call.prompt.shared(),
+        shared: call.prompt.shared().to_vec(),
         max_tokens: call.prompt.answer,
         arrived: arrived.at,
         deadline: state.clock.now() + left,
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -8,6 +8,7 @@
 mod events;
 mod follow;
 mod intake;
+mod loads;
 mod mechanism;
 mod mirror;
 mod names;
@@ -31,6 +32,7 @@
 pub use attempt::end_to_end;
 pub use node::{Error, Node, Promises, Room};
 
+use crate::mechanism::Mechanism;
 use crate::seam::{Dialects, Site};
 use crate::state::State;
 
@@ -75,6 +77,9 @@
             log::warn!(without = left_out.as_str(); "mechanisms are left out");
         }
         follow::start(&state);
+        if state.without.has(Mechanism::Loads) {
+            loads::start(&state);
+        }
         state.turns.start();
         Ok(Forward { state, callers, operators, peers })
     }
--- /dev/null
+++ b/components/forward/src/loads.rs
@@ -0,0 +1,243 @@
+//! Nodes tell each other what engines have still to read of their prompts, so that each of them sends
+//! to engines by what all have sent. The policy that it serves is in `policy::backlog`.
+//!
+//! Nodes know each other only by the seeds of their settings. Each other node tells a seed of its own
+//! prompts, several times a second, and is answered with those of all others; seeds tell each other. A
+//! seed says how soon to come back, so that it is called no more often in a fleet of hundreds. Nothing
+//! depends on it: a node that hears nothing goes by its own prompts.
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+use actix_http::{Request, Response, StatusCode};
+use clock::Clock;
+use policy::{Backlog, Holding};
+use wire::loads::{Heard, Load, Told};
+
+use crate::answer::Answer;
+use crate::seam::Site;
+use crate::state::State;
+
+/// Path at which other nodes tell a seed.
+pub(crate) const NODES: &str = "/loads";
+/// Path at which seeds tell each other.
+pub(crate) const SEEDS: &str = "/loads/seeds";
+/// Time between two calls of a node at least: a long prompt takes an engine about as long to read.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Time between two calls that a seed takes from all nodes together: a hundred take it 2% of a core.
+const EACH: Duration = Duration::from_millis(5);
+/// Time in which a seed answers, the way between two regions and back several times over.
+const ANSWER: Duration = Duration::from_millis(300);
+/// What a node told counts for so long, in pauses of its own: one call may be lost.
+const COUNTS: u32 = 3;
+/// Largest message: some 20 bytes for each of ten thousand engines.
+const LARGEST: usize = 256 << 10;
+
+/// Whom a table was told of by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Teller {
+    Node,
+    Seed,
+}
+
+#[derive(Debug)]
+struct Entry {
+    teller: Teller,
+    loads: Vec<Load>,
+    parts: Vec<(u32, u64)>,
+    told: Instant,
+}
+
+/// What a seed was told.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    entries: RefCell<HashMap<String, Entry>>,
+}
+
+impl Table {
+    fn note(&self, teller: Teller, told: Told, now: Instant) {
+        let mut entries = self.entries.borrow_mut();
+        let nodes = entries.len();
+        entries.retain(|_, entry| now < entry.told + pause(nodes) * COUNTS);
+        let Told { from, loads, parts } = told;
+        entries.insert(from, Entry { teller, loads, parts, told: now });
+    }
+
+    /// What all have that `counts` holds for.
+    fn sum(&self, counts: impl Fn(&str, Teller) -> bool, own: &[Load]) -> Vec<Load> {
+        let entries = self.entries.borrow();
+        let told = entries.iter().filter(|(name, entry)| counts(name, entry.teller));
+        let loads = told.flat_map(|(_, entry)| &entry.loads).chain(own);
+        let mut sums: HashMap<u32, Load> = HashMap::new();
+        for load in loads {
+            let empty = || Load { server: load.server, ..Load::default() };
+            sums.entry(load.server).or_insert_with(empty).add(load);
+        }
+        sums.into_values().collect()
+    }
+
+    /// Parts at engines that all have seen that `counts` holds for.
+    fn parts(&self, counts: impl Fn(&str, Teller) -> bool, own: &[(u32, u64)]) -> Vec<(u32, u64)> {
+        let entries = self.entries.borrow();
+        let told = entries.iter().filter(|(name, entry)| counts(name, entry.teller));
+        let all: BTreeSet<_> = told.flat_map(|(_, entry)| &entry.parts).chain(own).collect();
+        all.into_iter().copied().collect()
+    }
+
+    fn nodes(&self) -> usize {
+        self.entries.borrow().len()
+    }
+}
+
+/// Time between two calls of each of so many nodes.
+fn pause(nodes: usize) -> Duration {
+    PAUSE.max(EACH * u32::try_from(nodes).unwrap_or(u32::MAX))
+}
+
+/// Starts the task; it ends with the node.
+pub(crate) fn start<S: Site>(state: &Rc<State<S>>) {
+    if state.is_seed() {
+        actix_rt::spawn(as_seed(Rc::downgrade(state)));
+    } else {
+        actix_rt::spawn(as_node(Rc::downgrade(state)));
+    }
+}
+
+/// Tells a seed, and takes in what it answers; goes on to another where it doesn't.
+async fn as_node<S: Site>(weak: Weak<State<S>>) {
+    let Some(mut seeds) = weak.upgrade().map(|state| state.seeds()) else { return };
+    while let Some(state) = weak.upgrade() {
+        let Some(seed) = seeds.first().copied() else { return };
+        let (loads, parts) = (own(&state), own_parts(&state));
+        let told = Told { from: state.node().name.clone(), loads, parts };
+        let pause = match call(&state, seed, NODES, told).await {
+            Ok(heard) => {
+                take(&state, &heard.loads);
+                take_parts(&state, &heard.parts);
+                Duration::from_millis(heard.pause_ms.into()).max(PAUSE)
+            }
+            Err(cause) => {
+                log::debug!(cause = cause.as_str(); "a seed wasn't told of loads");
+                seeds.rotate_left(1);
+                PAUSE
+            }
+        };
+        drop(state);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Tells the other seeds of this node and of those that told it.
+async fn as_seed<S: Site>(weak: Weak<State<S>>) {
+    while let Some(state) = weak.upgrade() {
+        let loads = state.loads.sum(|_, teller| teller == Teller::Node, &own(&state));
+        let parts = state.loads.parts(|_, teller| teller == Teller::Node, &own_parts(&state));
+        for seed in state.exchanged() {
+            let from = state.node().name.clone();
+            let told = Told { from, loads: loads.clone(), parts: parts.clone() };
+            let state = state.clone();
+            actix_rt::spawn(async move {
+                if let Err(cause) = call(&state, seed, SEEDS, told).await {
+                    log::debug!(cause = cause.as_str(); "a seed wasn't told of loads");
+                }
+            });
+        }
+        take(&state, &state.loads.sum(|_, _| true, &[]));
+        take_parts(&state, &state.loads.parts(|_, _| true, &[]));
+        drop(state);
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn call<S: Site>(
+    state: &State<S>,
+    seed: SocketAddr,
+    path: &str,
+    told: Told,
+) -> Result<Heard, String> {
+    let request = state.peers.post(format!("http://{seed}{path}")).timeout(ANSWER);
+    let mut response = request.send_body(told.encode()).await.map_err(|cause| cause.to_string())?;
+    let body = response.body().limit(LARGEST).await.map_err(|cause| cause.to_string())?;
+    match response.status() {
+        StatusCode::OK => Heard::decode(&body).map_err(|cause| cause.to_string()),
+        status => Err(format!("seed {seed} answered with status {status}")),
+    }
+}
+
+/// Answers a node or another seed.
+pub(crate) async fn handle<S: Site>(state: &Rc<State<S>>, mut request: Request) -> Answer {
+    let teller = if request.path() == SEEDS { Teller::Seed } else { Teller::Node };
+    let body = match listen::whole(&mut request, LARGEST).await {
+        Ok(body) => body,
+        Err(unread) => return unread.answer(),
+    };
+    listen::received(&request);
+    let Ok(told) = Told::decode(&body) else {
+        return Response::new(StatusCode::BAD_REQUEST).map_into_boxed_body();
+    };
+    let from = told.from.clone();
+    state.loads.note(teller, told, state.clock.now());
+    let pause_ms = pause(state.loads.nodes()).as_millis() as u32;
+    let others = |name: &str, _| teller == Teller::Node && name != from;
+    let heard = match teller {
+        Teller::Node => Heard {
+            pause_ms,
+            loads: state.loads.sum(others, &own(state)),
+            parts: state.loads.parts(others, &own_parts(state)),
+        },
+        Teller::Seed => Heard { pause_ms, ..Heard::default() },
+    };
+    Response::build(StatusCode::OK).body(heard.encode()).map_into_boxed_body()
+}
+
+/// What this node's prompts take engines to read.
+fn own<S: Site>(state: &State<S>) -> Vec<Load> {
+    let backlogs = state.turns.scheduler.borrow().backlogs(state.clock.now());
+    let names = state.names.borrow();
+    let millis = |seconds: f64| (seconds * 1_000.0).round() as u32;
+    let load = |backlog: Backlog| {
+        let server = wire::key(&names.server(backlog.server)?.name);
+        let mut reading_ms: Vec<u32> = backlog.reading.into_iter().map(millis).collect();
+        let held = reading_ms.iter().rposition(|ms| *ms > 0).map_or(0, |last| last + 1);
+        reading_ms.truncate(held);
+        Some(Load { server, reading_ms, overdue_ms: millis(backlog.overdue) })
+    };
+    backlogs.into_iter().filter_map(load).collect()
+}
+
+/// Parts of prompts that this node saw engines keep, where it is news.
+fn own_parts<S: Site>(state: &State<S>) -> Vec<(u32, u64)> {
+    let news = state.turns.scheduler.borrow_mut().holdings(state.clock.now());
+    let names = state.names.borrow();
+    let row = |holding: Holding| {
+        Some((wire::key(&names.server(holding.server)?.name), holding.part))
+    };
+    news.into_iter().filter_map(row).collect()
+}
+
+/// Takes in what others saw engines keep.
+fn take_parts<S: Site>(state: &State<S>, parts: &[(u32, u64)]) {
+    let names = state.names.borrow();
+    let holding = |row: &(u32, u64)| Some(Holding { server: names.keyed(row.0)?, part: row.1 });
+    let heard = parts.iter().filter_map(holding);
+    state.turns.scheduler.borrow_mut().set_holdings(heard, state.clock.now());
+}
+
+/// Takes in what all other nodes' prompts take engines to read.
+fn take<S: Site>(state: &State<S>, loads: &[Load]) {
+    let names = state.names.borrow();
+    let seconds = |ms: &u32| f64::from(*ms) / 1_000.0;
+    let backlog = |load: &Load| {
+        let server = names.keyed(load.server)?;
+        let reading = load.reading_ms.iter().map(seconds).collect();
+        Some(Backlog { server, reading, overdue: seconds(&load.overdue_ms) })
+    };
+    let backlogs: Vec<_> = loads.iter().filter_map(backlog).collect();
+    state.turns.scheduler.borrow_mut().set_backlogs(&backlogs, state.clock.now());
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/forward/src/loads/tests.rs
@@ -0,0 +1,40 @@
+use std::time::{Duration, Instant};
+
+use wire::loads::{Load, Told};
+
+use super::{COUNTS, PAUSE, Table, Teller, pause};
+
+fn told(name: &str, server: u32, millis: u32) -> Told {
+    let load = Load { server, reading_ms: vec![millis], overdue_ms: 0 };
+    Told { from: name.to_string(), loads: vec![load], parts: vec![] }
+}
+
+/// A node that heard its own prompts again as those of others would count them twice, and send its next
+/// ones away from engines that are free.
+#[test]
+fn a_node_is_told_of_all_but_itself() {
+    let (table, now) = (Table::default(), Instant::now());
+    table.note(Teller::Node, told("a", 7, 100), now);
+    table.note(Teller::Node, told("b", 7, 20), now);
+    table.note(Teller::Seed, told("s", 7, 3), now);
+    let own = [Load { server: 7, reading_ms: vec![4_000], overdue_ms: 0 }];
+    let sum = table.sum(|name, _| name != "a", &own);
+    assert_eq!(sum, [Load { server: 7, reading_ms: vec![4_023], overdue_ms: 0 }]);
+}
+
+/// A node loses power. What it told is forgotten soon, or its engines would seem busy for good.
+#[test]
+fn what_a_node_told_is_forgotten() {
+    let (table, now) = (Table::default(), Instant::now());
+    table.note(Teller::Node, told("a", 7, 100), now);
+    table.note(Teller::Node, told("b", 8, 20), now + PAUSE * (COUNTS + 1));
+    let sum = table.sum(|_, _| true, &[]);
+    assert_eq!(sum, [Load { server: 8, reading_ms: vec![20], overdue_ms: 0 }]);
+}
+
+/// Hundreds of nodes ask one seed. Each comes back later, or the seed would do little else.
+#[test]
+fn a_large_fleet_calls_its_seeds_no_more_often() {
+    assert_eq!(pause(8), PAUSE);
+    assert_eq!(pause(283), Duration::from_millis(1_415));
+}
--- a/components/forward/src/mechanism.rs
+++ b/components/forward/src/mechanism.rs
@@ -17,6 +17,8 @@
         WholeAnswers = "whole-answers",
         /// Homes of sessions keep to their region where much would cross to another.
         Crossing = "crossing",
+        /// Nodes tell each other what engines have still to read of their prompts.
+        Loads = "loads",
     }
 }
 
--- a/components/forward/src/names.rs
+++ b/components/forward/src/names.rs
@@ -18,7 +18,10 @@
 /// of size matters: it weighs prompts against streams and against the way to another region.
 const READS: u32 = 75_000;
 
-/// A class: requests of one route in one tier.
+/// Time before the first token that an engine takes over from another: some round trips.
+const SETUP: Duration = Duration::from_millis(5);
+
+/// A class: requests of one route whose workspaces have one rank.
 type ClassName = (String, u8);
 
 /// Keys and their names.
@@ -26,6 +29,10 @@
 pub(crate) struct Names {
     servers: SlotMap<ids::Server, Rc<Entry>>,
     by_name: HashMap<String, ids::Server>,
+    /// By the key of their names, by which nodes tell each other of them.
+    by_key: HashMap<u32, ids::Server>,
+    /// Tokens of prompts that an engine of a service takes over in a second.
+    fetches: HashMap<String, f64>,
     models: SlotMap<ids::Model, ()>,
     /// By service, and the model asked for; an empty one stands for all that the service does.
     by_model: HashMap<(String, String), ids::Model>,
@@ -45,6 +52,11 @@
         self.servers.get(key)
     }
 
+    /// The server whose name has a key, as by [`wire::key`].
+    pub(crate) fn keyed(&self, key: u32) -> Option<ids::Server> {
+        self.by_key.get(&key).copied()
+    }
+
     /// Servers by key.
     pub(crate) fn servers(&self) -> impl Iterator<Item = (ids::Server, &Rc<Entry>)> {
         self.servers.iter()
@@ -90,12 +102,18 @@
             }
         };
         self.servers[key] = entry.clone();
-        let unknown = String::new();
-        let region = regions.get(&entry.domain).unwrap_or(&unknown).clone();
+        let region = regions.get(&entry.domain).cloned().unwrap_or_default();
+        let terms = self.terms(entry, &region);
+        self.by_key.insert(wire::key(&entry.name), key);
+        scheduler.set_server(key, terms);
+    }
+
+    fn terms(&mut self, entry: &Entry, region: &str) -> policy::Server {
         let mut models = vec![self.model_key(&entry.service, "")];
         models.extend(entry.models.iter().map(|model| self.model_key(&entry.service, model)));
-        let terms = policy::Server {
-            region: self.region(&region),
+        let rate = self.fetches.get(&entry.service).copied();
+        policy::Server {
+            region: self.region(region),
             domain: self::key(&mut self.domains, &mut self.by_domain, &entry.domain),
             salt: xxh3_64(entry.name.as_bytes()),
             slots: entry.slots,
@@ -103,14 +121,15 @@
             leaving: entry.leaving,
             resumes: true,
             reads: entry.engine.then_some(READS),
-        };
-        scheduler.set_server(key, terms);
+            fetch: rate.map(|tokens| policy::Fetch { tokens, setup: SETUP }),
+        }
     }
 
     /// Tells the decisions of a server that is gone.
     pub(crate) fn remove_server(&mut self, scheduler: &mut Scheduler, name: &str) {
         let Some(key) = self.by_name.remove(name) else { return };
         self.servers.remove(key);
+        self.by_key.remove(&wire::key(name));
         scheduler.remove_server(key);
     }
 
@@ -121,14 +140,14 @@
         book: &Book,
         found: &Found,
     ) -> (ids::Class, ids::Workspace) {
-        let (route, tier) = (&found.route, found.tier());
-        let name = (route.name.clone(), tier);
+        let (route, rank) = (&found.route, found.workspace_tier());
+        let name = (route.name.clone(), rank);
         let class = match self.by_class.get(&name) {
             Some(class) => *class,
             None => {
                 let key = self.classes.insert(());
                 self.by_class.insert(name, key);
-                scheduler.set_class(key, self::class(route, tier, book));
+                scheduler.set_class(key, self::class(route, rank, book));
                 key
             }
         };
@@ -148,13 +167,14 @@
 
     /// Puts the terms of a new revision in place of the last one's, and forgets what it dropped.
     pub(crate) fn apply(&mut self, scheduler: &mut Scheduler, book: &Book) {
+        self.apply_fetches(scheduler, book);
         let routes: HashMap<&str, &Rc<Route>> =
             book.routes().map(|route| (route.name.as_str(), route)).collect();
         let mut dropped = vec![];
-        for ((name, tier), key) in &self.by_class {
+        for ((name, rank), key) in &self.by_class {
             match routes.get(name.as_str()) {
-                Some(route) => scheduler.set_class(*key, class(route, *tier, book)),
-                None => dropped.push((name.clone(), *tier)),
+                Some(route) => scheduler.set_class(*key, class(route, *rank, book)),
+                None => dropped.push((name.clone(), *rank)),
             }
         }
         for name in dropped {
@@ -166,6 +186,25 @@
     }
 }
 
+impl Names {
+    /// Tells the decisions how fast engines take over prompts from each other, where that changed.
+    fn apply_fetches(&mut self, scheduler: &mut Scheduler, book: &Book) {
+        let rate = |(name, service): (&String, &catalog::Service)| {
+            Some((name.clone(), service.fetch_tokens?))
+        };
+        let fetches: HashMap<_, _> = book.services.iter().filter_map(rate).collect();
+        if fetches == self.fetches {
+            return;
+        }
+        self.fetches = fetches;
+        for (key, entry) in &self.servers {
+            let rate = self.fetches.get(&entry.service).copied();
+            let fetch = rate.map(|tokens| policy::Fetch { tokens, setup: SETUP });
+            scheduler.set_fetch(key, fetch);
+        }
+    }
+}
+
 fn key<K: slotmap::Key>(
     all: &mut SlotMap<K, ()>,
     by_name: &mut HashMap<String, K>,
@@ -179,11 +218,12 @@
     key
 }
 
-fn class(route: &Route, tier: u8, book: &Book) -> policy::Class {
+fn class(route: &Route, rank: u8, book: &Book) -> policy::Class {
     let service = route.split.first().and_then(|split| book.services.get(&split.service));
     let event = service.map_or(1, |service| service.event_tokens.max(1));
     policy::Class {
-        tier,
+        tier: route.tier_of(rank),
+        urgency: route.urgency_of(rank),
         weight: 1,
         first_token: route.target,
         token_interval: route.pause.unwrap_or(route.target) / event,
--- a/components/forward/src/seam.rs
+++ b/components/forward/src/seam.rs
@@ -9,18 +9,10 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use catalog::{Book, Change, Entry};
+pub use policy::Part;
 pub use wire::news::Item;
 
 derives::data! {
-    /// A part of a prompt, alike in all requests that begin with the same parts.
-    #[derive(Copy, Eq)]
-    pub struct Part {
-        /// Identifier of its content.
-        pub id: u64,
-        /// Its length.
-        pub tokens: u32,
-    }
-
     /// What an engine has to read and may generate.
     #[derive(Default)]
     pub struct Prompt {
@@ -64,6 +56,8 @@
         pub urgency: u8,
         /// The stream goes on after this event.
         pub after: Option<u64>,
+        /// The server from which this one takes over what it keeps of the prompt.
+        pub fetch: Option<&'a Entry>,
     }
 
     /// What the head of a response says.
@@ -116,10 +110,9 @@
 }
 
 impl Prompt {
-    /// Tokens of the parts before the last, which other requests share.
-    pub fn shared(&self) -> u32 {
-        let parts = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+    /// The parts before the last, which other requests share.
+    pub fn shared(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 }
 
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -169,7 +169,9 @@
         let early = followed && self.job.repeatable().is_some();
         let silent = self.job.route().target * SILENT;
         let within = if early { left.min(silent) } else { left };
-        let asking = attempt::ask(&self.state, &self.job, server, after);
+        let fetch = self.pace.expected.and_then(|expected| expected.fetch);
+        let fetch = fetch.and_then(|key| self.state.names.borrow().server(key).cloned());
+        let asking = attempt::ask(&self.state, &self.job, server, after, fetch);
         tokio::time::timeout(within, asking).await.unwrap_or(Err(Trouble::Late))
     }
 
@@ -202,6 +204,7 @@
             sent_ms = sent.map(millis), home = expected.map(|expected| expected.home),
             reading_ms = expected.map(|expected| millis(expected.reading)),
             backlog_ms = expected.map(|expected| millis(expected.backlog)),
+            fetched = expected.map(|expected| expected.fetch.is_some()),
             prompt = job.request.prompt_tokens, target_ms = millis(route_terms.target),
             bears_ms = route_terms.pause.map(millis), limit_ms = millis(job.limit),
             revision = job.revision, age_ms = self.state.age_ms(); "ended"
--- a/components/forward/src/source.rs
+++ b/components/forward/src/source.rs
@@ -64,12 +64,7 @@
 impl Sources {
     /// The sources of the node `name` that listens for peers at `own` and starts now.
     pub(crate) fn new(name: &str, own: SocketAddr, seeds: &[SocketAddr], now: Instant) -> Self {
-        let mut peers: Vec<_> = seeds.iter().copied().filter(|seed| *seed != own).collect();
-        peers.sort_by_key(|seed| {
-            let hash = xxh3_64(format!("{name} {seed}").as_bytes());
-            (network(seed.ip()) != network(own.ip()), hash)
-        });
-        let mut order: Vec<_> = peers.into_iter().map(Source::Peer).collect();
+        let mut order: Vec<_> = nearest(name, own, seeds).into_iter().map(Source::Peer).collect();
         if seeds.contains(&own) {
             order.clear();
         }
@@ -128,6 +123,16 @@
     }
 }
 
+/// The seeds but `own`: that of the own network first, then by a hash that differs by node.
+pub(crate) fn nearest(name: &str, own: SocketAddr, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut peers: Vec<_> = seeds.iter().copied().filter(|seed| *seed != own).collect();
+    peers.sort_by_key(|seed| {
+        let hash = xxh3_64(format!("{name} {seed}").as_bytes());
+        (network(seed.ip()) != network(own.ip()), hash)
+    });
+    peers
+}
+
 /// The network of an address, as far as can be told from it: a failure domain mostly has one of its
 /// own. What is published crosses to another domain once for its seed, not for each of its nodes.
 fn network(address: IpAddr) -> [u8; 2] {
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -16,6 +16,7 @@
 use wire::news::Work;
 
 use crate::crossing::Crossing;
+use crate::loads;
 use crate::mechanism::{Mechanism as Own, Without};
 use crate::mirror::Mirror;
 use crate::names::Names;
@@ -84,6 +85,8 @@
     pub(crate) heard: Heard,
     /// Work that other seeds heard of.
     pub(crate) seeds_heard: Heard,
+    /// What other nodes told this one of their prompts.
+    pub(crate) loads: loads::Table,
     pub(crate) crossing: Crossing,
     /// Limits of the callers' listener.
     pub(crate) limits: watch::Sender<listen::Limits>,
@@ -135,6 +138,7 @@
             peers: news::client(),
             heard: Heard::default(),
             seeds_heard: Heard::default(),
+            loads: loads::Table::default(),
             crossing: Crossing::new(clock.now()),
             limits: watch::channel(intake).0,
             bytes: Cell::new(0),
@@ -163,10 +167,22 @@
         Sources::new(&node.name, node.peers, seeds, self.clock.now())
     }
 
+    /// Whether this node is a seed.
+    pub(crate) fn is_seed(&self) -> bool {
+        let node = self.node();
+        node.seeds.contains(&node.peers)
+    }
+
+    /// The seeds, in the order in which this node asks them.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        let node = self.node();
+        crate::source::nearest(&node.name, node.peers, &node.seeds)
+    }
+
     /// The other seeds, if this node is one.
     pub(crate) fn exchanged(&self) -> Vec<SocketAddr> {
         let node = self.node();
-        let seed = node.seeds.contains(&node.peers);
+        let seed = self.is_seed();
         let others = node.seeds.iter().filter(|other| seed && **other != node.peers);
         others.copied().collect()
     }
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -135,6 +135,7 @@
 fn classes() -> impl Iterator<Item = Class> {
     CLASSES.iter().map(|class| Class {
         tier: class.tier,
+        urgency: class.tier,
         weight: class.weight,
         first_token: Duration::from_secs_f64(class.first_token),
         token_interval: Duration::from_millis(50),
@@ -171,6 +172,7 @@
             leaving: false,
             resumes: true,
             reads: None,
+            fetch: None,
         };
         scheduler.set_server(*key, server);
     }
--- a/components/policy/examples/patterns/driver/world.rs
+++ b/components/policy/examples/patterns/driver/world.rs
@@ -234,7 +234,7 @@
             model: self.keys.model,
             prefix: call.prefix,
             prompt_tokens: call.prompt,
-            shared_tokens: 0,
+            shared: vec![],
             max_tokens: None,
             arrived: self.instant(call.at),
             deadline: self.instant(call.at + class.deadline),
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -40,7 +40,9 @@
     /// Takes a request in: it waits, or it is noted as refused.
     pub(crate) fn admit(&mut self, request: Request, now: Instant) -> ids::Job {
         let (class, workspace) = (request.class, request.workspace);
-        let tier = self.classes.get(class).map_or(u8::MAX, |class| class.tier);
+        let terms = self.classes.get(class);
+        let tier = terms.map_or(u8::MAX, |class| class.tier);
+        let urgency = terms.map_or(u8::MAX, |class| class.urgency);
         let pool = self.pool(&request, now);
         self.pools[pool].jobs += 1;
         if let Some(turn) = self.turns.get_mut(class) {
@@ -50,6 +52,7 @@
             last_call: request.deadline,
             request,
             tier,
+            urgency,
             pool,
             stage: Stage::Over,
             attempts: 0,
@@ -62,6 +65,7 @@
             timer: None,
             avoid: None,
             reading: 0.0,
+            ahead: 0.0,
             expected: None,
             sent_at: now,
             last_token: None,
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -71,14 +71,15 @@
     fn release(&mut self, job: ids::Job, server: ids::Server, ending: Ending, now: Instant) {
         let jitter = self.rng.random();
         let hung = ending == Ending::Cancelled && self.hung(&self.jobs[job], server, now);
-        let reading = std::mem::take(&mut self.jobs[job].reading);
+        let held = &mut self.jobs[job];
+        let (urgency, reading) = (held.urgency, std::mem::take(&mut held.reading));
         if let Some(known) = self.servers.get_mut(server) {
             known.end(job, now);
             if hung {
                 known.health.ended(false, now);
                 known.health.hung(self.jobs[job].sent_at, now, jitter);
             }
-            known.reading.over(reading);
+            known.reading.over(urgency, reading);
             if !matches!(ending, Ending::Cancelled | Ending::Stopped) {
                 known.health.ended(ending == Ending::Whole, now);
             }
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -54,6 +54,24 @@
 const BATCH: f64 = 48.0;
 const TAKEN: f64 = 0.6;
 
+/// An engine takes over the beginning of a prompt only where that takes less than this part of reading it.
+const GAINS: f64 = 0.5;
+/// Part of its reading that another copy of a beginning costs: it takes memory in which others yield.
+const DISPLACES: f64 = 0.25;
+/// The least that another copy costs, in seconds.
+const LEAVES: f64 = 0.1;
+
+/// Where the beginning of a prompt is kept.
+#[derive(Clone, Copy, Debug)]
+struct Copies {
+    /// Engines that have most likely read it where nothing is known.
+    homes: [Option<ids::Server>; 2],
+    /// Some engine is known to keep a part of it.
+    known: bool,
+    /// An engine from which another can take it over.
+    source: Option<ids::Server>,
+}
+
 /// A choice, and what it costs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Chosen {
@@ -63,6 +81,8 @@
     /// Seconds until it begins to.
     backlog: f64,
     home: bool,
+    /// The engine from which it takes over the beginning of the prompt.
+    fetch: Option<ids::Server>,
     cost: f64,
 }
 
@@ -83,6 +103,7 @@
             .filter(|_| self.without.has(Mechanism::Groups))
             .and_then(|class| pool.apart.class(class.token_interval));
         let homes = self.homes(held, group, now);
+        let copies = self.copies(held, homes, now);
         let all_out = pool.members.iter().all(|member| self.barred(member.server, now));
         let usable = pool.members.iter().filter(|member| {
             (all_out || !self.barred(member.server, now)) && self.usable(held, member)
@@ -91,7 +112,7 @@
         let mut free = false;
         for member in usable {
             free = true;
-            let Some(chosen) = self.cost(held, member, group, &homes, now) else { continue };
+            let Some(chosen) = self.cost(held, member, group, &copies, now) else { continue };
             if best.is_none_or(|best| chosen.cost < best.cost) {
                 best = Some(chosen);
             }
@@ -116,7 +137,7 @@
         let pool = &self.pools[held.pool];
         let weight = |member: &&Member| {
             let known = &self.servers[member.server];
-            let shared = f64::from(held.request.shared_tokens);
+            let shared = f64::from(held.request.shared_tokens());
             let dear = known.terms.reads.is_some_and(|reads| shared / f64::from(reads) > FAR);
             let crosses = dear && self.crosses;
             let near = crosses || known.terms.region == held.request.region;
@@ -139,29 +160,63 @@
         homes.map(|home| home.map(|(_, server)| server))
     }
 
+    /// Where the beginning of a request's prompt is kept.
+    fn copies(&self, held: &Held, homes: [Option<ids::Server>; 2], now: Instant) -> Copies {
+        let members = &self.pools[held.pool].members;
+        let known = members.iter().any(|member| self.kept(held, member.server, now) > 0);
+        let sources = self.holdings.sources(&held.request.shared, now);
+        let sound = sources.filter(|source| {
+            let known = self.servers.get(*source);
+            known.is_some_and(|known| self.hangs(known, now) <= 0.0 && !self.barred(*source, now))
+        });
+        let near = |source: &ids::Server| self.servers[*source].terms.region == held.request.region;
+        let source = sound.max_by_key(near).filter(|_| self.without.has(Mechanism::Fetching));
+        Copies { homes, known, source }
+    }
+
+    /// Tokens of a prompt's beginning that an engine keeps.
+    fn kept(&self, held: &Held, server: ids::Server, now: Instant) -> u32 {
+        if !self.without.has(Mechanism::Holdings) {
+            return 0;
+        }
+        self.holdings.kept(&held.request.shared, server, now)
+    }
+
     /// What a request costs at an engine, in seconds of engine time.
     fn cost(
         &self,
         held: &Held,
         member: &Member,
         group: Option<Group>,
-        homes: &[Option<ids::Server>; 2],
+        copies: &Copies,
         now: Instant,
     ) -> Option<Chosen> {
         let known = &self.servers[member.server];
         let request = &held.request;
-        let cached = match homes.iter().position(|home| *home == Some(member.server)) {
-            Some(0) => request.shared_tokens,
-            Some(_) => request.shared_tokens / 2,
-            None => 0,
+        let reads = f64::from(known.terms.reads?.max(1));
+        let home = copies.homes[0] == Some(member.server);
+        let shared_tokens = request.shared_tokens();
+        let kept = match copies.homes.iter().position(|home| *home == Some(member.server)) {
+            Some(0) if !copies.known => shared_tokens,
+            Some(1) if !copies.known => shared_tokens / 2,
+            _ => self.kept(held, member.server, now),
         };
-        let unread = f64::from(request.prompt_tokens.saturating_sub(cached));
-        let reading = unread / f64::from(known.terms.reads?.max(1));
-        let backlog = known.reading.backlog(now).max(self.hangs(known, now));
+        let lacks = f64::from(shared_tokens.saturating_sub(kept)) / reads;
+        let fetch = copies.source.filter(|source| *source != member.server && lacks > 0.0);
+        let fetch = fetch.and_then(|source| Some((source, self.fetching(held, member.server)?)));
+        let fetch = fetch.filter(|(_, seconds)| *seconds < lacks * GAINS);
+        let (lacks, copying) = match fetch {
+            Some((_, seconds)) => (seconds, (lacks * DISPLACES).max(LEAVES)),
+            None => (lacks, 0.0),
+        };
+        let own = f64::from(request.prompt_tokens.saturating_sub(shared_tokens)) / reads;
+        let reading = own + lacks;
+        let hangs = self.hangs(known, now).max(known.reading.overdue(now));
+        let backlog = known.reading.backlog(held.urgency, now).max(hangs);
         let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
         let first = waited + backlog + reading + known.reading.least();
-        let shared = f64::from(request.shared_tokens) / f64::from(known.terms.reads?.max(1));
+        let shared = f64::from(shared_tokens) / reads;
         let ease = if shared > FAR { STAYS } else { EASE };
         let late = (first - target * ease).max(0.0) * LATE;
         let far = if known.terms.region == request.region { 0.0 } else { FAR };
@@ -177,9 +232,15 @@
         let stutter = if group == Some(Group::Steady) { backlog } else { 0.0 };
         let crowd = f64::from(known.sent) * CROWD;
         let faulty = self.faults(known, now) * FAILS;
-        let cost = reading + late + far + strange + stutter + crowd + faulty;
-        let home = homes[0] == Some(member.server);
-        Some(Chosen { server: member.server, reading, backlog, home, cost })
+        let cost = reading + copying + late + far + strange + stutter + crowd + faulty;
+        let fetch = fetch.map(|(source, _)| source);
+        Some(Chosen { server: member.server, reading, backlog, home, fetch, cost })
+    }
+
+    /// Seconds in which an engine takes over the beginning of a prompt; none where it can't.
+    fn fetching(&self, held: &Held, at: ids::Server) -> Option<f64> {
+        let way = self.servers[at].terms.fetch?;
+        Some(way.setup.as_secs_f64() + f64::from(held.request.shared_tokens()) / way.tokens)
     }
 
     /// Seconds by which the request that waits longest for the start of its answer at a server is
@@ -216,13 +277,15 @@
 
     /// Counts what a request that was sent costs its engine, for the sizes of the groups.
     pub(crate) fn engaged(&mut self, job: ids::Job, chosen: Chosen, now: Instant) {
-        let Chosen { server, reading, backlog, home, .. } = chosen;
+        let Chosen { server, reading, backlog, home, fetch, .. } = chosen;
         let held = &mut self.jobs[job];
         held.reading = reading;
         let [reading_time, backlog] = [reading, backlog].map(Duration::from_secs_f64);
-        held.expected = Some(Expected { home, reading: reading_time, backlog });
+        self.holdings.sent(&held.request, server, now);
+        held.expected = Some(Expected { home, reading: reading_time, backlog, fetch });
         let known = &mut self.servers[server];
-        known.reading.sent(reading);
+        held.ahead = known.reading.ahead(held.urgency, now);
+        known.reading.sent(held.urgency, reading);
         let (class, tokens) = (held.request.class, f64::from(held.tokens));
         let batch = BATCH.min(f64::from(known.slots()) * TAKEN).max(1.0);
         let seconds = reading + tokens * known.interval() / batch;
--- a/components/policy/src/held.rs
+++ b/components/policy/src/held.rs
@@ -32,6 +32,8 @@
         pub reading: Duration,
         /// Time until it begins to.
         pub backlog: Duration,
+        /// The engine from which it takes over the beginning of the prompt.
+        pub fetch: Option<ids::Server>,
     }
 }
 
@@ -40,6 +42,8 @@
 pub(crate) struct Held {
     pub(crate) request: Request,
     pub(crate) tier: u8,
+    /// Rank at engines.
+    pub(crate) urgency: u8,
     pub(crate) pool: Key,
     pub(crate) stage: Stage,
     pub(crate) attempts: u8,
@@ -61,6 +65,8 @@
     pub(crate) avoid: Option<ids::Server>,
     /// Seconds that the engine reads its prompt for, while its answer hasn't begun.
     pub(crate) reading: f64,
+    /// Seconds of other prompts that the engine was known to read before it.
+    pub(crate) ahead: f64,
     /// What was expected of the engine that it was sent to last.
     pub(crate) expected: Option<Expected>,
     pub(crate) sent_at: Instant,
--- /dev/null
+++ b/components/policy/src/holdings/tests.rs
@@ -0,0 +1,85 @@
+use std::time::{Duration, Instant};
+
+use super::{Holdings, KEEPS, NEWS, TOLD};
+use crate::terms::{Holding, Part, Request};
+
+const LONG: u64 = 7;
+
+fn request() -> Request {
+    let now = Instant::now();
+    Request {
+        class: ids::Class::default(),
+        workspace: ids::Workspace::default(),
+        model: ids::Model::default(),
+        prefix: LONG,
+        prompt_tokens: 9_000,
+        shared: vec![Part { id: 1, tokens: 400 }, Part { id: LONG, tokens: 6_000 }],
+        max_tokens: None,
+        arrived: now,
+        deadline: now,
+        idempotent: true,
+        region: ids::Region::default(),
+    }
+}
+
+fn servers() -> [ids::Server; 2] {
+    let mut all = slotmap::SlotMap::<ids::Server, ()>::with_key();
+    [all.insert(()), all.insert(())]
+}
+
+/// All caches are empty and a rush of one session comes. While its home reads the beginning for the
+/// first, others are sent to follow, but no engine is told to take over what isn't there yet.
+#[test]
+fn what_was_only_sent_is_followed_and_not_taken_over() {
+    let (mut holdings, now, [one, two]) = (Holdings::default(), Instant::now(), servers());
+    let request = request();
+    holdings.sent(&request, one, now);
+    assert_eq!(holdings.kept(&request.shared, one, now), 6_400);
+    assert_eq!(holdings.kept(&request.shared, two, now), 0);
+    assert_eq!(holdings.sources(&request.shared, now).count(), 0);
+    holdings.begun(&request, one, now);
+    assert_eq!(holdings.sources(&request.shared, now).collect::<Vec<_>>(), [one]);
+}
+
+/// A session wasn't asked for in a while. Its engine has read other prompts since and may keep nothing of
+/// it; whoever believes otherwise waits for an engine that has to read it all.
+#[test]
+fn what_was_not_used_for_long_is_not_relied_on() {
+    let (mut holdings, now, [one, _]) = (Holdings::default(), Instant::now(), servers());
+    let request = request();
+    holdings.sent(&request, one, now);
+    holdings.begun(&request, one, now);
+    assert_eq!(holdings.kept(&request.shared, one, now + KEEPS), 0);
+    holdings.sent(&request, one, now + KEEPS);
+    assert_eq!(holdings.sources(&request.shared, now + KEEPS).count(), 0);
+}
+
+/// An engine crashed and starts again under its name. It keeps nothing of before.
+#[test]
+fn a_lost_engine_keeps_nothing() {
+    let (mut holdings, now, [one, two]) = (Holdings::default(), Instant::now(), servers());
+    let request = request();
+    for server in [one, two] {
+        holdings.begun(&request, server, now);
+    }
+    holdings.forget(one);
+    assert_eq!(holdings.kept(&request.shared, one, now), 0);
+    assert_eq!(holdings.sources(&request.shared, now).collect::<Vec<_>>(), [two]);
+}
+
+/// Hundreds of requests of a session are served at its home. Other nodes are told once in a while, and not
+/// of short parts; a node would else spend its bytes on what they know.
+#[test]
+fn others_are_told_what_they_have_not_heard() {
+    let (mut holdings, now, [one, _]) = (Holdings::default(), Instant::now(), servers());
+    let request = request();
+    for n in 0..100 {
+        holdings.begun(&request, one, now + Duration::from_millis(n));
+    }
+    let news = Holding { server: one, part: LONG };
+    assert_eq!(holdings.news(now + Duration::from_millis(100)), [news]);
+    assert!(holdings.news(now + NEWS).is_empty());
+    holdings.heard(news, now + TOLD);
+    holdings.begun(&request, one, now + TOLD + Duration::from_millis(1));
+    assert!(holdings.news(now + TOLD + Duration::from_millis(2)).is_empty());
+}
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -43,6 +43,10 @@
         FleetWork = "fleet-work",
         /// An engine whose requests wait long for a beginning counts as backed up.
         Hanging = "hanging",
+        /// What engines keep of prompts is remembered.
+        Holdings = "holdings",
+        /// An engine takes over what another one keeps of a prompt.
+        Fetching = "fetching",
         /// Servers that fail a part of their requests are passed over.
         Faults = "faults",
     }
--- a/components/policy/src/reading/tests.rs
+++ b/components/policy/src/reading/tests.rs
@@ -1,16 +1,16 @@
 use std::time::{Duration, Instant};
 
-use super::Reading;
+use super::{Reading, Work};
 
 /// A long prompt is sent to an engine and one more would wait behind it. Counted as one request, the
 /// engine would look idle.
 #[test]
 fn what_was_sent_is_waited_for_until_it_begins() {
     let (mut reading, now) = (Reading::default(), Instant::now());
-    reading.sent(0.5);
-    assert!(reading.backlog(now) >= 0.5);
-    reading.begun(0.5, 0.6, now);
-    assert!(reading.backlog(now) < 0.1);
+    reading.sent(0, 0.5);
+    assert!(reading.backlog(0, now) >= 0.5);
+    reading.begun(0, 0.5, 0.0, 0.6, now);
+    assert!(reading.backlog(0, now) < 0.1);
 }
 
 /// Other nodes fill an engine unheard. First tokens that come late tell of it, and the belief fades
@@ -19,12 +19,35 @@
 fn late_first_tokens_tell_of_work_that_others_sent() {
     let (mut reading, now) = (Reading::default(), Instant::now());
     for _ in 0..20 {
-        reading.begun(0.0, 0.1, now);
+        reading.begun(0, 0.0, 0.0, 0.1, now);
     }
-    assert!(reading.backlog(now) < 0.05);
+    assert!(reading.backlog(0, now) < 0.05);
     for _ in 0..3 {
-        reading.begun(0.0, 1.1, now);
+        reading.begun(0, 0.0, 0.0, 1.1, now);
     }
-    assert!(reading.backlog(now) > 0.5);
-    assert!(reading.backlog(now + Duration::from_secs(5)) < 0.01);
+    assert!(reading.backlog(0, now) > 0.5);
+    assert!(reading.backlog(0, now + Duration::from_secs(5)) < 0.01);
+}
+
+/// Three nodes send prompts to one engine at once. Each would see but its own, and send a fourth that
+/// waits for all of them; told of the others' it knows, and forgets once nothing more is heard.
+#[test]
+fn what_others_sent_is_waited_for_while_it_is_heard() {
+    let (mut reading, now) = (Reading::default(), Instant::now());
+    reading.sent(3, 0.2);
+    let mut others = Work::default();
+    others.add(3, 0.4);
+    reading.heard(others, 0.0, now);
+    assert!((reading.backlog(3, now) - 0.6).abs() < 1e-9);
+    assert!(reading.backlog(3, now + Duration::from_secs(2)) < 0.21);
+}
+
+/// Long prompts of low urgency wait at an engine. A short urgent one is read before them, so it must
+/// not be sent away for their sake.
+#[test]
+fn less_urgent_prompts_are_not_waited_for() {
+    let (mut reading, now) = (Reading::default(), Instant::now());
+    reading.sent(6, 2.0);
+    assert_eq!(reading.backlog(3, now), 0.0);
+    assert_eq!(reading.backlog(6, now), 2.0);
 }
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -11,13 +11,14 @@
 use crate::bucket::Bucket;
 use crate::fair::{self, Fair};
 use crate::held::{Expected, Held, Stage};
+use crate::holdings::Holdings;
 use crate::known::Known;
 use crate::length::Lengths;
 use crate::mechanism::{Mechanism, Without};
 use crate::need::Needs;
 use crate::pick::Candidate;
 use crate::pool::{Key, Member, Pool};
-use crate::terms::{Class, Demand, Limits, Report, Request, Server, Share, Workspace};
+use crate::terms::{Class, Demand, Fetch, Limits, Report, Request, Server, Share, Workspace};
 
 /// Retries that may come at once, over what fresh work has earned: those of one server that crashes
 /// with its places full.
@@ -49,6 +50,7 @@
     pub(crate) retries: SecondaryMap<ids::Model, Bucket>,
     pub(crate) link: Bucket,
     pub(crate) limits: Limits,
+    pub(crate) holdings: Holdings,
     pub(crate) timers: BTreeSet<(Instant, ids::Job)>,
     pub(crate) refused: Vec<(ids::Job, Refusal, Duration)>,
     pub(crate) scratch: Vec<Candidate>,
@@ -106,6 +108,7 @@
             retries: SecondaryMap::new(),
             link: Bucket::new(0.0),
             limits: Limits { retry_percent: 10, retry_burst: RETRIES, link_bytes: 1 << 20 },
+            holdings: Holdings::default(),
             timers: BTreeSet::new(),
             refused: vec![],
             scratch: vec![],
@@ -181,6 +184,13 @@
         self.refresh();
     }
 
+    /// Says how a backend server takes over prompts from others.
+    pub fn set_fetch(&mut self, key: ids::Server, fetch: Option<Fetch>) {
+        if let Some(known) = self.servers.get_mut(key) {
+            known.terms.fetch = fetch;
+        }
+    }
+
     /// Forgets a class that the settings no longer name.
     pub fn remove_class(&mut self, key: ids::Class) {
         self.classes.remove(key);
@@ -201,6 +211,7 @@
     /// Gives a backend server that the settings no longer name no new work.
     pub fn remove_server(&mut self, key: ids::Server) {
         self.servers.remove(key);
+        self.holdings.forget(key);
         self.refresh();
     }
 
@@ -408,8 +419,10 @@
             match last {
                 None => {
                     let took = now.saturating_duration_since(sent);
+                    self.holdings.begun(&held.request, server, now);
                     known.begun(took);
-                    known.reading.begun(held.reading, took.as_secs_f64(), now);
+                    let (own, ahead) = (held.reading, held.ahead);
+                    known.reading.begun(held.urgency, own, ahead, took.as_secs_f64(), now);
                     held.reading = 0.0;
                 }
                 Some(last) => known.paced((now - last) / count.max(1)),
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -7,6 +7,8 @@
     pub struct Class {
         /// Rank of the tier; 0 is the highest.
         pub tier: u8,
+        /// Rank of its requests at engines, which take those of a lower one first.
+        pub urgency: u8,
         /// Share among the classes of a tier; at least 1.
         pub weight: u32,
         /// Target for the time to the first token.
@@ -50,6 +52,17 @@
         /// Tokens of prompts that it reads in a second; none where that isn't known, or where it
         /// reads none.
         pub reads: Option<u32>,
+        /// How fast it takes over what another engine keeps of a prompt; none where it can't.
+        pub fetch: Option<Fetch>,
+    }
+
+    /// How an engine takes over what another one keeps of a prompt.
+    #[derive(Copy)]
+    pub struct Fetch {
+        /// Tokens in a second.
+        pub tokens: f64,
+        /// Time before the first of them.
+        pub setup: Duration,
     }
 
     /// Limits of the deployment that bound the decisions of one node.
@@ -86,6 +99,16 @@
         pub sent: u32,
     }
 
+    /// Prompts of some nodes that an engine reads or has still to read.
+    pub struct Backlog {
+        /// The engine.
+        pub server: ids::Server,
+        /// Seconds that they take to read, by rank of urgency.
+        pub reading: Vec<f64>,
+        /// Seconds by which one of them waits for its answer beyond what is usual.
+        pub overdue: f64,
+    }
+
     /// What an engine says of its load, with a lag.
     pub struct Report {
         /// When the engine made it, as far as known.
@@ -102,6 +125,24 @@
         pub leaving: bool,
     }
 
+    /// A part of prompts, alike in all requests that have it.
+    #[derive(Copy, Eq)]
+    pub struct Part {
+        /// Identifier of its content.
+        pub id: u64,
+        /// Its length.
+        pub tokens: u32,
+    }
+
+    /// An engine keeps a part.
+    #[derive(Copy, Eq)]
+    pub struct Holding {
+        /// The engine.
+        pub server: ids::Server,
+        /// Identifier of the part.
+        pub part: u64,
+    }
+
     /// A request as the decisions see it.
     pub struct Request {
         /// Its class.
@@ -114,8 +155,8 @@
         pub prefix: u64,
         /// Length of the prompt in tokens, estimated.
         pub prompt_tokens: u32,
-        /// Tokens at the start of the prompt that other requests with the same `prefix` have too.
-        pub shared_tokens: u32,
+        /// Parts at the start of the prompt that other requests have too, in order.
+        pub shared: Vec<Part>,
         /// Limit on the answer in tokens that the caller set.
         pub max_tokens: Option<u32>,
         /// When it was received.
@@ -128,3 +169,10 @@
         pub region: ids::Region,
     }
 }
+
+impl Request {
+    /// Tokens at the start of the prompt that other requests have too.
+    pub(crate) fn shared_tokens(&self) -> u32 {
+        self.shared.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+    }
+}
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -28,6 +28,7 @@
 pub fn class(tier: u8, queue: usize) -> Class {
     Class {
         tier,
+        urgency: tier,
         weight: 1,
         first_token: Duration::from_secs(1),
         token_interval: Duration::from_millis(50),
@@ -47,6 +48,7 @@
         leaving: false,
         resumes: true,
         reads: None,
+        fetch: None,
     }
 }
 
@@ -83,7 +85,7 @@
             model: self.model,
             prefix: workspace as u64,
             prompt_tokens: 100,
-            shared_tokens: 0,
+            shared: vec![],
             max_tokens: Some(100),
             arrived: self.now,
             deadline: self.now + useful,
--- a/components/policy/tests/engines.rs
+++ b/components/policy/tests/engines.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::{Fixture, class, server};
-use policy::{Action, Class, Ending, Mechanism, Policy, Request, Server};
+use policy::{Action, Class, Ending, Mechanism, Part, Policy, Request, Server};
 
 /// Tokens that an engine of the tests reads in a second.
 const READS: u32 = 75_000;
@@ -42,7 +42,7 @@
     Request {
         prefix: session,
         prompt_tokens: prompt,
-        shared_tokens: shared,
+        shared: vec![Part { id: session, tokens: shared }],
         max_tokens: None,
         ..fixture.request(class, 0, Duration::from_secs(6))
     }
--- a/components/router/src/callers.rs
+++ b/components/router/src/callers.rs
@@ -109,7 +109,7 @@
                 model,
                 prefix: relay::prefix(&body),
                 prompt_tokens: relay::tokens(&body),
-                shared_tokens: 0,
+                shared: vec![],
                 max_tokens,
                 arrived,
                 deadline: arrived + useful,
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -298,7 +298,7 @@
         model,
         prefix: relay::prefix(&keyed.body),
         prompt_tokens: relay::tokens(&keyed.body),
-        shared_tokens: 0,
+        shared: vec![],
         max_tokens: keyed.max_tokens,
         arrived,
         deadline: arrived + useful,
--- a/components/router/src/terms.rs
+++ b/components/router/src/terms.rs
@@ -52,6 +52,7 @@
 fn class(class: &settings::Class) -> policy::Class {
     policy::Class {
         tier: class.rank,
+        urgency: class.rank,
         weight: class.weight,
         first_token: class.first_token,
         token_interval: class.token_interval,
@@ -86,5 +87,6 @@
         leaving: server.leaving,
         resumes: server.resumes,
         reads: None,
+        fetch: None,
     }
 }
--- /dev/null
+++ b/components/wire/src/form.rs
@@ -0,0 +1,46 @@
+//! How messages and their rows are written.
+
+/// Gives messages their form on the wire.
+macro_rules! messages {
+    ($($name:ident),*) => {$(
+        impl $name {
+            /// The message as bytes.
+            pub fn encode(&self) -> Vec<u8> {
+                rmp_serde::to_vec_named(self).expect("a message has only plain fields")
+            }
+
+            /// Reads a message.
+            ///
+            /// # Errors
+            /// When the bytes aren't one.
+            pub fn decode(bytes: &[u8]) -> Result<Self, $crate::Error> {
+                Ok(rmp_serde::from_slice(bytes)?)
+            }
+        }
+    )*};
+}
+
+/// A row of a list: a struct here, an array on the wire, which is half as long as a map.
+macro_rules! row {
+    (
+        $(#[$meta:meta])*
+        pub struct $name:ident { $($(#[$note:meta])* pub $field:ident: $kind:ty,)* }
+    ) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub struct $name { $($(#[$note])* pub $field: $kind,)* }
+
+        impl Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+                ($(self.$field,)*).serialize(to)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+                let ($($field,)*) = Deserialize::deserialize(from)?;
+                Ok($name { $($field,)* })
+            }
+        }
+    };
+}
--- a/components/wire/src/keyed.rs
+++ b/components/wire/src/keyed.rs
@@ -3,7 +3,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Error;
 
 derives::data! {
     /// A caller's call that the home of its key lets through, or doesn't.
@@ -65,35 +64,4 @@
     }
 }
 
-impl Keyed {
-    /// The call as bytes.
-    pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec_named(self).expect("plain fields")
-    }
-
-    /// Reads a call.
-    ///
-    /// ```
-    /// assert!(wire::Keyed::decode(b"no call").is_err());
-    /// ```
-    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        Ok(rmp_serde::from_slice(bytes)?)
-    }
-}
-
-impl Handover {
-    /// The calls as bytes.
-    pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec_named(self).expect("plain fields")
-    }
-
-    /// Reads calls.
-    ///
-    /// ```
-    /// let handover = wire::Handover { calls: vec![] };
-    /// assert_eq!(wire::Handover::decode(&handover.encode()).unwrap(), handover);
-    /// ```
-    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        Ok(rmp_serde::from_slice(bytes)?)
-    }
-}
+messages!(Keyed, Handover);
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -4,7 +4,10 @@
 //! Field names on the wire are single letters, because control traffic has a byte budget. Rows
 //! within a list are arrays: a row never changes its shape, a newer build adds another list.
 
+#[macro_use]
+mod form;
 mod keyed;
+pub mod loads;
 pub mod news;
 
 pub use keyed::{Handover, Keyed};
@@ -76,31 +79,6 @@
     }
 }
 
-/// A row of a list: a struct here, an array on the wire, which is half as long as a map.
-macro_rules! row {
-    (
-        $(#[$meta:meta])*
-        pub struct $name:ident { $($(#[$note:meta])* pub $field:ident: $kind:ty,)* }
-    ) => {
-        $(#[$meta])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-        pub struct $name { $($(#[$note])* pub $field: $kind,)* }
-
-        impl Serialize for $name {
-            fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
-                ($(self.$field,)*).serialize(to)
-            }
-        }
-
-        impl<'de> Deserialize<'de> for $name {
-            fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-                let ($($field,)*) = Deserialize::deserialize(from)?;
-                Ok($name { $($field,)* })
-            }
-        }
-    };
-}
-
 row! {
     /// Requests in flight at one server, or of one workspace.
     pub struct Sent {
@@ -200,19 +178,4 @@
     xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
 }
 
-impl Frame {
-    /// The frame as bytes.
-    ///
-    /// ```
-    /// let frame = wire::Frame { version: wire::VERSION, from: "a".into(), ..Default::default() };
-    /// assert_eq!(wire::Frame::decode(&frame.encode()).unwrap(), frame);
-    /// ```
-    pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec_named(self).expect("a frame has only plain fields")
-    }
-
-    /// Reads a frame.
-    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        Ok(rmp_serde::from_slice(bytes)?)
-    }
-}
+messages!(Frame);
--- a/components/wire/src/news.rs
+++ b/components/wire/src/news.rs
@@ -177,42 +177,4 @@
     }
 }
 
-impl Ask {
-    /// The frame as bytes.
-    ///
-    /// ```
-    /// let ask = wire::news::Ask::default();
-    /// assert_eq!(wire::news::Ask::decode(&ask.encode()).unwrap(), ask);
-    /// ```
-    pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec_named(self).expect("plain fields")
-    }
-
-    /// Reads a frame.
-    ///
-    /// # Errors
-    /// When the bytes aren't one.
-    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        Ok(rmp_serde::from_slice(bytes)?)
-    }
-}
-
-impl News {
-    /// The frame as bytes.
-    ///
-    /// ```
-    /// let news = wire::news::News::default();
-    /// assert_eq!(wire::news::News::decode(&news.encode()).unwrap(), news);
-    /// ```
-    pub fn encode(&self) -> Vec<u8> {
-        rmp_serde::to_vec_named(self).expect("plain fields")
-    }
-
-    /// Reads a frame.
-    ///
-    /// # Errors
-    /// When the bytes aren't one.
-    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        Ok(rmp_serde::from_slice(bytes)?)
-    }
-}
+messages!(Ask, News);
