Engines' pace is learned; requests wait for a node that starts; groups count work by kind

Cause: an engine five times slower than its kind got as many prompts as others: 7 s waited where 0.5 s were expected. And a node that starts refused what came in its first 100 ms as "settings too old", which uses up its callers' one repeat.

--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -18,6 +18,10 @@
 /// sent, once more in the connection's buffer.
 const BODIES: u64 = 4;
 
+/// Time that a request waits for a node which starts to know what is in force: a seed and the store
+/// together have answered within it, and callers have as much left to go elsewhere.
+const STARTING: Duration = Duration::from_millis(300);
+
 /// A request that was taken in.
 pub(crate) struct Job {
     pub(crate) call: Call,
@@ -55,7 +59,7 @@
     arrived: Moment,
     held: &mut Held<S>,
 ) -> Result<Job, Error> {
-    let book = state.book.borrow().clone().ok_or(Error::Stale)?;
+    let book = book(state).await.ok_or(Error::Stale)?;
     sized(&head, &book)?;
     let call = call.map_err(|Malformed(what)| Error::Malformed(what))?;
     let found = find(state, &book, &call)?;
@@ -70,6 +74,20 @@
     Ok(Job { call, head, body, found, revision: book.revision, arrived, limit, request })
 }
 
+/// What is in force. A node that has just started knows it within some tens of milliseconds; whoever
+/// comes before waits for it. Refused at once, callers who try again once or twice would have used that
+/// up, and all come together where all nodes lost power.
+async fn book<S: Site>(state: &State<S>) -> Option<Rc<Book>> {
+    let held = || state.book.borrow().clone();
+    let read = async {
+        while !state.loaded.get() || held().is_none() {
+            state.told.notified().await;
+        }
+    };
+    let _ = tokio::time::timeout(STARTING, read).await;
+    held()
+}
+
 /// Where a call belongs. What a node holds may be too old to deny a call, or to believe a key.
 fn find<S: Site>(state: &State<S>, book: &Book, call: &Call) -> Result<Found, Error> {
     let found = book.find(&call.host, &call.path, call.key.as_deref());
@@ -143,6 +161,7 @@
         prompt_tokens: call.prompt.tokens,
         shared: call.prompt.shared().to_vec(),
         max_tokens: call.prompt.answer,
+        guess: call.prompt.guess,
         arrived: arrived.at,
         deadline: state.clock.now() + left,
         idempotent: found.route.kind.repeatable(),
--- a/components/forward/src/loads.rs
+++ b/components/forward/src/loads.rs
@@ -203,7 +203,9 @@
         let mut reading_ms: Vec<u32> = backlog.reading.into_iter().map(millis).collect();
         let held = reading_ms.iter().rposition(|ms| *ms > 0).map_or(0, |last| last + 1);
         reading_ms.truncate(held);
-        Some(Load { server, reading_ms, overdue_ms: millis(backlog.overdue) })
+        let (sum, weight) = backlog.pace;
+        let pace = ((sum * 1_000.0) as i32, millis(weight));
+        Some(Load { server, reading_ms, overdue_ms: millis(backlog.overdue), pace })
     };
     backlogs.into_iter().filter_map(load).collect()
 }
@@ -212,9 +214,8 @@
 fn own_parts<S: Site>(state: &State<S>) -> Vec<(u32, u64)> {
     let news = state.turns.scheduler.borrow_mut().holdings(state.clock.now());
     let names = state.names.borrow();
-    let row = |holding: Holding| {
-        Some((wire::key(&names.server(holding.server)?.name), holding.part))
-    };
+    let row =
+        |holding: Holding| Some((wire::key(&names.server(holding.server)?.name), holding.part));
     news.into_iter().filter_map(row).collect()
 }
 
@@ -233,7 +234,8 @@
     let backlog = |load: &Load| {
         let server = names.keyed(load.server)?;
         let reading = load.reading_ms.iter().map(seconds).collect();
-        Some(Backlog { server, reading, overdue: seconds(&load.overdue_ms) })
+        let pace = (f64::from(load.pace.0) / 1_000.0, seconds(&load.pace.1));
+        Some(Backlog { server, reading, overdue: seconds(&load.overdue_ms), pace })
     };
     let backlogs: Vec<_> = loads.iter().filter_map(backlog).collect();
     state.turns.scheduler.borrow_mut().set_backlogs(&backlogs, state.clock.now());
--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -126,8 +126,11 @@
         }
         for word in &node.without {
             let (origin, word) = (origin.to_string(), word.clone());
-            Without::parse(std::slice::from_ref(&word))
-                .map_err(|known| Error::Mechanism { origin, word, known })?;
+            Without::parse(std::slice::from_ref(&word)).map_err(|known| Error::Mechanism {
+                origin,
+                word,
+                known,
+            })?;
         }
         Ok(node)
     }
--- a/components/forward/src/seam.rs
+++ b/components/forward/src/seam.rs
@@ -22,6 +22,8 @@
         pub tokens: u32,
         /// Longest answer in tokens that the caller takes.
         pub answer: Option<u32>,
+        /// Length of the answer in tokens, as the caller guesses it: right at the median, often far off.
+        pub guess: Option<u32>,
     }
 
     /// A request as its head tells of it.
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -66,6 +66,8 @@
     pub(crate) first: Option<Duration>,
     /// Longest pause between two events.
     pub(crate) longest: Duration,
+    /// Tokens of its answer that were passed on.
+    pub(crate) tokens: u32,
     /// Time from its arrival to its last send.
     sent: Option<Duration>,
     /// Sends of it.
@@ -195,7 +197,7 @@
         self.over.set(true);
         self.state.metrics.outcome(route, outcome);
         let millis = |time: Duration| time.as_millis() as u64;
-        let Pace { first, longest, sent, sends, expected } = &self.pace;
+        let Pace { first, longest, tokens, sent, sends, expected } = &self.pace;
         let route_terms = job.route();
         log::info!(
             request = job.call.id.as_str(), route = route, tier = job.found.tier(),
@@ -205,7 +207,8 @@
             reading_ms = expected.map(|expected| millis(expected.reading)),
             backlog_ms = expected.map(|expected| millis(expected.backlog)),
             fetched = expected.map(|expected| expected.fetch.is_some()),
-            prompt = job.request.prompt_tokens, target_ms = millis(route_terms.target),
+            prompt = job.request.prompt_tokens, tokens = tokens,
+            most_tokens = job.request.max_tokens, guess = job.request.guess, target_ms = millis(route_terms.target),
             bears_ms = route_terms.pause.map(millis), limit_ms = millis(job.limit),
             revision = job.revision, age_ms = self.state.age_ms(); "ended"
         );
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -85,6 +85,7 @@
             let service = services.zip(service).and_then(|(all, name)| all.get(name));
             let tokens = part.events * service.map_or(1, |service| service.event_tokens);
             self.tokens += tokens;
+            pace.tokens += tokens;
             place.tokens(tokens);
             let now = state.clock.now();
             let route = &job.route().name;
--- a/components/policy/src/apart.rs
+++ b/components/policy/src/apart.rs
@@ -44,19 +44,11 @@
     Bulk,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Work {
-    class: ids::Class,
-    /// Longest time between tokens that its callers bear, in seconds.
-    interval: f64,
-    /// Engine time of late, in seconds, fading.
-    seconds: f64,
-}
-
 /// The two groups of one pool.
 #[derive(Debug)]
 pub(crate) struct Apart {
-    work: Vec<Work>,
+    /// Engine time of late, in seconds, fading, of the steady group and of the other.
+    work: [f64; 2],
     /// What is left of the work that is taken for granted, of the steady group and of the other.
     prior: [f64; 2],
     faded: Option<Instant>,
@@ -71,35 +63,28 @@
 impl Default for Apart {
     fn default() -> Self {
         let steady = HashMap::new();
-        Apart { work: vec![], prior: PRIOR, faded: None, fleet: None, unlike: false, steady }
+        Apart { work: [0.0; 2], prior: PRIOR, faded: None, fleet: None, unlike: false, steady }
     }
 }
 
 impl Apart {
-    /// Counts work of a class.
-    pub(crate) fn add(&mut self, class: ids::Class, bears: Duration, seconds: f64, now: Instant) {
+    /// Counts work of a request that bears so long between tokens.
+    pub(crate) fn add(&mut self, bears: Duration, seconds: f64, now: Instant) {
         self.fade(now);
-        let interval = bears.as_secs_f64();
-        match self.work.iter_mut().find(|work| work.class == class) {
-            Some(work) => (work.interval, work.seconds) = (interval, work.seconds + seconds),
-            None => self.work.push(Work { class, interval, seconds }),
-        }
+        self.work[usize::from(bears.as_secs_f64() >= STALL)] += seconds;
     }
 
     fn fade(&mut self, now: Instant) {
         let last = self.faded.replace(now).unwrap_or(now);
         let age = now.saturating_duration_since(last).as_secs_f64() / HALF.as_secs_f64();
         let keep = (-age).exp2();
-        self.work.iter_mut().for_each(|work| work.seconds *= keep);
+        self.work = self.work.map(|seconds| seconds * keep);
         self.prior = self.prior.map(|seconds| seconds * keep);
-        self.work.retain(|work| work.seconds > f64::EPSILON);
     }
 
-    /// Engine time of late of the steady classes and of the others, in seconds.
+    /// Engine time of late of steady streams and of all else, in seconds.
     pub(crate) fn seconds(&self) -> [f64; 2] {
-        let (steady, bulk): (Vec<&Work>, Vec<&Work>) =
-            self.work.iter().partition(|work| work.interval < STALL);
-        [steady, bulk].map(|work| work.iter().map(|work| work.seconds).sum())
+        self.work
     }
 
     /// Takes in the work of all nodes: what one node sees of hundreds varies, and with it the border,
@@ -135,8 +120,8 @@
         }
     }
 
-    /// The group of a class that bears so long between tokens; none while all are alike.
-    pub(crate) fn class(&self, bears: Duration) -> Option<Group> {
+    /// The group of a request that bears so long between tokens; none while all are alike.
+    pub(crate) fn group(&self, bears: Duration) -> Option<Group> {
         let group = if bears.as_secs_f64() < STALL { Group::Steady } else { Group::Bulk };
         self.unlike.then_some(group)
     }
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -26,7 +26,7 @@
 /// own reading, and makes others leave.
 const STAYS: f64 = 1.1;
 /// What a second of lateness beyond that is worth against a second of engine time.
-const LATE: f64 = 4.0;
+const LATE: f64 = 1.0;
 /// Seconds that an engine of another region must be better by: the way there and back, and the
 /// bytes that cross a link paid by volume.
 const FAR: f64 = 0.06;
@@ -66,12 +66,23 @@
 struct Copies {
     /// Engines that have most likely read it where nothing is known.
     homes: [Option<ids::Server>; 2],
-    /// Some engine is known to keep a part of it.
+    /// Some engine is known to keep all of it.
     known: bool,
     /// An engine from which another can take it over.
     source: Option<ids::Server>,
 }
 
+/// Tokens before a token at which comparing it with them takes an engine as long as all else for it: 30
+/// to 60 thousand at the users' engines.
+const ATTENTION: f64 = 40_000.0;
+
+/// Seconds in which an engine that reads so many tokens a second reads a prompt on from one token to
+/// another.
+fn reading_time(from: u32, to: u32, reads: f64) -> f64 {
+    let (from, to) = (f64::from(from), f64::from(to.max(from)));
+    (to - from) / reads * (1.0 + (from + to) / 2.0 / ATTENTION)
+}
+
 /// A choice, and what it costs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Chosen {
@@ -98,10 +109,8 @@
     /// a place.
     pub(crate) fn engine(&self, held: &Held, now: Instant) -> (Option<Chosen>, bool) {
         let pool = &self.pools[held.pool];
-        let class = self.classes.get(held.request.class);
-        let group = class
-            .filter(|_| self.without.has(Mechanism::Groups))
-            .and_then(|class| pool.apart.class(class.token_interval));
+        let grouped = self.without.has(Mechanism::Groups);
+        let group = pool.apart.group(self.pause(held)).filter(|_| grouped);
         let homes = self.homes(held, group, now);
         let copies = self.copies(held, homes, now);
         let all_out = pool.members.iter().all(|member| self.barred(member.server, now));
@@ -120,6 +129,12 @@
         (best, free)
     }
 
+    /// Longest time between tokens that the callers of a request's class bear.
+    fn pause(&self, held: &Held) -> Duration {
+        let class = self.classes.get(held.request.class);
+        class.map(|class| class.token_interval).unwrap_or_default()
+    }
+
     /// Whether an engine that isn't left out may take a request now.
     fn usable(&self, held: &Held, member: &Member) -> bool {
         let known = &self.servers[member.server];
@@ -163,7 +178,8 @@
     /// Where the beginning of a request's prompt is kept.
     fn copies(&self, held: &Held, homes: [Option<ids::Server>; 2], now: Instant) -> Copies {
         let members = &self.pools[held.pool].members;
-        let known = members.iter().any(|member| self.kept(held, member.server, now) > 0);
+        let shared = held.request.shared_tokens();
+        let known = members.iter().any(|member| self.kept(held, member.server, now) >= shared);
         let sources = self.holdings.sources(&held.request.shared, now);
         let sound = sources.filter(|source| {
             let known = self.servers.get(*source);
@@ -201,7 +217,9 @@
             Some(1) if !copies.known => shared_tokens / 2,
             _ => self.kept(held, member.server, now),
         };
-        let lacks = f64::from(shared_tokens.saturating_sub(kept)) / reads;
+        let pace = self.pace_of(known, now);
+        let time = |from: u32, to: u32| reading_time(from, to, reads);
+        let lacks = time(kept.min(shared_tokens), shared_tokens);
         let fetch = copies.source.filter(|source| *source != member.server && lacks > 0.0);
         let fetch = fetch.and_then(|source| Some((source, self.fetching(held, member.server)?)));
         let fetch = fetch.filter(|(_, seconds)| *seconds < lacks * GAINS);
@@ -209,14 +227,16 @@
             Some((_, seconds)) => (seconds, (lacks * DISPLACES).max(LEAVES)),
             None => (lacks, 0.0),
         };
-        let own = f64::from(request.prompt_tokens.saturating_sub(shared_tokens)) / reads;
+        let own = time(shared_tokens, request.prompt_tokens);
+        // Where nothing is known of a session, its home may have to read the beginning as well.
+        let cold = if home && !copies.known { time(0, shared_tokens) } else { 0.0 };
         let reading = own + lacks;
         let hangs = self.hangs(known, now).max(known.reading.overdue(now));
-        let backlog = known.reading.backlog(held.urgency, now).max(hangs);
+        let backlog = known.reading.backlog(held.urgency, pace, now).max(hangs);
         let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
-        let first = waited + backlog + reading + known.reading.least();
-        let shared = f64::from(shared_tokens) / reads;
+        let first = waited + backlog + (reading + cold) * pace + known.reading.least();
+        let shared = time(0, shared_tokens);
         let ease = if shared > FAR { STAYS } else { EASE };
         let late = (first - target * ease).max(0.0) * LATE;
         let far = if known.terms.region == request.region { 0.0 } else { FAR };
@@ -234,9 +254,18 @@
         let faulty = self.faults(known, now) * FAILS;
         let cost = reading + copying + late + far + strange + stutter + crowd + faulty;
         let fetch = fetch.map(|(source, _)| source);
+        let reading = reading + cold;
         Some(Chosen { server: member.server, reading, backlog, home, fetch, cost })
     }
 
+    /// Times longer that an engine reads than it is taken to.
+    fn pace_of(&self, known: &Known, now: Instant) -> f64 {
+        if !self.without.has(Mechanism::Pace) {
+            return 1.0;
+        }
+        known.reading.pace(self.pace.alone(now), now)
+    }
+
     /// Seconds in which an engine takes over the beginning of a prompt; none where it can't.
     fn fetching(&self, held: &Held, at: ids::Server) -> Option<f64> {
         let way = self.servers[at].terms.fetch?;
@@ -286,11 +315,11 @@
         let known = &mut self.servers[server];
         held.ahead = known.reading.ahead(held.urgency, now);
         known.reading.sent(held.urgency, reading);
-        let (class, tokens) = (held.request.class, f64::from(held.tokens));
+        let tokens = f64::from(held.tokens);
         let batch = BATCH.min(f64::from(known.slots()) * TAKEN).max(1.0);
         let seconds = reading + tokens * known.interval() / batch;
-        let pause = self.classes.get(class).map(|class| class.token_interval);
-        let pool = held.pool;
-        self.pools[pool].apart.add(class, pause.unwrap_or_default(), seconds, now);
+        let pause = self.pause(&self.jobs[job]);
+        let pool = self.jobs[job].pool;
+        self.pools[pool].apart.add(pause, seconds, now);
     }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -22,6 +22,7 @@
 mod limit;
 mod mechanism;
 mod need;
+mod pace;
 mod pick;
 mod pool;
 mod queue;
@@ -37,4 +38,6 @@
 pub use mechanism::Mechanism;
 pub use quota::Wait;
 pub use scheduler::{RETRIES, Scheduler};
-pub use terms::{Backlog, Class, Demand, Fetch, Holding, Limits, Part, Report, Request, Server, Share, Workspace};
+pub use terms::{
+    Backlog, Class, Demand, Fetch, Holding, Limits, Part, Report, Request, Server, Share, Workspace,
+};
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -16,8 +16,10 @@
 use crate::length::Lengths;
 use crate::mechanism::{Mechanism, Without};
 use crate::need::Needs;
+use crate::pace::Pace;
 use crate::pick::Candidate;
 use crate::pool::{Key, Member, Pool};
+use crate::reading::Begun;
 use crate::terms::{Class, Demand, Fetch, Limits, Report, Request, Server, Share, Workspace};
 
 /// Retries that may come at once, over what fresh work has earned: those of one server that crashes
@@ -51,6 +53,8 @@
     pub(crate) link: Bucket,
     pub(crate) limits: Limits,
     pub(crate) holdings: Holdings,
+    /// How engines read, all together.
+    pub(crate) pace: Pace,
     pub(crate) timers: BTreeSet<(Instant, ids::Job)>,
     pub(crate) refused: Vec<(ids::Job, Refusal, Duration)>,
     pub(crate) scratch: Vec<Candidate>,
@@ -61,7 +65,7 @@
     pub(crate) ticked: Option<Instant>,
     pub(crate) needs: Needs,
     /// Strictest target between tokens among the classes, in seconds.
-    pub(crate) pace: f64,
+    pub(crate) strictest: f64,
     /// Rank of the highest tier that has a class.
     pub(crate) top: u8,
     pub(crate) rng: SmallRng,
@@ -109,6 +113,7 @@
             link: Bucket::new(0.0),
             limits: Limits { retry_percent: 10, retry_burst: RETRIES, link_bytes: 1 << 20 },
             holdings: Holdings::default(),
+            pace: Pace::default(),
             timers: BTreeSet::new(),
             refused: vec![],
             scratch: vec![],
@@ -117,7 +122,7 @@
             epoch: 1,
             ticked: None,
             needs: Needs::default(),
-            pace: f64::INFINITY,
+            strictest: f64::INFINITY,
             top: u8::MAX,
             rng: SmallRng::seed_from_u64(seed),
             without: Without::default(),
@@ -162,7 +167,7 @@
 
     fn set_pace(&mut self) {
         let targets = self.classes.values().map(|class| class.token_interval.as_secs_f64());
-        self.pace = targets.fold(f64::INFINITY, f64::min);
+        self.strictest = targets.fold(f64::INFINITY, f64::min);
         self.top = self.classes.values().map(|class| class.tier).min().unwrap_or(u8::MAX);
     }
 
@@ -421,15 +426,26 @@
                     let took = now.saturating_duration_since(sent);
                     self.holdings.begun(&held.request, server, now);
                     known.begun(took);
-                    let (own, ahead) = (held.reading, held.ahead);
-                    known.reading.begun(held.urgency, own, ahead, took.as_secs_f64(), now);
+                    let begun = Begun {
+                        rank: held.urgency,
+                        seconds: held.reading,
+                        ahead: held.ahead,
+                        took: took.as_secs_f64(),
+                    };
+                    let usual = self.pace.alone(now);
+                    self.pace.add(
+                        begun.took - known.reading.least(),
+                        begun.ahead + begun.seconds,
+                        now,
+                    );
+                    known.reading.begun(begun, known.reading.pace(usual, now), now);
                     held.reading = 0.0;
                 }
                 Some(last) => known.paced((now - last) / count.max(1)),
             }
             if last.is_some() {
                 let (interval, slots) = (known.interval(), known.slots());
-                known.limit.observe(interval, self.pace, slots, now);
+                known.limit.observe(interval, self.strictest, slots, now);
             }
         }
         self.charge(class, workspace, i64::from(more));
@@ -448,7 +464,7 @@
         let (interval, slots) = (report.token_interval.as_secs_f64(), known.slots());
         known.reported(report, now);
         if interval > 0.0 {
-            known.limit.observe(interval, self.pace, slots, now);
+            known.limit.observe(interval, self.strictest, slots, now);
         }
         self.epoch += 1;
     }
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -107,6 +107,8 @@
         pub reading: Vec<f64>,
         /// Seconds by which one of them waits for its answer beyond what is usual.
         pub overdue: f64,
+        /// Logarithms of seen to expected times to a first token: their weighted sum, and the weight.
+        pub pace: (f64, f64),
     }
 
     /// What an engine says of its load, with a lag.
@@ -159,6 +161,8 @@
         pub shared: Vec<Part>,
         /// Limit on the answer in tokens that the caller set.
         pub max_tokens: Option<u32>,
+        /// Length of the answer in tokens, as the caller guesses it.
+        pub guess: Option<u32>,
         /// When it was received.
         pub arrived: Instant,
         /// Of no use when finished after this.
--- a/components/wire/src/keyed.rs
+++ b/components/wire/src/keyed.rs
@@ -3,7 +3,6 @@
 
 use serde::{Deserialize, Serialize};
 
-
 derives::data! {
     /// A caller's call that the home of its key lets through, or doesn't.
     #[derive(Serialize, Deserialize)]
