Tests of groups and homes follow the changed interface

`apart` counts work by how long a pause is borne, no longer by class; the assertions are as they were. In the tests of engines drafts and streams of one session number had one part in common, which no two classes have; each class has its own now, as callers do.

--- a/components/policy/src/apart/tests.rs
+++ b/components/policy/src/apart/tests.rs
@@ -73,9 +73,9 @@
 /// are apart all the same, or the first streams of each start would stutter.
 #[test]
 fn groups_stand_before_any_work_is_known() {
-    let (classes, now) = (classes(), Instant::now());
+    let now = Instant::now();
     let mut apart = Apart::default();
-    apart.add(classes[2], MS(250), 0.1, now);
+    apart.add(MS(250), 0.1, now);
     apart.measure(&engines(8), now);
     assert_eq!(apart.engine(Default::default(), 0), Group::Steady);
     assert_eq!(apart.group(MS(250)), Some(Group::Bulk));
--- a/components/policy/tests/engines.rs
+++ b/components/policy/tests/engines.rs
@@ -42,7 +42,8 @@
     Request {
         prefix: session,
         prompt_tokens: prompt,
-        shared: vec![Part { id: session, tokens: shared }],
+        // A part is one of a class: drafts and streams begin differently.
+        shared: vec![Part { id: session * 3 + class as u64, tokens: shared }],
         max_tokens: None,
         ..fixture.request(class, 0, Duration::from_secs(6))
     }
