What an engine has still to read counts before anyone is late there; copies beyond a full link are far

Change: a tenth of what is still to be read is a cost; a copy beyond the link counts as unread while homes don't cross.

--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -26,7 +26,7 @@
 /// own reading, and makes others leave.
 const STAYS: f64 = 1.1;
 /// What a second of lateness beyond that is worth against a second of engine time.
-const LATE: f64 = 1.0;
+const LATE: f64 = 4.0;
 /// Seconds that an engine of another region must be better by: the way there and back, and the
 /// bytes that cross a link paid by volume.
 const FAR: f64 = 0.06;
@@ -56,6 +56,9 @@
 
 /// An engine takes over the beginning of a prompt only where that takes less than this part of reading it.
 const GAINS: f64 = 0.5;
+/// Part of what an engine has still to read that counts against it before anyone is late there: it holds
+/// up the tokens of all its streams, and what comes next.
+const BUSY: f64 = 0.1;
 /// Part of its reading that another copy of a beginning costs: it takes memory in which others yield.
 const DISPLACES: f64 = 0.25;
 /// The least that another copy costs, in seconds.
@@ -177,9 +180,10 @@
 
     /// Where the beginning of a request's prompt is kept.
     fn copies(&self, held: &Held, homes: [Option<ids::Server>; 2], now: Instant) -> Copies {
-        let members = &self.pools[held.pool].members;
         let shared = held.request.shared_tokens();
-        let known = members.iter().any(|member| self.kept(held, member.server, now) >= shared);
+        let near = |member: &&Member| self.crosses || member.region == held.request.region;
+        let mut members = self.pools[held.pool].members.iter().filter(near);
+        let known = members.any(|member| self.kept(held, member.server, now) >= shared);
         let sources = self.holdings.sources(&held.request.shared, now);
         let sound = sources.filter(|source| {
             let known = self.servers.get(*source);
@@ -239,7 +243,12 @@
         let shared = time(0, shared_tokens);
         let ease = if shared > FAR { STAYS } else { EASE };
         let late = (first - target * ease).max(0.0) * LATE;
-        let far = if known.terms.region == request.region { 0.0 } else { FAR };
+        let far = match known.terms.region == request.region {
+            true => 0.0,
+            false if self.crosses => FAR,
+            // What is kept beyond a link that is full is no nearer than what has to be read.
+            false => FAR + shared,
+        };
         let engines = self.pools[held.pool].apart.engine(member.region, member.rank);
         let strange = match group {
             Some(Group::Steady) if engines == Group::Bulk => STUTTERS,
@@ -252,7 +261,8 @@
         let stutter = if group == Some(Group::Steady) { backlog } else { 0.0 };
         let crowd = f64::from(known.sent) * CROWD;
         let faulty = self.faults(known, now) * FAILS;
-        let cost = reading + copying + late + far + strange + stutter + crowd + faulty;
+        let busy = known.reading.ahead(u8::MAX, now) * pace * BUSY;
+        let cost = reading + copying + busy + late + far + strange + stutter + crowd + faulty;
         let fetch = fetch.map(|(source, _)| source);
         let reading = reading + cold;
         Some(Chosen { server: member.server, reading, backlog, home, fetch, cost })
