--- a/components/forward/src/loads.rs
+++ b/components/forward/src/loads.rs
@@ -27,10 +27,13 @@
 pub(crate) const SEEDS: &str = "/loads/seeds";
 /// Time between two calls of a node at least: a long prompt takes an engine about as long to read.
 const PAUSE: Duration = Duration::from_millis(150);
-/// Time between two calls that a seed takes from all nodes together: a hundred take it 2% of a core.
+/// Time between two calls that a seed takes from all nodes together: a hundred a second take it 2% of a
+/// core.
 const EACH: Duration = Duration::from_millis(5);
 /// Time in which a seed answers, the way between two regions and back several times over.
 const ANSWER: Duration = Duration::from_millis(300);
+/// A seed that gave no answer is tried again after this: one that starts anew is gone for a second or two.
+const SILENT: Duration = Duration::from_secs(2);
 /// What a node told counts for so long, in pauses of its own: one call may be lost.
 const COUNTS: u32 = 3;
 /// Largest message: some 20 bytes for each of ten thousand engines.
@@ -97,6 +100,44 @@
     PAUSE.max(EACH * u32::try_from(nodes).unwrap_or(u32::MAX))
 }
 
+/// A seed as seen from one node.
+#[derive(Debug)]
+struct Seed {
+    address: SocketAddr,
+    /// The least time in which it answered; none at all before the first time.
+    took: Duration,
+    /// It gave no answer, and isn't asked before then.
+    silent: Option<Instant>,
+}
+
+/// The seeds that a node may tell. Settings don't say which of them stands in the node's region, and what
+/// crosses to another is paid by volume: the one that answers soonest is the nearest.
+#[derive(Debug)]
+struct Seeds(Vec<Seed>);
+
+impl Seeds {
+    fn new(seeds: Vec<SocketAddr>) -> Self {
+        let seed = |address| Seed { address, took: Duration::ZERO, silent: None };
+        Seeds(seeds.into_iter().map(seed).collect())
+    }
+
+    /// The nearest that isn't silent, each of them once before it is known; else the one that is tried
+    /// again first.
+    fn nearest(&self, now: Instant) -> Option<SocketAddr> {
+        let order = |seed: &&Seed| (seed.silent.filter(|until| now < *until), seed.took);
+        self.0.iter().min_by_key(order).map(|seed| seed.address)
+    }
+
+    /// Notes in what time a seed answered; none if it didn't.
+    fn answered(&mut self, address: SocketAddr, took: Option<Duration>, now: Instant) {
+        let Some(seed) = self.0.iter_mut().find(|seed| seed.address == address) else { return };
+        seed.silent = took.is_none().then_some(now + SILENT);
+        if let Some(took) = took {
+            seed.took = if seed.took.is_zero() { took } else { took.min(seed.took) };
+        }
+    }
+}
+
 /// Starts the task; it ends with the node.
 pub(crate) fn start<S: Site>(state: &Rc<State<S>>) {
     if state.is_seed() {
@@ -108,12 +149,17 @@
 
 /// Tells a seed, and takes in what it answers; goes on to another where it doesn't.
 async fn as_node<S: Site>(weak: Weak<State<S>>) {
-    let Some(mut seeds) = weak.upgrade().map(|state| state.seeds()) else { return };
+    let Some(mut seeds) = weak.upgrade().map(|state| Seeds::new(state.seeds())) else { return };
     while let Some(state) = weak.upgrade() {
-        let Some(seed) = seeds.first().copied() else { return };
+        let asked = state.clock.now();
+        let Some(seed) = seeds.nearest(asked) else { return };
         let (loads, parts) = (own(&state), own_parts(&state));
         let told = Told { from: state.node().name.clone(), loads, parts };
-        let pause = match call(&state, seed, NODES, told).await {
+        let answer = call(&state, seed, NODES, told).await;
+        let now = state.clock.now();
+        let took = answer.as_ref().ok().map(|_| now.saturating_duration_since(asked));
+        seeds.answered(seed, took, now);
+        let pause = match answer {
             Ok(heard) => {
                 take(&state, &heard.loads);
                 take_parts(&state, &heard.parts);
@@ -121,7 +167,6 @@
             }
             Err(cause) => {
                 log::debug!(cause = cause.as_str(); "a seed wasn't told of loads");
-                seeds.rotate_left(1);
                 PAUSE
             }
         };
--- a/components/forward/src/loads/tests.rs
+++ b/components/forward/src/loads/tests.rs
@@ -2,7 +2,7 @@
 
 use wire::loads::{Load, Told};
 
-use super::{COUNTS, PAUSE, Table, Teller, pause};
+use super::{COUNTS, PAUSE, SILENT, Seeds, Table, Teller, pause};
 
 fn told(name: &str, server: u32, millis: u32) -> Told {
     let load = Load { server, reading_ms: vec![millis], overdue_ms: 0, pace: (0, 0) };
@@ -38,3 +38,25 @@
     assert_eq!(pause(8), PAUSE);
     assert_eq!(pause(283), Duration::from_millis(1_415));
 }
+
+/// One of three seeds stands in the node's region, and later it is gone for a while. The node tells the
+/// nearest that answers; across the regions each call would be paid for, and a seed that is gone would
+/// leave it deaf.
+#[test]
+fn the_nearest_seed_that_answers_is_told() {
+    let address = |port: u16| std::net::SocketAddr::from(([10, 0, 0, 1], port));
+    let [far, near, gone] = [1, 2, 3].map(address);
+    let (mut seeds, now) = (Seeds::new(vec![far, near, gone]), Instant::now());
+    for (seed, millis) in [(far, Some(16)), (near, Some(2)), (gone, None)] {
+        assert_eq!(seeds.nearest(now), Some(seed), "each is tried once");
+        seeds.answered(seed, millis.map(Duration::from_millis), now);
+    }
+    assert_eq!(seeds.nearest(now), Some(near));
+    seeds.answered(near, None, now);
+    assert_eq!(seeds.nearest(now), Some(far));
+    seeds.answered(far, None, now + Duration::from_millis(1));
+    assert_eq!(seeds.nearest(now), Some(gone), "the one that fell silent first");
+    let later = now + SILENT;
+    seeds.answered(gone, None, later);
+    assert_eq!(seeds.nearest(later), Some(near), "tried again");
+}
