`godwitlever losses`: who wasn't served, when and why, from nodes' logs

Cause: engineers and developers have only logs, and read them by hand. Change: the library `losses` puts each late, refused, broken or failed request down to one cause, by class, second and server; lines that can't be read or were left out are counted. Log lines carry their time. Text, JSON, and a plot of attainment over time.

--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -1,4 +1,5 @@
 use std::fmt::Write;
+use std::time::SystemTime;
 
 use anyhow::Context;
 use log::kv::{Key, Value, VisitSource, VisitValue};
@@ -80,7 +81,9 @@
 }
 
 fn render(form: Form, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let mut pairs = Pairs(vec![
+        ("at_ms".to_string(), (since.as_millis() as u64).into()),
         ("level".to_string(), record.level().to_string().to_lowercase().into()),
         ("target".to_string(), record.target().into()),
         ("msg".to_string(), message.to_string().into()),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -59,6 +59,15 @@
         #[arg(required = true)]
         addresses: Vec<SocketAddr>,
     },
+    /// Tells from nodes' logs who wasn't served, and why.
+    #[command(after_help = "Example: cat node-*.log | godwitlever losses --plot losses.svg")]
+    Losses {
+        /// Files of JSON log lines, of any number of nodes and in any order; standard input if none.
+        files: Vec<PathBuf>,
+        /// Draws attainment of each class over time into this file.
+        #[arg(long, value_name = "FILE.svg")]
+        plot: Option<PathBuf>,
+    },
     /// Writes a first, commented tree into a directory.
     Init {
         /// The directory.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod digest;
 mod explain;
 mod init;
+mod losses;
 mod status;
 mod trees;
 
@@ -13,4 +14,5 @@
 pub use digest::digest;
 pub use explain::{explain, show};
 pub use init::init;
+pub use losses::losses;
 pub use status::status;
