--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -26,7 +26,7 @@
 /// own reading, and makes others leave.
 const STAYS: f64 = 1.1;
 /// What a second of lateness beyond that is worth against a second of engine time.
-const LATE: f64 = 4.0;
+const LATE: f64 = 1.0;
 /// Seconds that an engine of another region must be better by: the way there and back, and the
 /// bytes that cross a link paid by volume.
 const FAR: f64 = 0.06;
