--- a/components/forward/src/loads.rs
+++ b/components/forward/src/loads.rs
@@ -248,9 +248,7 @@
         let mut reading_ms: Vec<u32> = backlog.reading.into_iter().map(millis).collect();
         let held = reading_ms.iter().rposition(|ms| *ms > 0).map_or(0, |last| last + 1);
         reading_ms.truncate(held);
-        let (sum, weight) = backlog.pace;
-        let pace = ((sum * 1_000.0) as i32, millis(weight));
-        Some(Load { server, reading_ms, overdue_ms: millis(backlog.overdue), pace })
+        Some(Load { server, reading_ms, overdue_ms: millis(backlog.overdue) })
     };
     backlogs.into_iter().filter_map(load).collect()
 }
@@ -279,8 +277,7 @@
     let backlog = |load: &Load| {
         let server = names.keyed(load.server)?;
         let reading = load.reading_ms.iter().map(seconds).collect();
-        let pace = (f64::from(load.pace.0) / 1_000.0, seconds(&load.pace.1));
-        Some(Backlog { server, reading, overdue: seconds(&load.overdue_ms), pace })
+        Some(Backlog { server, reading, overdue: seconds(&load.overdue_ms) })
     };
     let backlogs: Vec<_> = loads.iter().filter_map(backlog).collect();
     state.turns.scheduler.borrow_mut().set_backlogs(&backlogs, state.clock.now());
--- a/components/policy/src/backlog.rs
+++ b/components/policy/src/backlog.rs
@@ -7,8 +7,6 @@
 
 use std::time::Instant;
 
-use crate::known::Known;
-use crate::pace::Pace;
 use crate::reading::Work;
 use crate::scheduler::Scheduler;
 use crate::terms::{Backlog, Holding};
@@ -16,11 +14,6 @@
 /// Backlogs below this, in seconds, aren't worth the bytes: no target is missed for them.
 const WORTH: f64 = 0.005;
 
-/// Logarithm of the ratio between an engine's pace and the usual one from which it is worth telling.
-const UNLIKE: f64 = 0.3;
-/// The least weight of what was seen that is.
-const SEEN: f64 = 0.05;
-
 impl Scheduler {
     /// What this node's prompts take engines still to read, of those where it is worth telling.
     ///
@@ -33,26 +26,15 @@
             server,
             reading: known.reading.own().iter().collect(),
             overdue: self.hangs(known, now).max(0.0),
-            pace: self.told_pace(known, now),
         });
-        let worth = |told: &Backlog| {
-            told.pace.1 > 0.0 || told.reading.iter().sum::<f64>() + told.overdue > WORTH
-        };
-        told.filter(worth).collect()
-    }
-
-    /// What this node saw of an engine's pace, where it differs from the usual.
-    fn told_pace(&self, known: &Known, now: Instant) -> (f64, f64) {
-        let (sum, weight) = known.reading.seen_pace().faded(now);
-        let differs = (sum - self.pace.alone(now).ln() * weight).abs() > UNLIKE * weight;
-        if differs && weight > SEEN { (sum, weight) } else { (0.0, 0.0) }
+        told.filter(|told| told.reading.iter().sum::<f64>() + told.overdue > WORTH).collect()
     }
 
     /// Takes in what all other nodes' prompts take engines still to read. Engines that aren't named
     /// have none to speak of.
     pub fn set_backlogs(&mut self, others: &[Backlog], now: Instant) {
         for known in self.servers.values_mut().filter(|known| known.terms.reads.is_some()) {
-            known.reading.heard(Work::default(), 0.0, Pace::default(), now);
+            known.reading.heard(Work::default(), 0.0, now);
         }
         for told in others {
             let Some(known) = self.servers.get_mut(told.server) else { continue };
@@ -60,8 +42,7 @@
             for (rank, seconds) in told.reading.iter().enumerate() {
                 work.add(rank.min(usize::from(u8::MAX)) as u8, *seconds);
             }
-            let pace = Pace::of(told.pace.0, told.pace.1, now);
-            known.reading.heard(work, told.overdue, pace, now);
+            known.reading.heard(work, told.overdue, now);
         }
     }
 
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -221,7 +221,6 @@
             Some(1) if !copies.known => shared_tokens / 2,
             _ => self.kept(held, member.server, now),
         };
-        let pace = self.pace_of(known, now);
         let time = |from: u32, to: u32| reading_time(from, to, reads);
         let lacks = time(kept.min(shared_tokens), shared_tokens);
         let fetch = copies.source.filter(|source| *source != member.server && lacks > 0.0);
@@ -236,10 +235,10 @@
         let cold = if home && !copies.known { time(0, shared_tokens) } else { 0.0 };
         let reading = own + lacks;
         let hangs = self.hangs(known, now).max(known.reading.overdue(now));
-        let backlog = known.reading.backlog(held.urgency, pace, now).max(hangs);
+        let backlog = known.reading.backlog(held.urgency, now).max(hangs);
         let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
-        let first = waited + backlog + (reading + cold) * pace + known.reading.least();
+        let first = waited + backlog + reading + cold + known.reading.least();
         let shared = time(0, shared_tokens);
         let ease = if shared > FAR { STAYS } else { EASE };
         let late = (first - target * ease).max(0.0) * LATE;
@@ -261,21 +260,13 @@
         let stutter = if group == Some(Group::Steady) { backlog } else { 0.0 };
         let crowd = f64::from(known.sent) * CROWD;
         let faulty = self.faults(known, now) * FAILS;
-        let busy = known.reading.ahead(u8::MAX, now) * pace * BUSY;
+        let busy = known.reading.ahead(u8::MAX, now) * BUSY;
         let cost = reading + copying + busy + late + far + strange + stutter + crowd + faulty;
         let fetch = fetch.map(|(source, _)| source);
         let reading = reading + cold;
         Some(Chosen { server: member.server, reading, backlog, home, fetch, cost })
     }
 
-    /// Times longer that an engine reads than it is taken to.
-    fn pace_of(&self, known: &Known, now: Instant) -> f64 {
-        if !self.without.has(Mechanism::Pace) {
-            return 1.0;
-        }
-        known.reading.pace(self.pace.alone(now), now)
-    }
-
     /// Seconds in which an engine takes over the beginning of a prompt; none where it can't.
     fn fetching(&self, held: &Held, at: ids::Server) -> Option<f64> {
         let way = self.servers[at].terms.fetch?;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -22,7 +22,6 @@
 mod limit;
 mod mechanism;
 mod need;
-mod pace;
 mod pick;
 mod pool;
 mod queue;
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -43,8 +43,6 @@
         FleetWork = "fleet-work",
         /// An engine whose requests wait long for a beginning counts as backed up.
         Hanging = "hanging",
-        /// How fast each engine reads is learned.
-        Pace = "pace",
         /// What engines keep of prompts is remembered.
         Holdings = "holdings",
         /// An engine takes over what another one keeps of a prompt.
--- a/components/policy/src/reading.rs
+++ b/components/policy/src/reading.rs
@@ -7,8 +7,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::pace::Pace;
-
 /// Weight of a new wait in the running one: three in a row show a change.
 const WEIGHT: f64 = 0.3;
 /// A wait that was seen counts half after this many seconds: what was being read then is read by
@@ -62,7 +60,6 @@
 struct Others {
     work: Work,
     overdue: f64,
-    pace: Pace,
     heard: Instant,
 }
 
@@ -73,7 +70,6 @@
     own: Work,
     /// The same of other nodes' prompts.
     others: Option<Others>,
-    pace: Pace,
     /// Time to a first token beyond what was expected, as seen last.
     wait: f64,
     seen: Option<Instant>,
@@ -99,19 +95,8 @@
 
     /// Takes in what other nodes' prompts take to read, and by how much one of them waits for longer
     /// than is usual.
-    pub(crate) fn heard(&mut self, work: Work, overdue: f64, pace: Pace, now: Instant) {
-        self.others = Some(Others { work, overdue, pace, heard: now });
-    }
-
-    /// Times longer that it takes to read than its kind is taken to, where `usual` is that of all.
-    pub(crate) fn pace(&self, usual: f64, now: Instant) -> f64 {
-        let others = self.others(now).map(|others| others.pace).unwrap_or_default();
-        self.pace.ratio(&others, usual, now)
-    }
-
-    /// What this node saw of its pace.
-    pub(crate) fn seen_pace(&self) -> Pace {
-        self.pace
+    pub(crate) fn heard(&mut self, work: Work, overdue: f64, now: Instant) {
+        self.others = Some(Others { work, overdue, heard: now });
     }
 
     fn others(&self, now: Instant) -> Option<Others> {
@@ -124,16 +109,15 @@
     }
 
     /// A prompt's first token came so long after it was sent, when so much was known to be read
-    /// before it; `pace` is what was known of the engine's.
-    pub(crate) fn begun(&mut self, prompt: Begun, pace: f64, now: Instant) {
+    /// before it.
+    pub(crate) fn begun(&mut self, prompt: Begun, now: Instant) {
         let Begun { rank, seconds, ahead, took } = prompt;
         self.over(rank, seconds);
         let rest = (took - seconds).max(0.0);
         let least = self.least.map_or(rest, |least| (least * (1.0 + RISE)).min(rest));
         self.least = Some(least);
-        self.pace.add(took - least, ahead + seconds, now);
         let held = self.waits(now);
-        let beyond = (took - least - (seconds + ahead) * pace).max(0.0);
+        let beyond = (rest - least - ahead).max(0.0);
         self.wait = held + (beyond - held) * WEIGHT;
         self.seen = Some(now);
     }
@@ -154,9 +138,9 @@
         self.own.ahead(rank) + self.others(now).map_or(0.0, |others| others.work.ahead(rank))
     }
 
-    /// Time until a prompt of a rank sent now begins to be read by an engine of a pace.
-    pub(crate) fn backlog(&self, rank: u8, pace: f64, now: Instant) -> f64 {
-        self.ahead(rank, now) * pace + self.waits(now)
+    /// Time until a prompt of a rank sent now begins to be read.
+    pub(crate) fn backlog(&self, rank: u8, now: Instant) -> f64 {
+        self.ahead(rank, now) + self.waits(now)
     }
 
     /// Least time from a send to a first token beyond the prompt's own reading.
--- a/components/policy/src/reading/tests.rs
+++ b/components/policy/src/reading/tests.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{Begun, Pace, Reading, Work};
+use super::{Begun, Reading, Work};
 
 /// A long prompt is sent to an engine and one more would wait behind it. Counted as one request, the
 /// engine would look idle.
@@ -8,9 +8,9 @@
 fn what_was_sent_is_waited_for_until_it_begins() {
     let (mut reading, now) = (Reading::default(), Instant::now());
     reading.sent(0, 0.5);
-    assert!(reading.backlog(0, 1.0, now) >= 0.5);
-    reading.begun(Begun { rank: 0, seconds: 0.5, ahead: 0.0, took: 0.6 }, 1.0, now);
-    assert!(reading.backlog(0, 1.0, now) < 0.1);
+    assert!(reading.backlog(0, now) >= 0.5);
+    reading.begun(Begun { rank: 0, seconds: 0.5, ahead: 0.0, took: 0.6 }, now);
+    assert!(reading.backlog(0, now) < 0.1);
 }
 
 /// Other nodes fill an engine unheard. First tokens that come late tell of it, and the belief fades
@@ -19,14 +19,14 @@
 fn late_first_tokens_tell_of_work_that_others_sent() {
     let (mut reading, now) = (Reading::default(), Instant::now());
     for _ in 0..20 {
-        reading.begun(Begun { rank: 0, seconds: 0.0, ahead: 0.0, took: 0.1 }, 1.0, now);
+        reading.begun(Begun { rank: 0, seconds: 0.0, ahead: 0.0, took: 0.1 }, now);
     }
-    assert!(reading.backlog(0, 1.0, now) < 0.05);
+    assert!(reading.backlog(0, now) < 0.05);
     for _ in 0..3 {
-        reading.begun(Begun { rank: 0, seconds: 0.0, ahead: 0.0, took: 1.1 }, 1.0, now);
+        reading.begun(Begun { rank: 0, seconds: 0.0, ahead: 0.0, took: 1.1 }, now);
     }
-    assert!(reading.backlog(0, 1.0, now) > 0.5);
-    assert!(reading.backlog(0, 1.0, now + Duration::from_secs(5)) < 0.01);
+    assert!(reading.backlog(0, now) > 0.5);
+    assert!(reading.backlog(0, now + Duration::from_secs(5)) < 0.01);
 }
 
 /// Three nodes send prompts to one engine at once. Each would see but its own, and send a fourth that
@@ -37,9 +37,9 @@
     reading.sent(3, 0.2);
     let mut others = Work::default();
     others.add(3, 0.4);
-    reading.heard(others, 0.0, Pace::default(), now);
-    assert!((reading.backlog(3, 1.0, now) - 0.6).abs() < 1e-9);
-    assert!(reading.backlog(3, 1.0, now + Duration::from_secs(2)) < 0.21);
+    reading.heard(others, 0.0, now);
+    assert!((reading.backlog(3, now) - 0.6).abs() < 1e-9);
+    assert!(reading.backlog(3, now + Duration::from_secs(2)) < 0.21);
 }
 
 /// Long prompts of low urgency wait at an engine. A short urgent one is read before them, so it must
@@ -48,6 +48,6 @@
 fn less_urgent_prompts_are_not_waited_for() {
     let (mut reading, now) = (Reading::default(), Instant::now());
     reading.sent(6, 2.0);
-    assert_eq!(reading.backlog(3, 1.0, now), 0.0);
-    assert_eq!(reading.backlog(6, 1.0, now), 2.0);
+    assert_eq!(reading.backlog(3, now), 0.0);
+    assert_eq!(reading.backlog(6, now), 2.0);
 }
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -16,7 +16,6 @@
 use crate::length::Lengths;
 use crate::mechanism::{Mechanism, Without};
 use crate::need::Needs;
-use crate::pace::Pace;
 use crate::pick::Candidate;
 use crate::pool::{Key, Member, Pool};
 use crate::reading::Begun;
@@ -53,8 +52,6 @@
     pub(crate) link: Bucket,
     pub(crate) limits: Limits,
     pub(crate) holdings: Holdings,
-    /// How engines read, all together.
-    pub(crate) pace: Pace,
     pub(crate) timers: BTreeSet<(Instant, ids::Job)>,
     pub(crate) refused: Vec<(ids::Job, Refusal, Duration)>,
     pub(crate) scratch: Vec<Candidate>,
@@ -113,7 +110,6 @@
             link: Bucket::new(0.0),
             limits: Limits { retry_percent: 10, retry_burst: RETRIES, link_bytes: 1 << 20 },
             holdings: Holdings::default(),
-            pace: Pace::default(),
             timers: BTreeSet::new(),
             refused: vec![],
             scratch: vec![],
@@ -432,13 +428,7 @@
                         ahead: held.ahead,
                         took: took.as_secs_f64(),
                     };
-                    let usual = self.pace.alone(now);
-                    self.pace.add(
-                        begun.took - known.reading.least(),
-                        begun.ahead + begun.seconds,
-                        now,
-                    );
-                    known.reading.begun(begun, known.reading.pace(usual, now), now);
+                    known.reading.begun(begun, now);
                     held.reading = 0.0;
                 }
                 Some(last) => known.paced((now - last) / count.max(1)),
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -107,8 +107,6 @@
         pub reading: Vec<f64>,
         /// Seconds by which one of them waits for its answer beyond what is usual.
         pub overdue: f64,
-        /// Logarithms of seen to expected times to a first token: their weighted sum, and the weight.
-        pub pace: (f64, f64),
     }
 
     /// What an engine says of its load, with a lag.
--- a/components/wire/src/loads.rs
+++ b/components/wire/src/loads.rs
@@ -42,23 +42,20 @@
         pub reading_ms: Vec<u32>,
         /// Milliseconds by which one of them waits for longer than is usual.
         pub overdue_ms: u32,
-        /// Logarithms of seen to expected times to a first token: their weighted sum, and the weight,
-        /// both in thousandths.
-        pub pace: (i32, u32),
     }
 }
 
-type Row = (u32, Vec<u32>, u32, (i32, u32));
+type Row = (u32, Vec<u32>, u32);
 
 impl From<Row> for Load {
-    fn from((server, reading_ms, overdue_ms, pace): Row) -> Self {
-        Load { server, reading_ms, overdue_ms, pace }
+    fn from((server, reading_ms, overdue_ms): Row) -> Self {
+        Load { server, reading_ms, overdue_ms }
     }
 }
 
 impl From<Load> for Row {
     fn from(load: Load) -> Self {
-        (load.server, load.reading_ms, load.overdue_ms, load.pace)
+        (load.server, load.reading_ms, load.overdue_ms)
     }
 }
 
@@ -68,9 +65,9 @@
     /// ```
     /// use wire::loads::Load;
     ///
-    /// let mut load = Load { server: 7, reading_ms: vec![5], overdue_ms: 40, pace: (-7, 10) };
-    /// load.add(&Load { server: 7, reading_ms: vec![1, 2], overdue_ms: 30, pace: (9, 20) });
-    /// assert_eq!(load, Load { server: 7, reading_ms: vec![6, 2], overdue_ms: 40, pace: (2, 30) });
+    /// let mut load = Load { server: 7, reading_ms: vec![5], overdue_ms: 40 };
+    /// load.add(&Load { server: 7, reading_ms: vec![1, 2], overdue_ms: 30 });
+    /// assert_eq!(load, Load { server: 7, reading_ms: vec![6, 2], overdue_ms: 40 });
     /// ```
     pub fn add(&mut self, other: &Load) {
         if self.reading_ms.len() < other.reading_ms.len() {
@@ -80,8 +77,6 @@
             *held = held.saturating_add(*more);
         }
         self.overdue_ms = self.overdue_ms.max(other.overdue_ms);
-        let ((sum, weight), (other_sum, other_weight)) = (self.pace, other.pace);
-        self.pace = (sum.saturating_add(other_sum), weight.saturating_add(other_weight));
     }
 }
 
