An engine that leaves still hands over what it keeps; tests of a start and of a drain

Cause: a test of a drain on the platform's stand-ins: the session's next home was taken to keep what only the leaving engine kept, so nothing was taken over. Change: a copy at an engine that is leaving counts as known. Tests: a session takes its beginning along; a request waits for a node that starts, and is refused in time where the start takes long.

--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -191,7 +191,8 @@
         });
         let near = |source: &ids::Server| self.servers[*source].terms.region == held.request.region;
         let source = sound.max_by_key(near).filter(|_| self.without.has(Mechanism::Fetching));
-        Copies { homes, known, source }
+        // One that is leaving isn't among the members any more, and still hands over what it keeps.
+        Copies { homes, known: known || source.is_some(), source }
     }
 
     /// Tokens of a prompt's beginning that an engine keeps.
