Messages of loads name the fullest engines, 128 at most

Cause: worked out, not seen: at 300 nodes and 3,000 engines a message that names each is 20 to 40 KB, several megabytes a second at a seed, over a link of 60 Mbit/s that settings cross too. Change: the 128 engines that have most to read, and as many parts of prompts.

--- a/components/forward/src/loads.rs
+++ b/components/forward/src/loads.rs
@@ -36,8 +36,11 @@
 const SILENT: Duration = Duration::from_secs(2);
 /// What a node told counts for so long, in pauses of its own: one call may be lost.
 const COUNTS: u32 = 3;
-/// Largest message: some 20 bytes for each of ten thousand engines.
-const LARGEST: usize = 256 << 10;
+/// Engines, and parts of prompts, that one message names: some 1.5 KB of each. A fleet of 850 nodes before
+/// ten thousand engines then takes a node 2 KB a second, and it knows of those that it must avoid.
+const ROWS: usize = 128;
+/// Largest message that is read.
+const LARGEST: usize = 64 << 10;
 
 /// Whom a table was told of by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +82,7 @@
             let empty = || Load { server: load.server, ..Load::default() };
             sums.entry(load.server).or_insert_with(empty).add(load);
         }
-        sums.into_values().collect()
+        fullest(sums.into_values().collect())
     }
 
     /// Parts at engines that all have seen that `counts` holds for.
@@ -87,7 +90,7 @@
         let entries = self.entries.borrow();
         let told = entries.iter().filter(|(name, entry)| counts(name, entry.teller));
         let all: BTreeSet<_> = told.flat_map(|(_, entry)| &entry.parts).chain(own).collect();
-        all.into_iter().copied().collect()
+        all.into_iter().copied().take(ROWS).collect()
     }
 
     fn nodes(&self) -> usize {
@@ -95,6 +98,17 @@
     }
 }
 
+/// The engines that have most to read, as many as one message names.
+fn fullest(mut loads: Vec<Load>) -> Vec<Load> {
+    let weight = |load: &Load| {
+        let reading = load.reading_ms.iter().fold(0_u32, |sum, ms| sum.saturating_add(*ms));
+        std::cmp::Reverse(reading.saturating_add(load.overdue_ms))
+    };
+    loads.sort_by_key(|load| (weight(load), load.server));
+    loads.truncate(ROWS);
+    loads
+}
+
 /// Time between two calls of each of so many nodes.
 fn pause(nodes: usize) -> Duration {
     PAUSE.max(EACH * u32::try_from(nodes).unwrap_or(u32::MAX))
--- a/components/forward/src/loads/tests.rs
+++ b/components/forward/src/loads/tests.rs
@@ -2,7 +2,7 @@
 
 use wire::loads::{Load, Told};
 
-use super::{COUNTS, PAUSE, SILENT, Seeds, Table, Teller, pause};
+use super::{COUNTS, PAUSE, ROWS, SILENT, Seeds, Table, Teller, pause};
 
 fn told(name: &str, server: u32, millis: u32) -> Told {
     let load = Load { server, reading_ms: vec![millis], overdue_ms: 0 };
@@ -60,3 +60,18 @@
     seeds.answered(gone, None, later);
     assert_eq!(seeds.nearest(later), Some(near), "tried again");
 }
+
+/// A fleet has thousands of engines and all of them read. A message that named each would fill the link of
+/// the seeds; it names those that a node must avoid most.
+#[test]
+fn a_message_names_the_fullest_engines() {
+    let (table, now) = (Table::default(), Instant::now());
+    let load = |server: u32| Load { server, reading_ms: vec![server], overdue_ms: 0 };
+    let loads = (0..3_000).map(load).collect();
+    let parts = (0..3_000).map(|part| (7, part)).collect();
+    table.note(Teller::Node, Told { from: "a".to_string(), loads, parts }, now);
+    let sum = table.sum(|_, _| true, &[]);
+    assert_eq!(sum.len(), ROWS);
+    assert!(sum.iter().all(|load| load.server >= 3_000 - ROWS as u32));
+    assert_eq!(table.parts(|_, _| true, &[]).len(), ROWS);
+}
