Messages name enough parts of prompts; one rule for who hands over

Change: 1,024 parts; a source must not keep this node's requests waiting, nor be silent for others'. A copy that only a leaving engine has is taken over by the session's home, not by whoever is cheapest.

--- a/components/forward/src/loads.rs
+++ b/components/forward/src/loads.rs
@@ -36,9 +36,11 @@
 const SILENT: Duration = Duration::from_secs(2);
 /// What a node told counts for so long, in pauses of its own: one call may be lost.
 const COUNTS: u32 = 3;
-/// Engines, and parts of prompts, that one message names: some 1.5 KB of each. A fleet of 850 nodes before
-/// ten thousand engines then takes a node 2 KB a second, and it knows of those that it must avoid.
+/// Engines that one message names, those that a node must avoid most: some 1.5 KB.
 const ROWS: usize = 128;
+/// Parts of prompts that one message names: some 10 KB. 71 nodes on a heavy day tell of several hundred in
+/// each; with 128 engines read so much anew that a tenth of all worth was lost.
+const PARTS: usize = 1_024;
 /// Largest message that is read.
 const LARGEST: usize = 64 << 10;
 
@@ -90,7 +92,7 @@
         let entries = self.entries.borrow();
         let told = entries.iter().filter(|(name, entry)| counts(name, entry.teller));
         let all: BTreeSet<_> = told.flat_map(|(_, entry)| &entry.parts).chain(own).collect();
-        all.into_iter().copied().take(ROWS).collect()
+        all.into_iter().copied().take(PARTS).collect()
     }
 
     fn nodes(&self) -> usize {
--- a/components/forward/src/loads/tests.rs
+++ b/components/forward/src/loads/tests.rs
@@ -2,7 +2,7 @@
 
 use wire::loads::{Load, Told};
 
-use super::{COUNTS, PAUSE, ROWS, SILENT, Seeds, Table, Teller, pause};
+use super::{COUNTS, PARTS, PAUSE, ROWS, SILENT, Seeds, Table, Teller, pause};
 
 fn told(name: &str, server: u32, millis: u32) -> Told {
     let load = Load { server, reading_ms: vec![millis], overdue_ms: 0 };
@@ -73,5 +73,5 @@
     let sum = table.sum(|_, _| true, &[]);
     assert_eq!(sum.len(), ROWS);
     assert!(sum.iter().all(|load| load.server >= 3_000 - ROWS as u32));
-    assert_eq!(table.parts(|_, _| true, &[]).len(), ROWS);
+    assert_eq!(table.parts(|_, _| true, &[]).len(), PARTS);
 }
--- a/components/policy/src/copies.rs
+++ b/components/policy/src/copies.rs
@@ -25,7 +25,7 @@
 pub(crate) struct Copies {
     /// Engines that have most likely read it where nothing is known.
     pub(crate) homes: [Option<ids::Server>; 2],
-    /// Some engine is known to keep all of it.
+    /// Some engine within reach that takes new work is known to keep all of it.
     pub(crate) known: bool,
     /// An engine from which another can take it over.
     pub(crate) source: Option<ids::Server>,
@@ -72,12 +72,11 @@
         let sources = self.holdings.sources(&held.request.shared, now);
         let sound = sources.filter(|source| {
             let known = self.servers.get(*source);
-            known.is_some_and(|known| !self.falls_silent(known, now) && !self.barred(*source, now))
+            known.is_some_and(|known| self.hands_over(known, now) && !self.barred(*source, now))
         });
         let near = |source: &ids::Server| self.servers[*source].terms.region == held.request.region;
         let source = sound.max_by_key(near).filter(|_| self.without.has(Mechanism::Fetching));
-        // One that is leaving isn't among the members any more, and still hands over what it keeps.
-        Copies { homes, known: known || source.is_some(), source }
+        Copies { homes, known, source }
     }
 
     /// Tokens of a prompt's beginning that an engine keeps.
@@ -100,8 +99,10 @@
         let time = |from: u32, to: u32| reading_time(from, to, reads);
         let (shared, prompt) = (held.request.shared_tokens(), held.request.prompt_tokens);
         let place = copies.homes.iter().position(|home| *home == Some(at));
+        // The home is where the beginning belongs, so that one copy serves all; it has to come there first.
+        let first = place == Some(0) && !copies.known;
         let kept = match place {
-            Some(0) if !copies.known => shared,
+            Some(0) if first => 0,
             Some(1) if !copies.known => shared / 2,
             _ => self.kept(held, at, now),
         };
@@ -109,14 +110,15 @@
         let source = copies.source.filter(|source| *source != at && lacks > 0.0);
         let fetch = source.and_then(|source| Some((source, self.fetching(held, at)?)));
         let fetch = fetch.filter(|(_, seconds)| *seconds < lacks * GAINS);
-        let (beginning, copying) = match fetch {
-            Some((_, seconds)) => (seconds, (lacks * DISPLACES).max(LEAVES)),
-            None => (lacks, 0.0),
+        let (beginning, cold, copying) = match fetch {
+            Some((_, seconds)) if first => (seconds, 0.0, 0.0),
+            Some((_, seconds)) => (seconds, 0.0, (lacks * DISPLACES).max(LEAVES)),
+            None if first => (0.0, lacks, 0.0),
+            None => (lacks, 0.0, 0.0),
         };
-        let home = place == Some(0);
         Some(Prefill {
             reading: time(shared, prompt) + beginning,
-            cold: if home && !copies.known { time(0, shared) } else { 0.0 },
+            cold,
             copying,
             shared: time(0, shared),
             fetch: fetch.map(|(source, _)| source),
--- a/components/policy/src/hanging.rs
+++ b/components/policy/src/hanging.rs
@@ -40,12 +40,13 @@
         waited - usual.max(held.reading + known.reading.least())
     }
 
-    /// Whether an engine seems to hang: someone waits too long there, and it has begun nothing of late. One
-    /// that is merely behind still hands over what it keeps.
-    pub(crate) fn falls_silent(&self, known: &Known, now: Instant) -> bool {
-        let overdue = self.hangs(known, now).max(known.reading.overdue(now));
-        let begun = now.checked_sub(Duration::from_secs_f64(SILENT));
-        overdue > SILENT && !begun.is_some_and(|then| known.reading.begun_since(then))
+    /// Whether an engine can be relied on to hand over what it keeps: none of this node's requests waits too
+    /// long there, and where one of another node's does, it has begun something of late.
+    pub(crate) fn hands_over(&self, known: &Known, now: Instant) -> bool {
+        let then = now.checked_sub(Duration::from_secs_f64(SILENT));
+        let begins = then.is_some_and(|then| known.reading.begun_since(then));
+        let answers = begins || known.reading.overdue(now) <= SILENT;
+        answers && self.hangs(known, now) <= 0.0
     }
 
     /// Whether an engine hangs, as far as a request tells whose caller goes away: it waits longer than
