Read again: news of parts doesn't pile up where nobody asks; one description of a fetch, no dead field

Found on the last reading: a node that leaves out the telling of loads kept every piece of news of what engines keep, for ever (test: news_that_nobody_asks_for_is_dropped). How an engine takes prompts over was put together twice in `names`. The decisions never used a caller's guess of the answer's length; it is logged from the call itself.

--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -161,7 +161,6 @@
         prompt_tokens: call.prompt.tokens,
         shared: call.prompt.shared().to_vec(),
         max_tokens: call.prompt.answer,
-        guess: call.prompt.guess,
         arrived: arrived.at,
         deadline: state.clock.now() + left,
         idempotent: found.route.kind.repeatable(),
--- a/components/forward/src/names.rs
+++ b/components/forward/src/names.rs
@@ -111,7 +111,6 @@
     fn terms(&mut self, entry: &Entry, region: &str) -> policy::Server {
         let mut models = vec![self.model_key(&entry.service, "")];
         models.extend(entry.models.iter().map(|model| self.model_key(&entry.service, model)));
-        let rate = self.fetches.get(&entry.service).copied();
         policy::Server {
             region: self.region(region),
             domain: self::key(&mut self.domains, &mut self.by_domain, &entry.domain),
@@ -121,10 +120,16 @@
             leaving: entry.leaving,
             resumes: true,
             reads: entry.engine.then_some(READS),
-            fetch: rate.map(|tokens| policy::Fetch { tokens, setup: SETUP }),
+            fetch: self.fetch(&entry.service),
         }
     }
 
+    /// How an engine of a service takes over prompts from others.
+    fn fetch(&self, service: &str) -> Option<policy::Fetch> {
+        let tokens = *self.fetches.get(service)?;
+        Some(policy::Fetch { tokens, setup: SETUP })
+    }
+
     /// Tells the decisions of a server that is gone.
     pub(crate) fn remove_server(&mut self, scheduler: &mut Scheduler, name: &str) {
         let Some(key) = self.by_name.remove(name) else { return };
@@ -198,9 +203,7 @@
         }
         self.fetches = fetches;
         for (key, entry) in &self.servers {
-            let rate = self.fetches.get(&entry.service).copied();
-            let fetch = rate.map(|tokens| policy::Fetch { tokens, setup: SETUP });
-            scheduler.set_fetch(key, fetch);
+            scheduler.set_fetch(key, self.fetch(&entry.service));
         }
     }
 }
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -208,7 +208,7 @@
             backlog_ms = expected.map(|expected| millis(expected.backlog)),
             fetched = expected.map(|expected| expected.fetch.is_some()),
             prompt = job.request.prompt_tokens, tokens = tokens,
-            most_tokens = job.request.max_tokens, guess = job.request.guess, target_ms = millis(route_terms.target),
+            most_tokens = job.request.max_tokens, guess = job.call.prompt.guess, target_ms = millis(route_terms.target),
             bears_ms = route_terms.pause.map(millis), limit_ms = millis(job.limit),
             revision = job.revision, age_ms = self.state.age_ms(); "ended"
         );
--- a/components/policy/examples/patterns/driver/world.rs
+++ b/components/policy/examples/patterns/driver/world.rs
@@ -236,7 +236,6 @@
             prompt_tokens: call.prompt,
             shared: vec![],
             max_tokens: None,
-            guess: None,
             arrived: self.instant(call.at),
             deadline: self.instant(call.at + class.deadline),
             idempotent: class.idempotent,
--- a/components/policy/src/holdings.rs
+++ b/components/policy/src/holdings.rs
@@ -65,6 +65,7 @@
                 self.news.push_back((now, Holding { server, part: part.id }));
             }
         }
+        self.drop_old_news(now);
     }
 
     /// Other nodes saw that an engine keeps a part.
@@ -75,10 +76,15 @@
 
     /// What others had better hear.
     pub(crate) fn news(&mut self, now: Instant) -> Vec<Holding> {
+        self.drop_old_news(now);
+        self.news.iter().map(|(_, holding)| *holding).collect()
+    }
+
+    /// Also where nobody asks for news, as in a node that tells nothing, it must not pile up.
+    fn drop_old_news(&mut self, now: Instant) {
         while self.news.front().is_some_and(|(at, _)| now >= *at + NEWS) {
             self.news.pop_front();
         }
-        self.news.iter().map(|(_, holding)| *holding).collect()
     }
 
     /// An engine is gone, or has lost all that it kept.
--- a/components/policy/src/holdings/tests.rs
+++ b/components/policy/src/holdings/tests.rs
@@ -15,7 +15,6 @@
         prompt_tokens: 9_000,
         shared: vec![Part { id: 1, tokens: 400 }, Part { id: LONG, tokens: 6_000 }],
         max_tokens: None,
-        guess: None,
         arrived: now,
         deadline: now,
         idempotent: true,
@@ -84,3 +83,13 @@
     holdings.begun(&request, one, now + TOLD + Duration::from_millis(1));
     assert!(holdings.news(now + TOLD + Duration::from_millis(2)).is_empty());
 }
+
+/// A node is set to tell nothing, so nobody asks for its news. Kept for ever, they would fill its memory.
+#[test]
+fn news_that_nobody_asks_for_is_dropped() {
+    let (mut holdings, now, [one, _]) = (Holdings::default(), Instant::now(), servers());
+    for n in 0..100 {
+        holdings.begun(&request(), one, now + TOLD * n);
+    }
+    assert_eq!(holdings.news.len(), 1);
+}
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -159,8 +159,6 @@
         pub shared: Vec<Part>,
         /// Limit on the answer in tokens that the caller set.
         pub max_tokens: Option<u32>,
-        /// Length of the answer in tokens, as the caller guesses it.
-        pub guess: Option<u32>,
         /// When it was received.
         pub arrived: Instant,
         /// Of no use when finished after this.
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -87,7 +87,6 @@
             prompt_tokens: 100,
             shared: vec![],
             max_tokens: Some(100),
-            guess: None,
             arrived: self.now,
             deadline: self.now + useful,
             idempotent: class != 1,
--- a/components/router/src/callers.rs
+++ b/components/router/src/callers.rs
@@ -111,7 +111,6 @@
                 prompt_tokens: relay::tokens(&body),
                 shared: vec![],
                 max_tokens,
-                guess: None,
                 arrived,
                 deadline: arrived + useful,
                 idempotent: class.idempotent,
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -300,7 +300,6 @@
         prompt_tokens: relay::tokens(&keyed.body),
         shared: vec![],
         max_tokens: keyed.max_tokens,
-        guess: None,
         arrived,
         deadline: arrived + useful,
         idempotent: false,
