Logs tell what an expected wait came from

Cause: `backlog_ms` of an ended request was one figure of three sources (prompts known ahead, waits seen of late, a request that waits too long). Change: `ahead_ms` and `overdue_ms` beside it, from what the choice went by. No decision changes.

--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -206,6 +206,8 @@
             sent_ms = sent.map(millis), home = expected.map(|expected| expected.home),
             reading_ms = expected.map(|expected| millis(expected.reading)),
             backlog_ms = expected.map(|expected| millis(expected.backlog)),
+            ahead_ms = expected.map(|expected| millis(expected.ahead)),
+            overdue_ms = expected.map(|expected| millis(expected.overdue)),
             fetched = expected.map(|expected| expected.fetch.is_some()),
             prompt = job.request.prompt_tokens, tokens = tokens,
             most_tokens = job.request.max_tokens, guess = job.call.prompt.guess, target_ms = millis(route_terms.target),
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -64,6 +64,8 @@
     pub(crate) reading: f64,
     /// Seconds until it begins to.
     backlog: f64,
+    /// Seconds by which a request waits there for longer than is usual.
+    overdue: f64,
     home: bool,
     /// The engine from which it takes over the beginning of the prompt.
     fetch: Option<ids::Server>,
@@ -162,8 +164,8 @@
         let home = copies.homes[0] == Some(member.server);
         let Prefill { reading, cold, copying, shared, fetch } =
             self.prefill(held, member.server, copies, now)?;
-        let hangs = self.hangs(known, now).max(known.reading.overdue(now));
-        let backlog = known.reading.backlog(held.urgency, now).max(hangs);
+        let overdue = self.hangs(known, now).max(known.reading.overdue(now));
+        let backlog = known.reading.backlog(held.urgency, now).max(overdue);
         let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
         let first = waited + backlog + reading + cold + known.reading.least();
@@ -178,7 +180,7 @@
         let busy = known.reading.ahead(u8::MAX, now) * BUSY;
         let cost = reading + copying + busy + late + far + strange + stutter + crowd + faulty;
         let reading = reading + cold;
-        Some(Chosen { server: member.server, reading, backlog, home, fetch, cost })
+        Some(Chosen { server: member.server, reading, backlog, overdue, home, fetch, cost })
     }
 
     /// Seconds that an engine of another region must be better by; `shared` are those in which the beginning
@@ -193,14 +195,20 @@
 
     /// Counts what a request that was sent costs its engine, for the sizes of the groups.
     pub(crate) fn engaged(&mut self, job: ids::Job, chosen: Chosen, now: Instant) {
-        let Chosen { server, reading, backlog, home, fetch, .. } = chosen;
+        let Chosen { server, reading, backlog, overdue, home, fetch, .. } = chosen;
         let held = &mut self.jobs[job];
-        held.reading = reading;
-        let [reading_time, backlog] = [reading, backlog].map(Duration::from_secs_f64);
-        self.holdings.sent(&held.request, server, now);
-        held.expected = Some(Expected { home, reading: reading_time, backlog, fetch });
         let known = &mut self.servers[server];
+        held.reading = reading;
         held.ahead = known.reading.ahead(held.urgency, now);
+        self.holdings.sent(&held.request, server, now);
+        held.expected = Some(Expected {
+            home,
+            reading: Duration::from_secs_f64(reading),
+            backlog: Duration::from_secs_f64(backlog),
+            ahead: Duration::from_secs_f64(held.ahead),
+            overdue: Duration::from_secs_f64(overdue),
+            fetch,
+        });
         known.reading.sent(held.urgency, reading);
         let tokens = f64::from(held.tokens);
         let batch = BATCH.min(f64::from(known.slots()) * TAKEN).max(1.0);
--- a/components/policy/src/held.rs
+++ b/components/policy/src/held.rs
@@ -32,6 +32,10 @@
         pub reading: Duration,
         /// Time until it begins to.
         pub backlog: Duration,
+        /// Time that prompts take which are known to be read before it.
+        pub ahead: Duration,
+        /// Time by which a request waits there for longer than is usual.
+        pub overdue: Duration,
         /// The engine from which it takes over the beginning of the prompt.
         pub fetch: Option<ids::Server>,
     }
