What less urgent requests wait for bars an engine to nobody above them

Cause: the time for which a request is overdue at an engine had no rank, here and as told by others. One survey of the lowest class that waits out the rush barred its engine to all; urgent requests crowded at the few engines without one. Ruled out: the cost of backlog, holdings, fetching, groups (trials of the users), early giving up. Change: overdue by rank, told by rank; for more urgent requests it counts only while nobody saw the engine begin anything, which tells one that hangs from one that is busy.

--- a/components/forward/src/loads.rs
+++ b/components/forward/src/loads.rs
@@ -103,8 +103,8 @@
 /// The engines that have most to read, as many as one message names.
 fn fullest(mut loads: Vec<Load>) -> Vec<Load> {
     let weight = |load: &Load| {
-        let reading = load.reading_ms.iter().fold(0_u32, |sum, ms| sum.saturating_add(*ms));
-        std::cmp::Reverse(reading.saturating_add(load.overdue_ms))
+        let all = load.reading_ms.iter().chain(&load.overdue_ms);
+        std::cmp::Reverse(all.fold(0_u32, |sum, ms| sum.saturating_add(*ms)))
     };
     loads.sort_by_key(|load| (weight(load), load.server));
     loads.truncate(ROWS);
@@ -258,17 +258,25 @@
 fn own<S: Site>(state: &State<S>) -> Vec<Load> {
     let backlogs = state.turns.scheduler.borrow().backlogs(state.clock.now());
     let names = state.names.borrow();
-    let millis = |seconds: f64| (seconds * 1_000.0).round() as u32;
     let load = |backlog: Backlog| {
-        let server = wire::key(&names.server(backlog.server)?.name);
-        let mut reading_ms: Vec<u32> = backlog.reading.into_iter().map(millis).collect();
-        let held = reading_ms.iter().rposition(|ms| *ms > 0).map_or(0, |last| last + 1);
-        reading_ms.truncate(held);
-        Some(Load { server, reading_ms, overdue_ms: millis(backlog.overdue) })
+        Some(Load {
+            server: wire::key(&names.server(backlog.server)?.name),
+            reading_ms: by_rank(&backlog.reading),
+            overdue_ms: by_rank(&backlog.overdue),
+            begun_ms: backlog.begun.map(|age| age.as_millis().try_into().unwrap_or(u32::MAX)),
+        })
     };
     backlogs.into_iter().filter_map(load).collect()
 }
 
+/// Milliseconds by rank; ranks at the end that have none are left out.
+fn by_rank(seconds: &[f64]) -> Vec<u32> {
+    let mut millis: Vec<_> = seconds.iter().map(|s| (s * 1_000.0).round() as u32).collect();
+    let held = millis.iter().rposition(|ms| *ms > 0).map_or(0, |last| last + 1);
+    millis.truncate(held);
+    millis
+}
+
 /// Parts of prompts that this node saw engines keep, where it is news.
 fn own_parts<S: Site>(state: &State<S>) -> Vec<(u32, u64)> {
     let news = state.turns.scheduler.borrow_mut().holdings(state.clock.now());
@@ -291,9 +299,12 @@
     let names = state.names.borrow();
     let seconds = |ms: &u32| f64::from(*ms) / 1_000.0;
     let backlog = |load: &Load| {
-        let server = names.keyed(load.server)?;
-        let reading = load.reading_ms.iter().map(seconds).collect();
-        Some(Backlog { server, reading, overdue: seconds(&load.overdue_ms) })
+        Some(Backlog {
+            server: names.keyed(load.server)?,
+            reading: load.reading_ms.iter().map(seconds).collect(),
+            overdue: load.overdue_ms.iter().map(seconds).collect(),
+            begun: load.begun_ms.map(|ms| Duration::from_millis(ms.into())),
+        })
     };
     let backlogs: Vec<_> = loads.iter().filter_map(backlog).collect();
     state.turns.scheduler.borrow_mut().set_backlogs(&backlogs, state.clock.now());
--- a/components/forward/src/loads/tests.rs
+++ b/components/forward/src/loads/tests.rs
@@ -5,7 +5,7 @@
 use super::{COUNTS, PARTS, PAUSE, ROWS, SILENT, Seeds, Table, Teller, pause};
 
 fn told(name: &str, server: u32, millis: u32) -> Told {
-    let load = Load { server, reading_ms: vec![millis], overdue_ms: 0 };
+    let load = Load { server, reading_ms: vec![millis], ..Load::default() };
     Told { from: name.to_string(), loads: vec![load], parts: vec![] }
 }
 
@@ -17,9 +17,9 @@
     table.note(Teller::Node, told("a", 7, 100), now);
     table.note(Teller::Node, told("b", 7, 20), now);
     table.note(Teller::Seed, told("s", 7, 3), now);
-    let own = [Load { server: 7, reading_ms: vec![4_000], overdue_ms: 0 }];
+    let own = [Load { server: 7, reading_ms: vec![4_000], ..Load::default() }];
     let sum = table.sum(|name, _| name != "a", &own);
-    assert_eq!(sum, [Load { server: 7, reading_ms: vec![4_023], overdue_ms: 0 }]);
+    assert_eq!(sum, [Load { server: 7, reading_ms: vec![4_023], ..Load::default() }]);
 }
 
 /// A node loses power. What it told is forgotten soon, or its engines would seem busy for good.
@@ -29,7 +29,7 @@
     table.note(Teller::Node, told("a", 7, 100), now);
     table.note(Teller::Node, told("b", 8, 20), now + PAUSE * (COUNTS + 1));
     let sum = table.sum(|_, _| true, &[]);
-    assert_eq!(sum, [Load { server: 8, reading_ms: vec![20], overdue_ms: 0 }]);
+    assert_eq!(sum, [Load { server: 8, reading_ms: vec![20], ..Load::default() }]);
 }
 
 /// Hundreds of nodes ask one seed. Each comes back later, or the seed would do little else.
@@ -66,7 +66,7 @@
 #[test]
 fn a_message_names_the_fullest_engines() {
     let (table, now) = (Table::default(), Instant::now());
-    let load = |server: u32| Load { server, reading_ms: vec![server], overdue_ms: 0 };
+    let load = |server: u32| Load { server, reading_ms: vec![server], ..Load::default() };
     let loads = (0..3_000).map(load).collect();
     let parts = (0..3_000).map(|part| (7, part)).collect();
     table.note(Teller::Node, Told { from: "a".to_string(), loads, parts }, now);
--- a/components/policy/src/backlog.rs
+++ b/components/policy/src/backlog.rs
@@ -5,14 +5,22 @@
 //! wait already, and learns it seconds later from a first token that is late. On a heavy day nearly all
 //! who missed their first-token target had been sent to an engine that seemed idle to their node.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use crate::reading::Work;
+use crate::reading::Others;
 use crate::scheduler::Scheduler;
 use crate::terms::{Backlog, Holding};
 
 /// Backlogs below this, in seconds, aren't worth the bytes: no target is missed for them.
 const WORTH: f64 = 0.005;
+/// An engine that began an answer so long ago is named though nothing waits there: it doesn't hang, which
+/// a node whose request waits there may not know.
+const LATELY: Duration = Duration::from_secs(1);
+
+fn worth_telling(told: &Backlog) -> bool {
+    let seconds: f64 = told.reading.iter().chain(&told.overdue).sum();
+    seconds > WORTH || told.begun.is_some_and(|age| age < LATELY)
+}
 
 impl Scheduler {
     /// What this node's prompts take engines still to read, of those where it is worth telling.
@@ -24,25 +32,27 @@
         let engines = self.servers.iter().filter(|(_, known)| known.terms.reads.is_some());
         let told = engines.map(|(server, known)| Backlog {
             server,
-            reading: known.reading.own().iter().collect(),
-            overdue: self.hangs(known, now).max(0.0),
+            reading: known.reading.own().to_vec(),
+            overdue: self.overdue_here(known, now).to_vec(),
+            begun: known.reading.begun_here().map(|begun| now.saturating_duration_since(begun)),
         });
-        told.filter(|told| told.reading.iter().sum::<f64>() + told.overdue > WORTH).collect()
+        told.filter(worth_telling).collect()
     }
 
-    /// Takes in what all other nodes' prompts take engines still to read. Engines that aren't named
-    /// have none to speak of.
+    /// Takes in what all other nodes' prompts take engines still to read, and what they saw of engines.
+    /// Those that aren't named have nothing to speak of.
     pub fn set_backlogs(&mut self, others: &[Backlog], now: Instant) {
         for known in self.servers.values_mut().filter(|known| known.terms.reads.is_some()) {
-            known.reading.heard(Work::default(), 0.0, now);
+            known.reading.heard(Others::default(), now);
         }
         for told in others {
             let Some(known) = self.servers.get_mut(told.server) else { continue };
-            let mut work = Work::default();
-            for (rank, seconds) in told.reading.iter().enumerate() {
-                work.add(rank.min(usize::from(u8::MAX)) as u8, *seconds);
-            }
-            known.reading.heard(work, told.overdue, now);
+            let others = Others {
+                work: told.reading.as_slice().into(),
+                overdue: told.overdue.as_slice().into(),
+                begun: told.begun.and_then(|age| now.checked_sub(age)),
+            };
+            known.reading.heard(others, now);
         }
     }
 
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -164,7 +164,7 @@
         let home = copies.homes[0] == Some(member.server);
         let Prefill { reading, cold, copying, shared, fetch } =
             self.prefill(held, member.server, copies, now)?;
-        let overdue = self.hangs(known, now).max(known.reading.overdue(now));
+        let overdue = self.held_up(known, held.urgency, now);
         let backlog = known.reading.backlog(held.urgency, now).max(overdue);
         let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
--- a/components/policy/src/hanging.rs
+++ b/components/policy/src/hanging.rs
@@ -10,6 +10,7 @@
 use crate::held::Held;
 use crate::known::Known;
 use crate::mechanism::Mechanism;
+use crate::ranks::Seconds;
 use crate::scheduler::Scheduler;
 
 /// Seconds beyond the usual after which an engine that has begun nothing is taken to hang: it reads
@@ -17,15 +18,43 @@
 const SILENT: f64 = 0.6;
 
 impl Scheduler {
-    /// Seconds by which the request that waits longest for the start of its answer at a server is
-    /// beyond what is usual there. One that hangs or falls silent ends no attempt for as long as its
-    /// callers wait; all that is sent there meanwhile waits as well.
-    pub(crate) fn hangs(&self, known: &Known, now: Instant) -> f64 {
+    /// Seconds that a request of a rank must count on at an engine since others wait there for longer than is
+    /// usual. Those as urgent as it, or more, are served before it. That less urgent ones wait says
+    /// nothing, as engines take the urgent first, unless the engine begins nothing at all.
+    ///
+    /// Counted whatever their rank, one long prompt of the lowest class that waits out a rush bars its
+    /// engine to all classes; soon each engine has one, and the urgent requests crowd at the few that
+    /// haven't, where they wait for too long themselves.
+    pub(crate) fn held_up(&self, known: &Known, rank: u8, now: Instant) -> f64 {
+        let here = self.overdue_here(known, now);
+        let as_urgent = here.most_to(rank).max(known.reading.overdue(rank, now));
+        let any = here.most_to(u8::MAX).max(known.reading.overdue(u8::MAX, now));
+        as_urgent.max(any.min(self.silent(known, now)))
+    }
+
+    /// Seconds for which an engine has begun nothing, as far as any node told.
+    fn silent(&self, known: &Known, now: Instant) -> f64 {
+        let begun = known.reading.last_begun();
+        begun.map_or(f64::INFINITY, |begun| now.saturating_duration_since(begun).as_secs_f64())
+    }
+
+    /// Seconds by which requests of this node wait at a server for longer than is usual, by rank. One that
+    /// hangs or falls silent ends no attempt for as long as its callers wait; all that is sent there
+    /// meanwhile waits as well.
+    pub(crate) fn overdue_here(&self, known: &Known, now: Instant) -> Seconds {
+        let mut overdue = Seconds::default();
         if !self.without.has(Mechanism::Hanging) {
-            return 0.0;
+            return overdue;
+        }
+        for held in known.jobs.iter().filter_map(|job| self.jobs.get(*job)) {
+            overdue.raise(held.urgency, self.overdue_by(held, known, now));
         }
-        let waiting = known.jobs.iter().filter_map(|job| self.jobs.get(*job));
-        waiting.map(|held| self.overdue_by(held, known, now)).fold(0.0, f64::max)
+        overdue
+    }
+
+    /// The longest of those.
+    pub(crate) fn hangs(&self, known: &Known, now: Instant) -> f64 {
+        self.overdue_here(known, now).most_to(u8::MAX)
     }
 
     /// Seconds by which a request waits longer for the start of its answer than is usual; negative
@@ -45,7 +74,7 @@
     pub(crate) fn hands_over(&self, known: &Known, now: Instant) -> bool {
         let then = now.checked_sub(Duration::from_secs_f64(SILENT));
         let begins = then.is_some_and(|then| known.reading.begun_since(then));
-        let answers = begins || known.reading.overdue(now) <= SILENT;
+        let answers = begins || known.reading.overdue(u8::MAX, now) <= SILENT;
         answers && self.hangs(known, now) <= 0.0
     }
 
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod pool;
 mod queue;
 mod quota;
+mod ranks;
 mod reading;
 mod scheduler;
 mod stop;
--- a/components/policy/src/reading.rs
+++ b/components/policy/src/reading.rs
@@ -7,6 +7,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::ranks::Seconds;
+
 /// Weight of a new wait in the running one: three in a row show a change.
 const WEIGHT: f64 = 0.3;
 /// A wait that was seen counts half after this many seconds: what was being read then is read by
@@ -20,29 +22,6 @@
 /// tellings.
 const HEARD: Duration = Duration::from_secs(1);
 
-/// Ranks of urgency that are told apart; less urgent ones count as the last.
-pub(crate) const RANKS: usize = 10;
-
-/// Seconds that prompts take to read, by rank of urgency.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Work([f64; RANKS]);
-
-impl Work {
-    pub(crate) fn add(&mut self, rank: u8, seconds: f64) {
-        let held = &mut self.0[usize::from(rank).min(RANKS - 1)];
-        *held = (*held + seconds).max(0.0);
-    }
-
-    /// What an engine reads before a prompt of a rank: engines take the more urgent first.
-    pub(crate) fn ahead(&self, rank: u8) -> f64 {
-        self.0.iter().take(usize::from(rank) + 1).sum()
-    }
-
-    pub(crate) fn iter(&self) -> impl Iterator<Item = f64> {
-        self.0.into_iter()
-    }
-}
-
 /// A prompt whose first token came.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Begun {
@@ -55,21 +34,26 @@
     pub(crate) took: f64,
 }
 
-/// What was heard of other nodes' prompts at one engine.
-#[derive(Clone, Copy, Debug)]
-struct Others {
-    work: Work,
-    overdue: f64,
-    heard: Instant,
+/// What other nodes' prompts at one engine tell of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Others {
+    /// What they take to read.
+    pub(crate) work: Seconds,
+    /// By how much one of them waits for longer than is usual.
+    pub(crate) overdue: Seconds,
+    /// When the engine was last seen to begin an answer.
+    pub(crate) begun: Option<Instant>,
 }
 
 /// What is known of one engine's reading. All times in seconds.
 #[derive(Debug, Default)]
 pub(crate) struct Reading {
     /// What prompts that this node sent and that haven't begun to be answered take to read.
-    own: Work,
+    own: Seconds,
     /// The same of other nodes' prompts.
-    others: Option<Others>,
+    others: Option<(Others, Instant)>,
+    /// When another node last saw it begin an answer.
+    begun_elsewhere: Option<Instant>,
     /// Time to a first token beyond what was expected, as seen last.
     wait: f64,
     seen: Option<Instant>,
@@ -89,23 +73,29 @@
     }
 
     /// Prompts of this node that are being read or wait to be.
-    pub(crate) fn own(&self) -> Work {
+    pub(crate) fn own(&self) -> Seconds {
         self.own
     }
 
-    /// Takes in what other nodes' prompts take to read, and by how much one of them waits for longer
-    /// than is usual.
-    pub(crate) fn heard(&mut self, work: Work, overdue: f64, now: Instant) {
-        self.others = Some(Others { work, overdue, heard: now });
+    /// Takes in what other nodes' prompts tell.
+    pub(crate) fn heard(&mut self, others: Others, now: Instant) {
+        self.begun_elsewhere = self.begun_elsewhere.max(others.begun);
+        self.others = Some((others, now));
     }
 
     fn others(&self, now: Instant) -> Option<Others> {
-        self.others.filter(|others| now < others.heard + HEARD)
+        self.others.filter(|(_, heard)| now < *heard + HEARD).map(|(others, _)| others)
     }
 
-    /// Seconds by which a prompt of another node waits for longer than is usual.
-    pub(crate) fn overdue(&self, now: Instant) -> f64 {
-        self.others(now).map_or(0.0, |others| others.overdue)
+    /// Seconds by which a prompt of another node waits for longer than is usual that is as urgent as `rank`,
+    /// or more.
+    pub(crate) fn overdue(&self, rank: u8, now: Instant) -> f64 {
+        self.others(now).map_or(0.0, |others| others.overdue.most_to(rank))
+    }
+
+    /// When it last began to answer anything, as far as any node has told.
+    pub(crate) fn last_begun(&self) -> Option<Instant> {
+        self.seen.max(self.begun_elsewhere)
     }
 
     /// A prompt's first token came so long after it was sent, when so much was known to be read
@@ -122,7 +112,12 @@
         self.seen = Some(now);
     }
 
-    /// Whether a first token came since then.
+    /// When a prompt of this node was last begun to be answered.
+    pub(crate) fn begun_here(&self) -> Option<Instant> {
+        self.seen
+    }
+
+    /// Whether a prompt of this node was begun to be answered since then.
     pub(crate) fn begun_since(&self, then: Instant) -> bool {
         self.seen.is_some_and(|seen| seen > then)
     }
@@ -135,7 +130,7 @@
 
     /// Time that prompts take which are read before one of a rank sent now, as far as is known.
     pub(crate) fn ahead(&self, rank: u8, now: Instant) -> f64 {
-        self.own.ahead(rank) + self.others(now).map_or(0.0, |others| others.work.ahead(rank))
+        self.own.sum_to(rank) + self.others(now).map_or(0.0, |others| others.work.sum_to(rank))
     }
 
     /// Time until a prompt of a rank sent now begins to be read.
--- a/components/policy/src/reading/tests.rs
+++ b/components/policy/src/reading/tests.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{Begun, Reading, Work};
+use super::{Begun, Others, Reading};
 
 /// A long prompt is sent to an engine and one more would wait behind it. Counted as one request, the
 /// engine would look idle.
@@ -35,9 +35,9 @@
 fn what_others_sent_is_waited_for_while_it_is_heard() {
     let (mut reading, now) = (Reading::default(), Instant::now());
     reading.sent(3, 0.2);
-    let mut others = Work::default();
-    others.add(3, 0.4);
-    reading.heard(others, 0.0, now);
+    let mut others = Others::default();
+    others.work.add(3, 0.4);
+    reading.heard(others, now);
     assert!((reading.backlog(3, now) - 0.6).abs() < 1e-9);
     assert!(reading.backlog(3, now + Duration::from_secs(2)) < 0.21);
 }
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -99,14 +99,17 @@
         pub sent: u32,
     }
 
-    /// Prompts of some nodes that an engine reads or has still to read.
+    /// Prompts of some nodes that an engine reads or has still to read, and what they saw of it.
+    #[derive(Default)]
     pub struct Backlog {
         /// The engine.
         pub server: ids::Server,
         /// Seconds that they take to read, by rank of urgency.
         pub reading: Vec<f64>,
-        /// Seconds by which one of them waits for its answer beyond what is usual.
-        pub overdue: f64,
+        /// Seconds by which one of them waits for its answer beyond what is usual, by rank of urgency.
+        pub overdue: Vec<f64>,
+        /// Time since the engine was last seen to begin an answer; none if it wasn't of late.
+        pub begun: Option<Duration>,
     }
 
     /// What an engine says of its load, with a lag.
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A scheduler with three tiers, a few workspaces and servers, for tests and the bench.
 #![allow(dead_code, reason = "each test uses its part")]
 
+pub mod prompts;
+
 use std::time::{Duration, Instant};
 
 use policy::{Class, Limits, Request, Scheduler, Server, Workspace};
--- a/components/wire/src/loads.rs
+++ b/components/wire/src/loads.rs
@@ -40,43 +40,54 @@
         pub server: u32,
         /// Milliseconds that prompts take to read, by rank of urgency; what is left out is nothing.
         pub reading_ms: Vec<u32>,
-        /// Milliseconds by which one of them waits for longer than is usual.
-        pub overdue_ms: u32,
+        /// Milliseconds by which one of them waits for longer than is usual, by rank of urgency.
+        pub overdue_ms: Vec<u32>,
+        /// Milliseconds since the engine was last seen to begin an answer; none if it wasn't of late.
+        pub begun_ms: Option<u32>,
     }
 }
 
-type Row = (u32, Vec<u32>, u32);
+type Row = (u32, Vec<u32>, Vec<u32>, Option<u32>);
 
 impl From<Row> for Load {
-    fn from((server, reading_ms, overdue_ms): Row) -> Self {
-        Load { server, reading_ms, overdue_ms }
+    fn from((server, reading_ms, overdue_ms, begun_ms): Row) -> Self {
+        Load { server, reading_ms, overdue_ms, begun_ms }
     }
 }
 
 impl From<Load> for Row {
     fn from(load: Load) -> Self {
-        (load.server, load.reading_ms, load.overdue_ms)
+        (load.server, load.reading_ms, load.overdue_ms, load.begun_ms)
     }
 }
 
 impl Load {
-    /// Adds what other nodes have at the same engine.
+    /// Adds what other nodes have at the same engine, and know of it.
     ///
     /// ```
     /// use wire::loads::Load;
     ///
-    /// let mut load = Load { server: 7, reading_ms: vec![5], overdue_ms: 40 };
-    /// load.add(&Load { server: 7, reading_ms: vec![1, 2], overdue_ms: 30 });
-    /// assert_eq!(load, Load { server: 7, reading_ms: vec![6, 2], overdue_ms: 40 });
+    /// let load = |reading: &[u32], overdue: &[u32], begun_ms| Load {
+    ///     server: 7,
+    ///     reading_ms: reading.to_vec(),
+    ///     overdue_ms: overdue.to_vec(),
+    ///     begun_ms,
+    /// };
+    /// let mut sum = load(&[5], &[40], Some(90));
+    /// sum.add(&load(&[1, 2], &[30, 10], Some(20)));
+    /// assert_eq!(sum, load(&[6, 2], &[40, 10], Some(20)));
     /// ```
     pub fn add(&mut self, other: &Load) {
-        if self.reading_ms.len() < other.reading_ms.len() {
-            self.reading_ms.resize(other.reading_ms.len(), 0);
-        }
-        for (held, more) in self.reading_ms.iter_mut().zip(&other.reading_ms) {
-            *held = held.saturating_add(*more);
-        }
-        self.overdue_ms = self.overdue_ms.max(other.overdue_ms);
+        merge(&mut self.reading_ms, &other.reading_ms, u32::saturating_add);
+        merge(&mut self.overdue_ms, &other.overdue_ms, u32::max);
+        self.begun_ms = self.begun_ms.into_iter().chain(other.begun_ms).min();
+    }
+}
+
+fn merge(held: &mut Vec<u32>, more: &[u32], by: impl Fn(u32, u32) -> u32) {
+    held.resize(held.len().max(more.len()), 0);
+    for (held, more) in held.iter_mut().zip(more) {
+        *held = by(*held, *more);
     }
 }
 
