Waits seen of less urgent prompts don't lengthen an expected wait

Cause: the same fault as with overdue requests, elsewhere: the running wait for first tokens that an engine was seen to take had no rank, so drafts that waited for seconds sent streams away for a second after. Change: a running wait by rank; a request expects the longest of those as urgent as it, or more. The test fails with the old rule.

--- a/components/policy/src/reading.rs
+++ b/components/policy/src/reading.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::ranks::Ranked;
+use crate::ranks::{RANKS, Ranked};
 
 /// Weight of a new wait in the running one: three in a row show a change.
 const WEIGHT: f64 = 0.3;
@@ -47,6 +47,26 @@
     pub(crate) begun: Option<Instant>,
 }
 
+/// A running wait that fades.
+#[derive(Clone, Copy, Debug, Default)]
+struct Wait {
+    seconds: f64,
+    seen: Option<Instant>,
+}
+
+impl Wait {
+    fn add(&mut self, seconds: f64, now: Instant) {
+        let held = self.at(now);
+        *self = Wait { seconds: held + (seconds - held) * WEIGHT, seen: Some(now) };
+    }
+
+    fn at(&self, now: Instant) -> f64 {
+        let Some(seen) = self.seen else { return 0.0 };
+        let age = now.saturating_duration_since(seen).as_secs_f64();
+        self.seconds * (-age / HALF).exp2()
+    }
+}
+
 /// What is known of one engine's reading. All times in seconds.
 #[derive(Debug, Default)]
 pub(crate) struct Reading {
@@ -56,8 +76,8 @@
     others: Option<(Others, Instant)>,
     /// When another node last saw it begin an answer.
     begun_elsewhere: Option<Instant>,
-    /// Time to a first token beyond what was expected, as seen last.
-    wait: f64,
+    /// Times to a first token beyond what was expected, as seen last, by rank of the prompt.
+    waits: [Wait; RANKS],
     seen: Option<Instant>,
     /// Least time from a send to a first token beyond the prompt's own reading.
     least: Option<f64>,
@@ -113,26 +133,26 @@
         let rest = (took - seconds).max(0.0);
         let least = self.least.map_or(rest, |least| (least * (1.0 + RISE)).min(rest));
         self.least = Some(least);
-        let held = self.waits(now);
         let beyond = (rest - least - ahead).max(0.0);
-        self.wait = held + (beyond - held) * WEIGHT;
+        self.waits[usize::from(rank).min(RANKS - 1)].add(beyond, now);
         self.seen = Some(now);
     }
 
-    /// When a prompt of this node was last begun to be answered.
-    pub(crate) fn begun_here(&self) -> Option<Instant> {
-        self.seen
-    }
-
     /// Whether a prompt of this node was begun to be answered since then.
     pub(crate) fn begun_since(&self, then: Instant) -> bool {
         self.seen.is_some_and(|seen| seen > then)
     }
 
-    fn waits(&self, now: Instant) -> f64 {
-        let Some(seen) = self.seen else { return 0.0 };
-        let age = now.saturating_duration_since(seen).as_secs_f64();
-        self.wait * (-age / HALF).exp2()
+    /// When a prompt of this node was last begun to be answered.
+    pub(crate) fn begun_here(&self) -> Option<Instant> {
+        self.seen
+    }
+
+    /// What prompts as urgent as `rank`, or more, were seen to wait of late: less urgent ones are read after
+    /// them, and a long wait of theirs says nothing.
+    fn waits(&self, rank: u8, now: Instant) -> f64 {
+        let as_urgent = self.waits.iter().take(usize::from(rank) + 1);
+        as_urgent.map(|wait| wait.at(now)).fold(0.0, f64::max)
     }
 
     /// Time that prompts take which are read before one of a rank sent now, as far as is known.
@@ -142,7 +162,7 @@
 
     /// Time until a prompt of a rank sent now begins to be read.
     pub(crate) fn backlog(&self, rank: u8, now: Instant) -> f64 {
-        self.ahead(rank, now) + self.waits(now)
+        self.ahead(rank, now) + self.waits(rank, now)
     }
 
     /// Least time from a send to a first token beyond the prompt's own reading.
--- a/components/policy/src/reading/tests.rs
+++ b/components/policy/src/reading/tests.rs
@@ -51,3 +51,19 @@
     assert_eq!(reading.backlog(3, now), 0.0);
     assert_eq!(reading.backlog(6, now), 2.0);
 }
+
+/// Drafts of the lowest class wait for seconds at a full engine, and streams are read before them. What the drafts
+/// were seen to wait must not send streams away.
+#[test]
+fn waits_of_less_urgent_prompts_tell_nothing() {
+    let (mut reading, now) = (Reading::default(), Instant::now());
+    for rank in [0, 6] {
+        reading.begun(Begun { rank, seconds: 0.0, ahead: 0.0, took: 0.1 }, now);
+    }
+    for _ in 0..10 {
+        reading.begun(Begun { rank: 6, seconds: 0.0, ahead: 0.0, took: 5.1 }, now);
+    }
+    assert!(reading.backlog(0, now) < 0.01);
+    assert!(reading.backlog(6, now) > 3.0);
+    assert!(reading.backlog(7, now) > 3.0);
+}
