Whether an engine hangs is told by what any node saw it begin

A node of some dozens has few requests at an engine. When a caller of one of them left, it asked whether *it* had seen the engine begin anything since, and left the engine out for half a second to eight; and it took an engine for no source of prompts where others' requests were overdue and its own hadn't begun of late. In a rush both hit engines that were merely full. Change: both go by the last beginning that any node told. Tests: two, each fails with the old rule.

--- a/components/policy/src/hanging.rs
+++ b/components/policy/src/hanging.rs
@@ -70,20 +70,21 @@
     }
 
     /// Whether an engine can be relied on to hand over what it keeps: none of this node's requests waits too
-    /// long there, and where one of another node's does, it has begun something of late.
+    /// long there, and where one of another node's does, somebody saw it begin something of late.
     pub(crate) fn hands_over(&self, known: &Known, now: Instant) -> bool {
         let then = now.checked_sub(Duration::from_secs_f64(SILENT));
-        let begins = then.is_some_and(|then| known.reading.begun_since(then));
+        let begins = then.is_some_and(|then| known.reading.last_begun() > Some(then));
         let answers = begins || known.reading.overdue(u8::MAX, now) <= SILENT;
         answers && self.hangs(known, now) <= 0.0
     }
 
     /// Whether an engine hangs, as far as a request tells whose caller goes away: it waits longer than
-    /// is usual, and the engine has begun nothing else since it was sent.
+    /// is usual, and nobody saw the engine begin anything since it was sent. Of some dozens of nodes each
+    /// has few requests at an engine: going by its own, each leaves out one that is merely full.
     pub(crate) fn hung(&self, held: &Held, server: ids::Server, now: Instant) -> bool {
         let Some(known) = self.servers.get(server) else { return false };
         let reads = known.terms.reads.is_some() && self.without.has(Mechanism::Hanging);
-        let silent = !known.reading.begun_since(held.sent_at);
+        let silent = known.reading.last_begun() <= Some(held.sent_at);
         reads && silent && self.overdue_by(held, known, now) > SILENT
     }
 }
--- a/components/policy/src/reading.rs
+++ b/components/policy/src/reading.rs
@@ -138,11 +138,6 @@
         self.seen = Some(now);
     }
 
-    /// Whether a prompt of this node was begun to be answered since then.
-    pub(crate) fn begun_since(&self, then: Instant) -> bool {
-        self.seen.is_some_and(|seen| seen > then)
-    }
-
     /// When a prompt of this node was last begun to be answered.
     pub(crate) fn begun_here(&self) -> Option<Instant> {
         self.seen
--- a/components/policy/tests/urgency.rs
+++ b/components/policy/tests/urgency.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use common::prompts::{DRAFT, ENGINES, STEADY, fixture, send, warm};
-use policy::Backlog;
+use common::prompts::{DRAFT, ENGINES, STEADY, fixture, linked, send, serve, warm};
+use policy::{Backlog, Ending, Policy};
 use proptest::prelude::*;
 
 /// Rank of the fixture's drafts, and of what is more and less urgent.
@@ -54,6 +54,41 @@
     }
 }
 
+/// A caller loses patience at an engine that is full, as those of each of some dozens of nodes do in a rush.
+/// Each node has few requests there and saw none begin since, but others did, and told. Left out by one node after
+/// the other, the engines that are full would leave all requests to the few that aren't yet.
+#[test]
+fn an_engine_that_others_see_begin_is_not_left_out() {
+    let mut fixture = fixture();
+    warm(&mut fixture);
+    fixture.now += Duration::from_secs(20);
+    let (job, full) = send(&mut fixture, STEADY, 7);
+    fixture.now += Duration::from_secs(2);
+    let told = Backlog { begun: Some(Duration::from_millis(20)), ..none(full) };
+    fixture.scheduler.set_backlogs(&[told], fixture.now);
+    fixture.scheduler.ended(job, Ending::Cancelled, fixture.now);
+    let belief = fixture.scheduler.belief(full, fixture.now).unwrap();
+    assert_eq!(belief.unused, None);
+}
+
+/// The home of a session is full, drafts of other nodes wait there for long, and it goes on beginning others. It
+/// hands over what it keeps all the same; taken for one that hangs, it would have each beginning read anew.
+#[test]
+fn an_engine_that_others_see_begin_is_a_source() {
+    let mut fixture = fixture();
+    linked(&mut fixture);
+    warm(&mut fixture);
+    let (job, home) = send(&mut fixture, DRAFT, 7);
+    serve(&mut fixture, job, Duration::from_millis(50));
+    fixture.now += Duration::from_secs(2);
+    let begun = Some(Duration::from_millis(20));
+    let told = Backlog { overdue: vec![0.0, 0.0, 5.0], begun, ..none(home) };
+    fixture.scheduler.set_backlogs(&[told], fixture.now);
+    let (job, other) = send(&mut fixture, DRAFT, 7);
+    assert_ne!(other, home);
+    assert_eq!(fixture.scheduler.expected(job).unwrap().fetch, Some(home));
+}
+
 fn none(server: ids::Server) -> Backlog {
     Backlog { server, reading: vec![], overdue: vec![], taken: vec![], begun: None }
 }
