--- a/components/forward/src/loads.rs
+++ b/components/forward/src/loads.rs
@@ -44,7 +44,7 @@
 /// Milliseconds in a second.
 const MILLIS: f64 = 1_000.0;
 /// Rates are told as requests in so many seconds, in whole numbers.
-const SENDS: f64 = 10.0;
+const RATE_SECONDS: f64 = 10.0;
 /// Part of an engine's places from which on those that are taken are passed on: below, nobody waits for one,
 /// and a row for each engine that is used would be most of a message.
 const CROWDED: f64 = 0.5;
@@ -309,7 +309,7 @@
 
 /// Requests that this node sends to engines in ten seconds, by rank.
 fn own_sends<S: Site>(state: &State<S>) -> Vec<u32> {
-    by_rank(&state.turns.scheduler.borrow().sends(state.clock.now()), SENDS)
+    by_rank(&state.turns.scheduler.borrow().sends(state.clock.now()), RATE_SECONDS)
 }
 
 /// Amounts by rank in a smaller unit; ranks at the end that have none are left out.
@@ -351,7 +351,7 @@
         })
     };
     let backlogs: Vec<_> = loads.iter().filter_map(backlog).collect();
-    let sends: Vec<_> = sends.iter().map(|sends| f64::from(*sends) / SENDS).collect();
+    let sends: Vec<_> = sends.iter().map(|sends| f64::from(*sends) / RATE_SECONDS).collect();
     let (mut scheduler, now) = (state.turns.scheduler.borrow_mut(), state.clock.now());
     scheduler.set_backlogs(&backlogs, now);
     scheduler.set_sends(&sends, now);
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -44,7 +44,7 @@
         let tier = terms.map_or(u8::MAX, |class| class.tier);
         let urgency = terms.map_or(u8::MAX, |class| class.urgency);
         let pool = self.pool(&request, now);
-        let dice = self.dice.next();
+        let jitter = self.jitter.next();
         self.pools[pool].jobs += 1;
         if let Some(turn) = self.turns.get_mut(class) {
             turn.since.get_or_insert(now);
@@ -54,7 +54,7 @@
             request,
             tier,
             urgency,
-            dice,
+            jitter,
             pool,
             stage: Stage::Over,
             attempts: 0,
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -59,7 +59,7 @@
 
 /// What is the same for a request at all engines.
 #[derive(Clone, Copy, Debug)]
-struct Sight<'a> {
+struct Context<'a> {
     group: Option<Group>,
     copies: &'a Copies,
     unheard: Unheard,
@@ -98,7 +98,7 @@
         let homes = self.homes(held, group, now);
         let copies = self.copies(held, homes, now);
         let unheard = self.unheard(held, group, now);
-        let sight = Sight { group, copies: &copies, unheard };
+        let context = Context { group, copies: &copies, unheard };
         let all_out = pool.members.iter().all(|member| self.barred(member.server, now));
         let usable = pool.members.iter().filter(|member| {
             (all_out || !self.barred(member.server, now)) && self.usable(held, member)
@@ -107,7 +107,7 @@
         let mut free = false;
         for member in usable {
             free = true;
-            let Some(chosen) = self.cost(held, member, sight, now) else { continue };
+            let Some(chosen) = self.cost(held, member, context, now) else { continue };
             if best.is_none_or(|best| chosen.cost < best.cost) {
                 best = Some(chosen);
             }
@@ -162,15 +162,21 @@
     }
 
     /// What a request costs at an engine, in seconds of engine time.
-    fn cost(&self, held: &Held, member: &Member, sight: Sight<'_>, now: Instant) -> Option<Chosen> {
-        let Sight { group, copies, unheard } = sight;
+    fn cost(
+        &self,
+        held: &Held,
+        member: &Member,
+        context: Context<'_>,
+        now: Instant,
+    ) -> Option<Chosen> {
+        let Context { group, copies, unheard } = context;
         let known = &self.servers[member.server];
         let request = &held.request;
         let home = copies.homes[0] == Some(member.server);
         let Prefill { reading, cold, copying, shared, fetch } =
             self.prefill(held, member.server, copies, now)?;
         let overdue = self.held_up(known, held.urgency, now);
-        let place = self.place(held, known, unheard, now);
+        let place = self.place_wait(held, known, unheard, now);
         let backlog = known.reading.backlog(held.urgency, now).max(overdue).max(place);
         let target = self.classes.get(request.class).map_or(1.0, |c| c.first_token.as_secs_f64());
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
--- a/components/policy/src/held.rs
+++ b/components/policy/src/held.rs
@@ -49,7 +49,7 @@
     /// Rank at engines.
     pub(crate) urgency: u8,
     /// Random number, so that requests of several nodes that know the same don't all choose the same.
-    pub(crate) dice: u64,
+    pub(crate) jitter: u64,
     pub(crate) pool: Key,
     pub(crate) stage: Stage,
     pub(crate) attempts: u8,
--- a/components/policy/src/places.rs
+++ b/components/policy/src/places.rs
@@ -23,7 +23,7 @@
 /// A request sent counts half after this time, in the rate at which they are: some tellings, and a burst
 /// shows at once.
 const HALF: f64 = 1.0;
-/// Step between two numbers of [`Dice`], as in splitmix64.
+/// Step between two numbers of [`Jitter`], as in splitmix64.
 const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 /// What was heard of others counts for so long; several times the pause between two tellings.
 const HEARD: Duration = Duration::from_secs(2);
@@ -55,11 +55,11 @@
 /// Numbers by which requests that know the same choose differently. A sequence of its own, so that whether
 /// places are counted changes nothing else that is left to chance.
 #[derive(Debug)]
-pub(crate) struct Dice(u64);
+pub(crate) struct Jitter(u64);
 
-impl Dice {
+impl Jitter {
     pub(crate) fn new(seed: u64) -> Self {
-        Dice(seed)
+        Jitter(seed)
     }
 
     /// The next number.
@@ -136,13 +136,19 @@
 
     /// Seconds until a request gets a place at an engine, which gives those that come free to the most
     /// urgent first: less urgent ones take none from it for longer than one of them takes to end.
-    pub(crate) fn place(&self, held: &Held, known: &Known, unheard: Unheard, now: Instant) -> f64 {
+    pub(crate) fn place_wait(
+        &self,
+        held: &Held,
+        known: &Known,
+        unheard: Unheard,
+        now: Instant,
+    ) -> f64 {
         if !self.without.has(Mechanism::Places) {
             return 0.0;
         }
         let slots = f64::from(known.slots().max(1));
-        let dice = mix(held.dice ^ known.terms.salt) as f64 / u64::MAX as f64;
-        let before = self.taken(known, held.urgency, now) + unheard.0 * dice;
+        let jitter = mix(held.jitter ^ known.terms.salt) as f64 / u64::MAX as f64;
+        let before = self.taken(known, held.urgency, now) + unheard.0 * jitter;
         let behind = (before + 1.0 - slots).max(0.0);
         behind * f64::from(held.tokens) * known.interval() / slots
     }
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -70,7 +70,7 @@
     /// Rank of the highest tier that has a class.
     pub(crate) top: u8,
     pub(crate) rng: SmallRng,
-    pub(crate) dice: places::Dice,
+    pub(crate) jitter: places::Jitter,
     pub(crate) without: Without,
     /// A session may have its home in another region.
     pub(crate) crosses: bool,
@@ -128,7 +128,7 @@
             strictest: f64::INFINITY,
             top: u8::MAX,
             rng: SmallRng::seed_from_u64(seed),
-            dice: places::Dice::new(seed),
+            jitter: places::Jitter::new(seed),
             without: Without::default(),
             crosses: true,
         }
