Logs name what a request asks, so that one that comes back can be told from others

Lines 'ended' and 'attempt failed' now carry 'content', a hash of workspace, method, host, target and body.

--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::Error;
+use crate::fingerprint::fingerprint;
 use crate::site::{Call, Malformed, Site};
 use crate::state::{Held, Moment, State};
 
@@ -32,6 +33,8 @@
     pub(crate) arrived: Moment,
     /// Time from its arrival in which the answer must have ended.
     pub(crate) limit: Duration,
+    /// Hash of what it asks, the same for each try of it.
+    pub(crate) content: u64,
     pub(crate) request: policy::Request,
 }
 
@@ -40,6 +43,11 @@
         &self.found.route
     }
 
+    /// What it asks, as logs name it.
+    pub(crate) fn content_name(&self) -> String {
+        format!("{:016x}", self.content)
+    }
+
     /// Time that is left for its answer.
     pub(crate) fn left<S: Site>(&self, state: &State<S>) -> Duration {
         self.limit.saturating_sub(state.since(self.arrived))
@@ -71,7 +79,15 @@
         state.crossing.add(body.len(), state.clock.now());
     }
     let request = request(state, &book, &call, &found, arrived, limit)?;
-    Ok(Job { call, head, body, found, revision: book.revision, arrived, limit, request })
+    let content = content(&head, &call, &found, &body);
+    let revision = book.revision;
+    Ok(Job { call, head, body, found, revision, arrived, limit, content, request })
+}
+
+fn content(head: &Request, call: &Call, found: &Found, body: &[u8]) -> u64 {
+    let workspace = found.workspace.as_ref().map(|workspace| workspace.name.as_str());
+    let target = head.uri().path_and_query().map_or(call.path.as_str(), |target| target.as_str());
+    fingerprint(workspace, head.method().as_str(), &call.host, target, body)
 }
 
 /// What is in force. A node that has just started knows it within some tens of milliseconds; whoever
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod crossing;
 mod events;
+mod fingerprint;
 mod follow;
 mod gossip;
 mod intake;
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -183,8 +183,8 @@
         let left_ms = self.job.left(&self.state).as_millis() as u64;
         self.state.metrics.failed(&self.job.route().name);
         log::warn!(
-            request = request, server = server, attempt = attempt, left_ms = left_ms,
-            cause:% = trouble; "attempt failed"
+            request = request, content = self.job.content_name(), server = server,
+            attempt = attempt, left_ms = left_ms, cause:% = trouble; "attempt failed"
         );
     }
 
@@ -200,7 +200,8 @@
         let Pace { first, longest, tokens, sent, sends, expected } = &self.pace;
         let route_terms = job.route();
         log::info!(
-            request = job.call.id.as_str(), route = route, tier = job.found.tier(),
+            request = job.call.id.as_str(), content = job.content_name(), route = route,
+            tier = job.found.tier(),
             server = server, outcome = outcome, status = status, took_ms = millis(time),
             first_ms = first.map(millis), pause_ms = millis(*longest), sends = sends,
             sent_ms = sent.map(millis), home = expected.map(|expected| expected.home),
