A refusal reaches its caller as it was made

Found by the test of crashing requests, which reads the reason.

Cause: the listener replaces answers that the HTTP library makes by itself, known by a status of its table and no request id, while no request is under way. The body of a short answer is taken over before its first byte is written, so the connection counted as idle by then; the platform's answers carry no request id. Servers' own 400, 408, 431 and 503 were replaced as well.

--- a/components/listen/src/io.rs
+++ b/components/listen/src/io.rs
@@ -37,6 +37,8 @@
     taken: usize,
     /// What is left to write in place of what the HTTP library wrote.
     instead: Option<Vec<u8>>,
+    /// Requests whose answers were written out. One that was taken over since is the handler's own.
+    written: u64,
 }
 
 impl Io {
@@ -54,6 +56,7 @@
             reader,
             taken: 0,
             instead: None,
+            written: 0,
         }
     }
 
@@ -122,7 +125,8 @@
 impl AsyncWrite for Io {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
         let this = self.get_mut();
-        if this.instead.is_none() && !this.conn.active() {
+        let answered = this.conn.active() || this.conn.served() > this.written;
+        if this.instead.is_none() && !answered {
             this.instead = error::instead(buf);
         }
         if let Some(rest) = &mut this.instead {
@@ -156,6 +160,7 @@
         let this = self.get_mut();
         this.reader.stop();
         this.taken = 0;
+        this.written = this.conn.served();
         Pin::new(&mut this.stream).poll_flush(cx)
     }
 
