Requests that servers crash under are held back by all nodes

Cause: what an attempt's end counts for was kept by server and by model alone. Each server was sound until it ran the request, and each try was new to each node. Class of fault: a query of death, blame by resource where the work is to blame.

Evidence: 31 attempts of one prompt (17,087 tokens, guess 54) over seven nodes, each ended without an event together with its server; none was sent on by a node after it may have run (a second send followed only 'connection refused'). Ruled out: repeats by the router (sends, above), and size (21,795 and 17,667 tokens ran meanwhile).

Now a node whose connection ends early asks the server for another one; only where nothing listens any more has the server crashed. Crashes count against the content of the request (policy::quarantine): three of them at different moments, without a whole answer in between, hold it back for two minutes, longer with each further one. Servers that crash together count once, and so does one crash that several nodes saw, so a kill of many accuses nobody. Nodes tell their seeds, seeds each other and all nodes, in the messages of gossip and only while there is something to tell. What is held back is refused at once, also where it waited, truly as not run, with the time to come back.

--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -22,10 +22,12 @@
 
 mod pace;
 mod seeds;
+mod suspects;
 mod table;
 
 use pace::Pace;
 use seeds::Seeds;
+use suspects::Cursor;
 use table::{Hub, Sent, View};
 
 /// Path at which nodes report to a seed.
@@ -85,13 +87,14 @@
 async fn as_node<S: Site>(weak: Weak<State<S>>) {
     let Some(mut seeds) = weak.upgrade().map(|state| Seeds::new(state.seeds())) else { return };
     let (mut view, mut sent, mut last) = (View::default(), Sent::default(), None);
+    let mut cursor = Cursor::default();
     while let Some(state) = weak.upgrade() {
         let asked = state.clock.now();
         let Some(seed) = seeds.nearest(asked) else { return };
         if last.replace(seed) != Some(seed) {
-            view = View::default();
+            (view, cursor) = (View::default(), Cursor::default());
         }
-        let report = own_report(&state, &mut sent, view.at());
+        let report = cursor.report(&state, own_report(&state, &mut sent, view.at()));
         let answer = call(&state, seed, NODES, report).await;
         let now = state.clock.now();
         let took = answer.as_ref().ok().map(|_| now.saturating_duration_since(asked));
@@ -100,6 +103,7 @@
             Ok(summary) => {
                 let pause = Duration::from_millis(summary.pause_ms.into()).max(PAUSE);
                 take_parts(&state, &summary.parts);
+                cursor.answered(&state, &summary);
                 view.apply(summary, now);
                 let (loads, sends) = sent.others(&view, now);
                 take(&state, &loads, &sends);
@@ -136,14 +140,15 @@
 
 /// Asks another seed for what changed in its cluster.
 async fn ask_seed<S: Site>(weak: Weak<State<S>>, seed: SocketAddr) {
-    let name = seed.to_string();
+    let (name, mut cursor) = (seed.to_string(), Cursor::default());
     while let Some(state) = weak.upgrade() {
         let known = state.gossip.hub.borrow().seed(&name);
         let report = Report { from: state.node().name.clone(), known, ..Report::default() };
-        let answer = call(&state, seed, SEEDS, report).await;
+        let answer = call(&state, seed, SEEDS, cursor.ask(report)).await;
         let now = state.clock.now();
         match answer {
             Ok(summary) => {
+                cursor.answered(&state, &summary);
                 let parts = state.gossip.hub.borrow_mut().learn(&name, summary, now);
                 take_parts(&state, &parts);
             }
@@ -178,11 +183,12 @@
         Err(unread) => return unread.answer(),
     };
     listen::received(&request);
-    let Ok(report) = Report::decode(&body) else {
+    let Ok(mut report) = Report::decode(&body) else {
         return Response::new(StatusCode::BAD_REQUEST).map_into_boxed_body();
     };
     let now = state.clock.now();
     let (from, known) = (report.from.clone(), report.known);
+    let (reported, suspects_known) = (std::mem::take(&mut report.suspects), report.suspects_known);
     if !from_seed {
         state.gossip.hub.borrow_mut().report(report, now);
     }
@@ -190,6 +196,7 @@
     let hub = state.gossip.hub.borrow();
     let mut summary =
         if from_seed { hub.cluster(known, now) } else { hub.fleet(&from, known, now) };
+    summary = suspects::answer(state, (&reported, suspects_known), known, from_seed, summary);
     summary.pause_ms = state.gossip.pace.borrow().pause(hub.nodes()).as_millis() as u32;
     let body = summary.encode();
     if !from_seed && !summary.whole {
@@ -219,7 +226,8 @@
 fn own_report<S: Site>(state: &State<S>, sent: &mut Sent, known: Option<Position>) -> Report {
     let (loads, parts, sends) = (own(state), own_parts(state), own_sends(state));
     let number = sent.add(loads.clone(), sends.clone());
-    Report { from: state.node().name.clone(), number, known, loads, parts, sends }
+    let from = state.node().name.clone();
+    Report { from, number, known, loads, parts, sends, ..Report::default() }
 }
 
 /// What this node's prompts take engines to read.
--- /dev/null
+++ b/components/forward/src/gossip/suspects.rs
@@ -0,0 +1,117 @@
+//! What nodes tell each other of requests that servers crashed under.
+//!
+//! A request that is held back at one node alone comes to the next. Nodes tell their seed of each suspicion,
+//! and are told of those that two crashes support: one crash is no reason to hold anything back, and a loss of
+//! many servers makes hundreds of them.
+
+use std::time::{Duration, Instant};
+
+use clock::Clock;
+use policy::{Crash, Evidence, Quarantine};
+use wire::gossip::{self, Position, Report, Summary, Suspect};
+
+use crate::site::Site;
+use crate::state::State;
+
+/// Crashes from which on nodes are told of a request.
+const TOLD_NODES: usize = 2;
+
+/// How far a node and one start of a seed know each other's suspicions.
+#[derive(Debug, Default)]
+pub(super) struct Cursor {
+    /// Random number of the seed's process.
+    boot: Option<u32>,
+    /// Version of the node's own up to which the seed knows them.
+    told: u64,
+    /// Version of those reported last, once the seed has answered.
+    telling: u64,
+    /// Version of the seed's up to which the node knows them.
+    known: u64,
+}
+
+impl Cursor {
+    /// Adds to a report what the seed may not know, and asks for the rest.
+    pub(super) fn report<S: Site>(&mut self, state: &State<S>, report: Report) -> Report {
+        let (now, quarantine) = (state.clock.now(), state.crashes.quarantine.borrow());
+        let (evidence, version) = quarantine.since(self.told, 1);
+        self.telling = version;
+        let suspects = evidence.iter().map(|evidence| told(evidence, now)).collect();
+        Report { suspects, suspects_known: self.known, ..report }
+    }
+
+    /// As [`Cursor::report`], where the seed asks in its turn.
+    pub(super) fn ask(&self, report: Report) -> Report {
+        Report { suspects_known: self.known, ..report }
+    }
+
+    /// Takes in a seed's answer. One that has started anew knows nothing, and is told all.
+    pub(super) fn answered<S: Site>(&mut self, state: &State<S>, summary: &Summary) {
+        let before = self.boot.replace(summary.at.boot);
+        let anew = before.is_some_and(|boot| boot != summary.at.boot);
+        self.told = if anew { 0 } else { self.telling };
+        let mut quarantine = state.crashes.quarantine.borrow_mut();
+        let all_told = self.told == quarantine.version();
+        learn(&mut quarantine, &summary.suspects, state.clock.now());
+        self.known = summary.suspects_at;
+        if all_told {
+            // What came from the seed needn't go back to it.
+            self.told = quarantine.version();
+        }
+    }
+}
+
+/// Takes in what a node reports, and adds to its answer what it may not know.
+pub(super) fn answer<S: Site>(
+    state: &State<S>,
+    (suspects, known): (&[Suspect], u64),
+    at: Option<Position>,
+    from_seed: bool,
+    summary: Summary,
+) -> Summary {
+    let now = state.clock.now();
+    let mut quarantine = state.crashes.quarantine.borrow_mut();
+    learn(&mut quarantine, suspects, now);
+    let known = at.filter(|at| at.boot == summary.at.boot).map_or(0, |_| known);
+    let least = if from_seed { 1 } else { TOLD_NODES };
+    let (evidence, suspects_at) = quarantine.since(known, least);
+    let suspects = evidence.iter().map(|evidence| told(evidence, now)).collect();
+    Summary { suspects, suspects_at, ..summary }
+}
+
+fn learn(quarantine: &mut Quarantine, suspects: &[Suspect], now: Instant) {
+    for suspect in suspects {
+        if let Some(evidence) = heard(suspect, now) {
+            quarantine.learn(evidence, now);
+        }
+    }
+}
+
+/// Evidence as it goes to other nodes: their clocks differ, so times are ages.
+fn told(evidence: &Evidence, now: Instant) -> Suspect {
+    let age = |at: Instant| {
+        let age = now.saturating_duration_since(at).as_millis();
+        u32::try_from(age).unwrap_or(u32::MAX)
+    };
+    let crash = |crash: &Crash| gossip::Crash {
+        server: crash.server,
+        sent_ms: age(crash.sent),
+        crashed_ms: age(crash.at),
+    };
+    Suspect {
+        content: evidence.content,
+        crashes: evidence.crashes.iter().map(crash).collect(),
+        completed_ms: evidence.completed.map(age),
+    }
+}
+
+/// Evidence from another node; none if it is older than this node's clock can tell.
+fn heard(suspect: &Suspect, now: Instant) -> Option<Evidence> {
+    let at = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
+    let crash = |crash: &gossip::Crash| {
+        let (sent, at) = (at(crash.sent_ms)?, at(crash.crashed_ms)?);
+        Some(Crash { server: crash.server, sent, at })
+    };
+    let crashes = suspect.crashes.iter().map(crash).collect::<Option<_>>()?;
+    let completed = suspect.completed_ms.and_then(at);
+    Some(Evidence { content: suspect.content, crashes, completed })
+}
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -2,13 +2,14 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::{ConnectionType, Request, Response};
 use catalog::Entry;
+use clock::Clock;
 use life::{Outcome, Reason, Sending, Waiting};
 use policy::{Ending, Expected, Refusal};
-use turns::{Place, Refused};
+use turns::{Place, Refused, Suspect};
 
 use crate::answer::{Answer, Error};
 use crate::attempt::{self, Start, Trouble, Whole};
@@ -85,6 +86,8 @@
     held: Held<S>,
     /// The server that it was sent to last.
     pub(crate) server: Option<Rc<Entry>>,
+    /// When it was sent last.
+    sent: Instant,
     pub(crate) pace: Pace,
     /// Its end was logged.
     over: Cell<bool>,
@@ -95,16 +98,21 @@
 async fn serve<S: Site>(state: Rc<State<S>>, job: Job, held: Held<S>) -> Answer {
     let mut waiting = Waiting::Fresh(life::Request::new(ids::Request::new()).admit().queue());
     let place = Place::new(&state.turns, job.request.clone());
+    let sent = state.clock.now();
     let mut course = Course {
         state,
         job,
         place,
         held,
         server: None,
+        sent,
         pace: Pace::default(),
         over: Cell::new(false),
         failure: None,
     };
+    if let Err(refused) = course.state.crashes.admit(course.job.content) {
+        return course.refuse(waiting, refused);
+    }
     loop {
         let server = match course.turn().await {
             Ok(server) => server,
@@ -143,12 +151,17 @@
                 self.place.end(Ending::Cancelled);
                 return Err(Refused { refusal: Refusal::Late, ..Refused::NOBODY });
             }
+            if let Err(refused) = self.state.crashes.pass(self.job.content) {
+                self.place.end(Ending::Cancelled);
+                return Err(refused);
+            }
             let server = self.state.names.borrow().server(key).cloned();
             match server {
                 Some(server) => {
                     self.server = Some(server.clone());
                     self.pace.sent = Some(self.state.since(self.job.arrived));
                     self.pace.sends += 1;
+                    self.sent = self.state.clock.now();
                     self.pace.expected = self.place.expected();
                     return Ok(server);
                 }
@@ -177,15 +190,27 @@
         tokio::time::timeout(within, asking).await.unwrap_or(Err(Trouble::Late))
     }
 
-    /// Logs why an attempt brought no answer.
+    /// Notes why an attempt brought no answer, and finds out whether the server crashed under it.
     pub(crate) fn note(&self, attempt: u32, server: &Entry, trouble: &Trouble) {
-        let (request, server) = (self.job.call.id.as_str(), server.name.as_str());
+        let (request, name) = (self.job.call.id.as_str(), server.name.as_str());
         let left_ms = self.job.left(&self.state).as_millis() as u64;
         self.state.metrics.failed(&self.job.route().name);
         log::warn!(
-            request = request, content = self.job.content_name(), server = server,
+            request = request, content = self.job.content_name(), server = name,
             attempt = attempt, left_ms = left_ms, cause:% = trouble; "attempt failed"
         );
+        match trouble {
+            Trouble::Failed(_) => self.state.crashes.completed(self.job.content),
+            Trouble::Lost(_) if self.stays(name) => {
+                self.state.crashes.lost(suspect(server), self.job.content, self.sent);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a server is listed and isn't leaving, so that its end isn't planned.
+    fn stays(&self, server: &str) -> bool {
+        self.state.roster.borrow().get(server).is_some_and(|entry| !entry.leaving)
     }
 
     /// Logs and counts how the request ended.
@@ -226,6 +251,7 @@
             Refusal::Full | Refusal::Displaced => Reason::Full,
             Refusal::Late => Reason::Late,
             Refusal::NoServer => Reason::NoServer,
+            Refusal::Quarantined => Reason::Quarantined,
         });
         if outcome == Outcome::Unknown {
             return self.unknown(outcome, refused.refusal == Refusal::Late);
@@ -235,6 +261,7 @@
             Refusal::Displaced => "given up for a higher tier",
             Refusal::Late => "it can't be served in time",
             Refusal::NoServer => "no backend server may take it",
+            Refusal::Quarantined => "servers ended under it",
         };
         let error = Error::Refused { reason, again: refused.again };
         self.state.metrics.refusal(reason);
@@ -256,6 +283,7 @@
     fn whole(&mut self, whole: Whole) -> Answer {
         let outcome = Outcome::Complete.as_str();
         self.ended(outcome, whole.status.as_u16());
+        self.state.crashes.completed(self.job.content);
         let workspace = self.job.found.workspace.as_ref().map_or("", |workspace| &workspace.name);
         let time = self.state.since(self.job.arrived);
         self.state.metrics.answered(&self.job.route().name, workspace, time);
@@ -281,6 +309,12 @@
     }
 }
 
+/// A server as it is known if it crashes: one that starts again under its name is another.
+fn suspect(server: &Entry) -> Suspect {
+    let start = format!("{} {}", server.name, server.started.unwrap_or_default());
+    Suspect { key: wire::key(&start), address: server.address.clone() }
+}
+
 /// A request whose caller went away is dropped wherever it stands.
 impl<S: Site> Drop for Course<S> {
     fn drop(&mut self) {
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -12,7 +12,7 @@
 use slab::Slab;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
-use turns::Turns;
+use turns::{Crashes, Turns};
 use wire::updates::Work;
 
 use crate::crossing::Crossing;
@@ -60,6 +60,8 @@
     pub(crate) clock: clock::Runtime,
     pub(crate) site: Dialects<S>,
     pub(crate) turns: Rc<Turns>,
+    /// Requests that servers crashed under.
+    pub(crate) crashes: Rc<Crashes>,
     pub(crate) names: RefCell<Names>,
     pub(crate) book: RefCell<Option<Rc<Book>>>,
     pub(crate) freshness: RefCell<Freshness>,
@@ -131,6 +133,7 @@
             clock,
             site,
             turns: Turns::new(scheduler, clock),
+            crashes: Crashes::new(seed, clock),
             names: RefCell::new(names),
             book: RefCell::default(),
             roster: RefCell::default(),
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -111,6 +111,7 @@
         if let Some(source) = self.source.take() {
             let status = source.status.as_u16();
             source.keep(&self.course.state);
+            self.course.state.crashes.completed(self.course.job.content);
             self.course.ended(life.complete().as_str(), status);
         }
         None
--- a/components/life/src/lib.rs
+++ b/components/life/src/lib.rs
@@ -53,6 +53,8 @@
         Late,
         /// No backend server may take it.
         NoServer,
+        /// Servers crashed while they ran it.
+        Quarantined,
         /// The router is going down.
         Draining,
         /// The caller went away.
--- a/components/policy/src/action.rs
+++ b/components/policy/src/action.rs
@@ -15,6 +15,8 @@
         Late,
         /// No backend server may take it.
         NoServer,
+        /// Servers crashed while they ran it.
+        Quarantined,
     }
 
     /// How an attempt ended.
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod pick;
 mod places;
 mod pool;
+mod quarantine;
 mod queue;
 mod quota;
 mod ranks;
@@ -41,6 +42,7 @@
 pub use held::Expected;
 pub use isolation::GROUPS;
 pub use mechanism::Mechanism;
+pub use quarantine::{Crash, Evidence, Quarantine};
 pub use quota::Wait;
 pub use scheduler::{RETRIES, Scheduler};
 pub use terms::{
--- a/components/router/src/answer.rs
+++ b/components/router/src/answer.rs
@@ -135,6 +135,7 @@
         Refusal::Displaced => "given up for a higher tier",
         Refusal::Late => "it can't be served in time",
         Refusal::NoServer => "no backend server may take it",
+        Refusal::Quarantined => "servers ended under it",
     }
 }
 
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -292,6 +292,7 @@
         Refusal::Full | Refusal::Displaced => Reason::Full,
         Refusal::Late => Reason::Late,
         Refusal::NoServer => Reason::NoServer,
+        Refusal::Quarantined => Reason::Quarantined,
     });
     if outcome == Outcome::Unknown {
         return unknown(state, parcel, id, outcome);
--- /dev/null
+++ b/components/turns/src/crashes.rs
@@ -0,0 +1,121 @@
+//! Finds out which servers crashed under which requests.
+//!
+//! A connection that ends early tells little: it may have been reset on the way, or by a server that is
+//! well. So the server is asked for another one, and only where nothing listens any more has it crashed.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use clock::Clock;
+use link::Link;
+use policy::{Crash, Quarantine, Refusal};
+
+use crate::place::Refused;
+
+/// Time between the end of a connection and the question whether its server listens: a process that ends
+/// closes all it has open within it.
+const SETTLE: Duration = Duration::from_millis(20);
+/// Time in which a server that is there accepts a connection.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// A server as it was when a request was sent to it.
+#[derive(Clone, Debug)]
+pub struct Suspect {
+    /// Key of this start of it, the same at all nodes.
+    pub key: u32,
+    /// IP number and port.
+    pub address: String,
+}
+
+/// A request whose connection ended early.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    content: u64,
+    sent: Instant,
+    at: Instant,
+}
+
+/// Requests that servers crashed under.
+pub struct Crashes {
+    /// What is known of them.
+    pub quarantine: RefCell<Quarantine>,
+    clock: clock::Runtime,
+    /// Servers that are being asked whether they are there.
+    asked: RefCell<HashMap<u32, Vec<Lost>>>,
+}
+
+impl Crashes {
+    /// For a node that draws its times by a seed.
+    ///
+    /// ```
+    /// let crashes = turns::Crashes::new(7, clock::Runtime::new());
+    /// assert!(crashes.pass(1).is_ok());
+    /// ```
+    pub fn new(seed: u64, clock: clock::Runtime) -> Rc<Self> {
+        let quarantine = RefCell::new(Quarantine::new(seed));
+        Rc::new(Crashes { quarantine, clock, asked: RefCell::default() })
+    }
+
+    /// Takes in that the connection of a request, which was sent at a time, ended early. Asks its server
+    /// whether it has crashed.
+    pub fn lost(self: &Rc<Self>, server: Suspect, content: u64, sent: Instant) {
+        let mut asked = self.asked.borrow_mut();
+        let first = !asked.contains_key(&server.key);
+        let lost = Lost { content, sent, at: self.clock.now() };
+        asked.entry(server.key).or_default().push(lost);
+        if first {
+            actix_rt::spawn(self.clone().ask(server));
+        }
+    }
+
+    async fn ask(self: Rc<Self>, server: Suspect) {
+        tokio::time::sleep(SETTLE).await;
+        let answer = Link::connect(&server.address, CONNECT).await;
+        let refused = answer.is_err_and(|cause| cause.kind() == ErrorKind::ConnectionRefused);
+        let lost = self.asked.borrow_mut().remove(&server.key).unwrap_or_default();
+        if !refused {
+            return;
+        }
+        let (mut quarantine, now) = (self.quarantine.borrow_mut(), self.clock.now());
+        for Lost { content, sent, at } in lost.iter().copied() {
+            let before = quarantine.held(content, now);
+            quarantine.crashed(content, Crash { server: server.key, sent, at }, now);
+            if let (None, Some(held)) = (before, quarantine.held(content, now)) {
+                let (content, held_ms) = (format!("{content:016x}"), held.as_millis() as u64);
+                log::warn!(
+                    content = content.as_str(), held_ms = held_ms;
+                    "servers crash under a request, it is held back"
+                );
+            }
+        }
+        log::warn!(address = server.address.as_str(), requests = lost.len(); "a server crashed");
+    }
+
+    /// Takes in that a request got a whole answer, good or bad.
+    pub fn completed(&self, content: u64) {
+        self.quarantine.borrow_mut().completed(content, self.clock.now());
+    }
+
+    /// Whether a request may wait for a server.
+    ///
+    /// # Errors
+    /// When it is held back.
+    pub fn admit(&self, content: u64) -> Result<(), Refused> {
+        match self.quarantine.borrow().held(content, self.clock.now()) {
+            Some(again) => Err(Refused { refusal: Refusal::Quarantined, again }),
+            None => Ok(()),
+        }
+    }
+
+    /// Whether a request may be sent now. Others may have crashed servers while it waited.
+    ///
+    /// # Errors
+    /// When it is held back.
+    pub fn pass(&self, content: u64) -> Result<(), Refused> {
+        let passed = self.quarantine.borrow_mut().pass(content, self.clock.now());
+        passed.map_err(|again| Refused { refusal: Refusal::Quarantined, again })
+    }
+}
--- a/components/turns/src/lib.rs
+++ b/components/turns/src/lib.rs
@@ -1,6 +1,7 @@
 //! Drives the decisions: carries time and events to the scheduler, and its actions to the tasks
 //! that wait for them.
 
+mod crashes;
 mod place;
 
 use std::cell::RefCell;
@@ -12,6 +13,7 @@
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, oneshot};
 
+pub use crashes::{Crashes, Suspect};
 pub use place::{Place, Refused};
 
 /// How long the decisions may sleep when nothing is due.
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -37,6 +37,12 @@
         /// Requests that are sent to engines in ten seconds, by rank of urgency.
         #[serde(rename = "s", default)]
         pub sends: Vec<u32>,
+        /// Requests that servers crashed under, as far as the seed may not know of them.
+        #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+        pub suspects: Vec<Suspect>,
+        /// Version up to which the node knows those of the seed.
+        #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
+        pub suspects_known: u64,
     }
 
     /// What changed in a seed's table since the position that was asked for.
@@ -63,6 +69,36 @@
         /// Requests that all nodes send to engines in ten seconds, by rank of urgency.
         #[serde(rename = "s", default)]
         pub sends: Vec<u32>,
+        /// Requests that servers crashed under, as far as the node may not know of them.
+        #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+        pub suspects: Vec<Suspect>,
+        /// Version up to which it tells of those.
+        #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
+        pub suspects_at: u64,
+    }
+
+    /// A request that servers crashed under. An array on the wire.
+    #[derive(Default, Eq, Serialize, Deserialize)]
+    #[serde(from = "SuspectRow", into = "SuspectRow")]
+    pub struct Suspect {
+        /// Hash of what it asks.
+        pub content: u64,
+        /// Servers that crashed while they ran it.
+        pub crashes: Vec<Crash>,
+        /// Milliseconds since it last got a whole answer; none if it never did.
+        pub completed_ms: Option<u32>,
+    }
+
+    /// A server crashed while it ran a request. An array on the wire.
+    #[derive(Copy, Eq, Serialize, Deserialize)]
+    #[serde(from = "CrashRow", into = "CrashRow")]
+    pub struct Crash {
+        /// Key of this start of the server, as by [`crate::key`].
+        pub server: u32,
+        /// Milliseconds since the request was sent to it.
+        pub sent_ms: u32,
+        /// Milliseconds since it crashed.
+        pub crashed_ms: u32,
     }
 
     /// Prompts at one engine. An array on the wire, as there are many of them.
@@ -82,6 +118,37 @@
     }
 }
 
+type SuspectRow = (u64, Vec<Crash>, Option<u32>);
+type CrashRow = (u32, u32, u32);
+
+impl From<SuspectRow> for Suspect {
+    fn from((content, crashes, completed_ms): SuspectRow) -> Self {
+        Suspect { content, crashes, completed_ms }
+    }
+}
+
+impl From<Suspect> for SuspectRow {
+    fn from(suspect: Suspect) -> Self {
+        (suspect.content, suspect.crashes, suspect.completed_ms)
+    }
+}
+
+impl From<CrashRow> for Crash {
+    fn from((server, sent_ms, crashed_ms): CrashRow) -> Self {
+        Crash { server, sent_ms, crashed_ms }
+    }
+}
+
+impl From<Crash> for CrashRow {
+    fn from(crash: Crash) -> Self {
+        (crash.server, crash.sent_ms, crash.crashed_ms)
+    }
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 type Row = (u32, Vec<u32>, Vec<u32>, Vec<u32>, Option<u32>);
 
 impl From<Row> for Load {
