The router's own interface holds back requests that crash servers, too

Starts of a server can't be told apart there, so each crash found counts by itself. Nodes of the own interface don't tell each other of it yet: a cell of eight may lose three servers to each of its nodes.

Fingerprints move to turns, which both interfaces drive.

--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -11,7 +11,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::Error;
-use crate::fingerprint::fingerprint;
 use crate::site::{Call, Malformed, Site};
 use crate::state::{Held, Moment, State};
 
@@ -85,9 +84,11 @@
 }
 
 fn content(head: &Request, call: &Call, found: &Found, body: &[u8]) -> u64 {
-    let workspace = found.workspace.as_ref().map(|workspace| workspace.name.as_str());
+    let workspace = found.workspace.as_ref().map_or("", |workspace| &workspace.name);
     let target = head.uri().path_and_query().map_or(call.path.as_str(), |target| target.as_str());
-    fingerprint(workspace, head.method().as_str(), &call.host, target, body)
+    let texts = [workspace, head.method().as_str(), &call.host, target].map(str::as_bytes);
+    let [workspace, method, host, target] = texts;
+    turns::fingerprint(&[workspace, method, host, target, body])
 }
 
 /// What is in force. A node that has just started knows it within some tens of milliseconds; whoever
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -6,7 +6,6 @@
 mod attempt;
 mod crossing;
 mod events;
-mod fingerprint;
 mod follow;
 mod gossip;
 mod intake;
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -312,7 +312,7 @@
 /// A server as it is known if it crashes: one that starts again under its name is another.
 fn suspect(server: &Entry) -> Suspect {
     let start = format!("{} {}", server.name, server.started.unwrap_or_default());
-    Suspect { key: wire::key(&start), address: server.address.clone() }
+    Suspect { start: Some(wire::key(&start)), address: server.address.clone() }
 }
 
 /// A request whose caller went away is dropped wherever it stands.
--- a/components/router/src/place.rs
+++ b/components/router/src/place.rs
@@ -1,38 +1,69 @@
 //! A request's place among the decisions, and the server that its turn names.
 
 use std::rc::Rc;
+use std::time::Instant;
 
+use clock::Clock;
 use policy::Ending;
 use settings::Server;
 pub(crate) use turns::Refused;
+use turns::Suspect;
 
+use crate::relay::Parcel;
 use crate::state::State;
 
 /// The place of a request among the decisions. Dropped before its end, the caller went away.
 pub(crate) struct Place {
     pub(crate) state: Rc<State>,
     inner: turns::Place,
+    /// Hash of what the request asks.
+    content: u64,
+    /// When it was sent last.
+    sent: Instant,
 }
 
 impl Place {
-    pub(crate) fn new(state: &Rc<State>, request: policy::Request) -> Self {
-        Place { state: state.clone(), inner: turns::Place::new(&state.turns, request) }
+    pub(crate) fn new(state: &Rc<State>, parcel: &Parcel) -> Self {
+        let inner = turns::Place::new(&state.turns, parcel.request.clone());
+        let sent = state.clock.now();
+        Place { state: state.clone(), inner, content: parcel.content(), sent }
     }
 
     /// Waits until the request may go to a server.
     pub(crate) async fn turn(&mut self) -> Result<Rc<Server>, Refused> {
+        self.state.crashes.admit(self.content)?;
         loop {
             let server = self.inner.turn().await?;
             let settings = self.state.settings();
             let known = settings.and_then(|settings| settings.servers.get(server).cloned());
             match known {
-                Some(server) => return Ok(server),
+                Some(server) => return self.pass(server),
                 None if self.end(Ending::NotRun) => {}
                 None => return Err(Refused::NOBODY),
             }
         }
     }
 
+    /// Lets the request go to a server, unless others like it have crashed servers while it waited.
+    fn pass(&mut self, server: Rc<Server>) -> Result<Rc<Server>, Refused> {
+        if let Err(refused) = self.state.crashes.pass(self.content) {
+            self.end(Ending::Cancelled);
+            return Err(refused);
+        }
+        self.sent = self.state.clock.now();
+        Ok(server)
+    }
+
+    /// Takes in that the connection to a server ended early, unless its end is planned. Starts of a server
+    /// can't be told apart here.
+    pub(crate) fn lost(&self, address: &str) {
+        if self.state.leaving.borrow().contains(address) {
+            return;
+        }
+        let server = Suspect { start: None, address: address.to_string() };
+        self.state.crashes.lost(server, self.content, self.sent);
+    }
+
     /// Waits until the decisions want the attempt stopped.
     pub(crate) async fn stopped(&mut self) {
         self.inner.stopped().await;
@@ -46,6 +77,9 @@
     /// Ends the attempt; returns whether the job waits again. If so, [`Place::turn`] must follow
     /// without a pause, since a turn that nobody awaits is given up.
     pub(crate) fn end(&mut self, ending: Ending) -> bool {
+        if ending == Ending::Whole {
+            self.state.crashes.completed(self.content);
+        }
         self.inner.end(ending)
     }
 }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Hash of what it asks, the same for each try of it.
+    pub(crate) fn content(&self) -> u64 {
+        let texts = [&self.workspace, &self.class.name, &self.path].map(|text| text.as_bytes());
+        let [workspace, class, path] = texts;
+        turns::fingerprint(&[workspace, class, path, &self.body])
+    }
+
     /// Proof that it may run more than once, if it may.
     pub(crate) fn repeatable(&self) -> Option<Repeatable> {
         Repeatable::when(self.class.idempotent)
@@ -93,14 +100,18 @@
 }
 
 impl Trouble {
-    pub(crate) fn note(&self, state: &State, id: ids::Request, attempt: u32) {
+    /// Logs why an attempt brought no answer, and finds out whether the server crashed under it.
+    pub(crate) fn note(&self, place: &Place, id: ids::Request, attempt: u32) {
         let cause = match self {
             Trouble::Failure(failure) => failure.to_string(),
             Trouble::Stopped => "stopped for a higher tier".to_string(),
             Trouble::Late => "its deadline passed".to_string(),
         };
         if let Trouble::Failure(Failure::Crossed { .. }) = self {
-            state.metrics.crossed();
+            place.state.metrics.crossed();
+        }
+        if let Trouble::Failure(Failure::Lost { address, .. }) = self {
+            place.lost(address);
         }
         log::warn!(request:% = id, attempt = attempt, cause = cause.as_str(); "attempt failed");
     }
@@ -148,7 +159,7 @@
     let Job { life, parcel } = job;
     let id = life.id();
     let waiting = Waiting::Fresh(life.queue());
-    let mut place = Place::new(&state, parcel.request.clone());
+    let mut place = Place::new(&state, &parcel);
     let mut queued = Queued(Some(parcel));
     let turn = place.turn().await;
     let Some(parcel) = queued.0.take() else {
@@ -215,7 +226,7 @@
         Ok(start) => return (sending, Ok(start)),
         Err(trouble) => trouble,
     };
-    trouble.note(&place.state, call.id, call.attempt);
+    trouble.note(place, call.id, call.attempt);
     let proof = Repeatable::when(server.keyed && call.key.is_some());
     if parcel.class.idempotent || proof.is_none() || trouble.unsent().is_some() {
         return (sending, Err(trouble));
@@ -227,7 +238,7 @@
     let call = parcel.call(sending.id(), sending.attempt(), server);
     let ended = attempt(place, parcel, &call).await;
     if let Err(trouble) = &ended {
-        trouble.note(&place.state, call.id, call.attempt);
+        trouble.note(place, call.id, call.attempt);
     }
     (sending, ended)
 }
--- a/components/router/src/state.rs
+++ b/components/router/src/state.rs
@@ -12,7 +12,7 @@
 use slab::Slab;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
-use turns::Turns;
+use turns::{Crashes, Turns};
 
 use crate::revisions::Revisions;
 use crate::terms;
@@ -39,6 +39,8 @@
     pub(crate) refused: RefCell<Option<String>>,
     pub(crate) revisions: Revisions,
     pub(crate) turns: Rc<Turns>,
+    /// Requests that servers crashed under.
+    pub(crate) crashes: Rc<Crashes>,
     pub(crate) view: RefCell<fleet::View>,
     pub(crate) exchange: RefCell<fleet::exchange::Exchange>,
     /// What this node told of itself over the last seconds.
@@ -66,7 +68,8 @@
     pub(crate) fn new(node: Node) -> Rc<Self> {
         let clock = clock::Runtime::new();
         let since = clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        let scheduler = Scheduler::with_seed(seed(&node.name));
+        let seed = seed(&node.name);
+        let scheduler = Scheduler::with_seed(seed);
         let home =
             once::Home::new(once::Member { name: node.name.clone(), address: String::new() });
         Rc::new(State {
@@ -77,6 +80,7 @@
             refused: RefCell::default(),
             revisions: Revisions::new(),
             turns: Turns::new(scheduler, clock),
+            crashes: Crashes::new(seed, clock),
             view: RefCell::new(fleet::View::new()),
             exchange: RefCell::new(fleet::exchange::Exchange::new(CONTROL, clock.now())),
             past: RefCell::default(),
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -135,7 +135,7 @@
         let Some(mut life) = self.life.take() else { return false };
         let mut trouble = trouble;
         loop {
-            trouble.note(&self.place.state, life.id(), life.attempt());
+            trouble.note(&self.place, life.id(), life.attempt());
             self.place.state.metrics.failed(&self.parcel.class.name);
             let point = self.source.point();
             let (Some(proof), Some(point)) = (self.parcel.repeatable(), point) else {
--- a/components/turns/src/crashes.rs
+++ b/components/turns/src/crashes.rs
@@ -24,8 +24,8 @@
 /// A server as it was when a request was sent to it.
 #[derive(Clone, Debug)]
 pub struct Suspect {
-    /// Key of this start of it, the same at all nodes.
-    pub key: u32,
+    /// Key of this start of it, the same at all nodes; none if its starts can't be told apart.
+    pub start: Option<u32>,
     /// IP number and port.
     pub address: String,
 }
@@ -44,7 +44,7 @@
     pub quarantine: RefCell<Quarantine>,
     clock: clock::Runtime,
     /// Servers that are being asked whether they are there.
-    asked: RefCell<HashMap<u32, Vec<Lost>>>,
+    asked: RefCell<HashMap<String, Vec<Lost>>>,
 }
 
 impl Crashes {
@@ -63,9 +63,9 @@
     /// whether it has crashed.
     pub fn lost(self: &Rc<Self>, server: Suspect, content: u64, sent: Instant) {
         let mut asked = self.asked.borrow_mut();
-        let first = !asked.contains_key(&server.key);
+        let first = !asked.contains_key(&server.address);
         let lost = Lost { content, sent, at: self.clock.now() };
-        asked.entry(server.key).or_default().push(lost);
+        asked.entry(server.address.clone()).or_default().push(lost);
         if first {
             actix_rt::spawn(self.clone().ask(server));
         }
@@ -75,14 +75,15 @@
         tokio::time::sleep(SETTLE).await;
         let answer = Link::connect(&server.address, CONNECT).await;
         let refused = answer.is_err_and(|cause| cause.kind() == ErrorKind::ConnectionRefused);
-        let lost = self.asked.borrow_mut().remove(&server.key).unwrap_or_default();
+        let lost = self.asked.borrow_mut().remove(&server.address).unwrap_or_default();
         if !refused {
             return;
         }
+        let server_key = server.start.unwrap_or_else(rand::random);
         let (mut quarantine, now) = (self.quarantine.borrow_mut(), self.clock.now());
         for Lost { content, sent, at } in lost.iter().copied() {
             let before = quarantine.held(content, now);
-            quarantine.crashed(content, Crash { server: server.key, sent, at }, now);
+            quarantine.crashed(content, Crash { server: server_key, sent, at }, now);
             if let (None, Some(held)) = (before, quarantine.held(content, now)) {
                 let (content, held_ms) = (format!("{content:016x}"), held.as_millis() as u64);
                 log::warn!(
--- /dev/null
+++ b/components/turns/src/fingerprint/tests.rs
@@ -0,0 +1,16 @@
+use super::fingerprint;
+
+/// Guards against requests that differ in one field being taken for each other.
+#[test]
+fn each_field_counts() {
+    let request: [&[u8]; 3] = [b"choir", b"/draft/a", b"arc"];
+    let others: [&[&[u8]]; 5] = [
+        &[b"band", b"/draft/a", b"arc"],
+        &[b"choir", b"/draft/a?x=1", b"arc"],
+        &[b"choir", b"/draft/a", b"arcs"],
+        &[b"choir/", b"draft/a", b"arc"],
+        &[b"choir", b"/draft/aarc"],
+    ];
+    assert!(others.iter().all(|other| fingerprint(other) != fingerprint(&request)));
+    assert_eq!(fingerprint(&request), fingerprint(&[b"choir", b"/draft/a", b"arc"]));
+}
--- a/components/turns/src/lib.rs
+++ b/components/turns/src/lib.rs
@@ -2,6 +2,7 @@
 //! that wait for them.
 
 mod crashes;
+mod fingerprint;
 mod place;
 
 use std::cell::RefCell;
@@ -14,6 +15,7 @@
 use tokio::sync::{Notify, oneshot};
 
 pub use crashes::{Crashes, Suspect};
+pub use fingerprint::fingerprint;
 pub use place::{Place, Refused};
 
 /// How long the decisions may sleep when nothing is due.
