All nodes together keep to the rate limits that servers name

What the server saw: engines that named 2.3 to 2.9 requests a second for all nodes together went on getting 5 to 6, in the record 22 to 38 within four seconds where 19 to 22 were allowed.

Cause: nothing read the header; the only limits a node knew were places, which it counts by itself. Class of fault: a bound over the fleet that no node can keep alone. Ruled out: a limit that is read and kept by each node, or kept on average but not in bursts (no rate moved when the limit was named).

A node that hears of a limit sends that server nothing without a permit, good for one request and one second. Seeds save up permits, each an equal part of the limit, and hand them out in the answers of gossip; so whatever nodes know of each other, and whichever seeds are cut off or start anew, a second's permits and what little is saved bound what is sent. Requests without one go to other servers, or wait. Limits spread with the same messages, the newest word of a server holds, and only a success to a request that was sent after a limit was heard of ends it. A limit of zero leaves one request in four seconds, so that its end is seen; a node that reaches no seed goes by a small part of its own.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -7,14 +7,16 @@
 use actix_http::{RequestHead, ResponseHead, StatusCode, Uri, Version};
 use bytes::{Bytes, BytesMut};
 use catalog::Entry;
+use clock::Clock;
 use life::Unsent;
 use link::{Body, Link};
 use policy::Ending;
 
 use crate::events::{Disorder, Scan};
 use crate::intake::Job;
+use crate::limits;
 use crate::mechanism::Mechanism;
-use crate::site::{Attempt, Servers, Site, Verdict};
+use crate::site::{Attempt, Limit, Servers, Site, Verdict};
 use crate::state::State;
 
 /// Time to connect to a server. One that is there answers within a round trip of a few tens of
@@ -163,11 +165,20 @@
         }
     };
     let head = outgoing(state, job, server, after, fetch);
+    let sent = state.clock.now();
     let lost = |cause: link::Error| Trouble::Lost(cause.to_string());
     let (mut head, mut body) = link.exchange(head, job.body.clone()).await.map_err(lost)?;
     let mut crossed = 0;
     loop {
-        match state.site.servers.judge(&head, &job.call, server) {
+        let verdict = state.site.servers.judge(&head, &job.call, server);
+        if matches!(verdict, Verdict::Answer | Verdict::Declined) {
+            let limit = state.site.servers.limit(&head);
+            // What a server says that runs nothing, or fails, needn't name its limit.
+            if limit != Limit::Unnamed || head.status.is_success() {
+                limits::answered(state, server, &limit, sent);
+            }
+        }
+        match verdict {
             Verdict::Answer => break,
             Verdict::Declined => {
                 let status = head.status.as_u16();
--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -20,14 +20,16 @@
 use crate::site::Site;
 use crate::state::State;
 
+mod cursor;
+mod limits;
 mod pace;
 mod seeds;
 mod suspects;
 mod table;
 
+use cursor::Cursor;
 use pace::Pace;
 use seeds::Seeds;
-use suspects::Cursor;
 use table::{Hub, Sent, View};
 
 /// Path at which nodes report to a seed.
@@ -87,14 +89,22 @@
 async fn as_node<S: Site>(weak: Weak<State<S>>) {
     let Some(mut seeds) = weak.upgrade().map(|state| Seeds::new(state.seeds())) else { return };
     let (mut view, mut sent, mut last) = (View::default(), Sent::default(), None);
-    let mut cursor = Cursor::default();
+    let (mut suspicions, mut limited) = (Cursor::default(), Cursor::default());
     while let Some(state) = weak.upgrade() {
         let asked = state.clock.now();
-        let Some(seed) = seeds.nearest(asked) else { return };
+        let Some(seed) = seeds.nearest(asked) else {
+            crate::limits::alone(&state);
+            drop(state);
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
         if last.replace(seed) != Some(seed) {
-            (view, cursor) = (View::default(), Cursor::default());
+            view = View::default();
+            (suspicions, limited) = (Cursor::default(), Cursor::default());
         }
-        let report = cursor.report(&state, own_report(&state, &mut sent, view.at()));
+        let report = own_report(&state, &mut sent, view.at());
+        let report = suspects::report(&state, &mut suspicions, report);
+        let report = limits::report(&state, &mut limited, report);
         let answer = call(&state, seed, NODES, report).await;
         let now = state.clock.now();
         let took = answer.as_ref().ok().map(|_| now.saturating_duration_since(asked));
@@ -103,7 +113,9 @@
             Ok(summary) => {
                 let pause = Duration::from_millis(summary.pause_ms.into()).max(PAUSE);
                 take_parts(&state, &summary.parts);
-                cursor.answered(&state, &summary);
+                suspects::answered(&state, &mut suspicions, &summary);
+                limits::answered(&state, &mut limited, &summary);
+                state.limits.answered(now);
                 view.apply(summary, now);
                 let (loads, sends) = sent.others(&view, now);
                 take(&state, &loads, &sends);
@@ -111,6 +123,7 @@
             }
             Err(cause) => {
                 log::debug!(cause = cause.as_str(); "a seed took no report");
+                crate::limits::alone(&state);
                 PAUSE
             }
         };
@@ -133,6 +146,8 @@
         view.apply(summary, now);
         let (loads, sends) = sent.others(&view, now);
         take(&state, &loads, &sends);
+        let permits = issue(&state);
+        crate::limits::permit(&state, &permits);
         drop(state);
         tokio::time::sleep(PAUSE).await;
     }
@@ -140,15 +155,19 @@
 
 /// Asks another seed for what changed in its cluster.
 async fn ask_seed<S: Site>(weak: Weak<State<S>>, seed: SocketAddr) {
-    let (name, mut cursor) = (seed.to_string(), Cursor::default());
+    let (name, mut suspicions, mut limited) =
+        (seed.to_string(), Cursor::default(), Cursor::default());
     while let Some(state) = weak.upgrade() {
         let known = state.gossip.hub.borrow().seed(&name);
         let report = Report { from: state.node().name.clone(), known, ..Report::default() };
-        let answer = call(&state, seed, SEEDS, cursor.ask(report)).await;
+        let report = suspects::report(&state, &mut suspicions, report);
+        let report = limits::report(&state, &mut limited, report);
+        let answer = call(&state, seed, SEEDS, report).await;
         let now = state.clock.now();
         match answer {
             Ok(summary) => {
-                cursor.answered(&state, &summary);
+                suspects::answered(&state, &mut suspicions, &summary);
+                limits::answered(&state, &mut limited, &summary);
                 let parts = state.gossip.hub.borrow_mut().learn(&name, summary, now);
                 take_parts(&state, &parts);
             }
@@ -188,7 +207,8 @@
     };
     let now = state.clock.now();
     let (from, known) = (report.from.clone(), report.known);
-    let (reported, suspects_known) = (std::mem::take(&mut report.suspects), report.suspects_known);
+    let (accused, suspects_known) = (std::mem::take(&mut report.suspects), report.suspects_known);
+    let (named, limits_known) = (std::mem::take(&mut report.limits), report.limits_known);
     if !from_seed {
         state.gossip.hub.borrow_mut().report(report, now);
     }
@@ -196,7 +216,9 @@
     let hub = state.gossip.hub.borrow();
     let mut summary =
         if from_seed { hub.cluster(known, now) } else { hub.fleet(&from, known, now) };
-    summary = suspects::answer(state, (&reported, suspects_known), known, from_seed, summary);
+    summary = suspects::answer(state, (&accused, suspects_known), known, from_seed, summary);
+    let permits = if from_seed { vec![] } else { issue(state) };
+    summary = limits::answer(state, (&named, limits_known), known, summary, permits);
     summary.pause_ms = state.gossip.pace.borrow().pause(hub.nodes()).as_millis() as u32;
     let body = summary.encode();
     if !from_seed && !summary.whole {
@@ -205,6 +227,14 @@
     Response::build(StatusCode::OK).body(body).map_into_boxed_body()
 }
 
+/// Permits for one of this seed's nodes. Each seed hands out an equal part, so that together they keep to
+/// what servers take though they can't reach each other.
+fn issue<S: Site>(state: &State<S>) -> Vec<(u32, u32)> {
+    let issuers = state.node().seeds.len().max(1) as f64;
+    let nodes = state.gossip.hub.borrow().nodes();
+    state.limits.issue(issuers, nodes, state.clock.now())
+}
+
 /// Sums all reports anew. Engines at which nobody waits and most places are free aren't worth telling.
 fn refresh<S: Site>(state: &State<S>) {
     let (names, scheduler) = (state.names.borrow(), state.turns.scheduler.borrow());
--- /dev/null
+++ b/components/forward/src/gossip/limits.rs
@@ -0,0 +1,73 @@
+//! What nodes tell each other of rate limits that servers name, and the permits that seeds hand out.
+
+use std::time::{Duration, Instant};
+
+use clock::Clock;
+use policy::Named;
+use wire::gossip::{Limit, Position, Report, Summary};
+
+use super::cursor::Cursor;
+use crate::limits;
+use crate::site::Site;
+use crate::state::State;
+
+/// Limits are told as requests in so many seconds, in whole numbers.
+const RATE_SECONDS: f64 = 1_000.0;
+
+/// Adds to a report what the seed may not know, and asks for the rest.
+pub(super) fn report<S: Site>(state: &State<S>, cursor: &mut Cursor, report: Report) -> Report {
+    let (named, version) = state.limits.throttle.borrow().since(cursor.told());
+    cursor.tell(version);
+    let limits = told(&named, state.clock.now());
+    Report { limits, limits_known: cursor.known(), ..report }
+}
+
+/// Takes in a seed's answer, with the permits in it.
+pub(super) fn answered<S: Site>(state: &State<S>, cursor: &mut Cursor, summary: &Summary) {
+    if !state.loaded.get() {
+        // What is said of servers that aren't listed yet would be lost.
+        return;
+    }
+    let now = state.clock.now();
+    cursor.answered(summary.at.boot, summary.limits_at);
+    let before = state.limits.throttle.borrow().version();
+    limits::learn(state, summary.limits.iter().filter_map(|limit| heard(limit, now)));
+    cursor.learned(before, state.limits.throttle.borrow().version());
+    limits::permit(state, &summary.permits);
+}
+
+/// Takes in what a node or another seed reports, and adds to its answer what it may not know. Nodes get
+/// permits as well.
+pub(super) fn answer<S: Site>(
+    state: &State<S>,
+    (reported, known): (&[Limit], u64),
+    at: Option<Position>,
+    summary: Summary,
+    permits: Vec<(u32, u32)>,
+) -> Summary {
+    let now = state.clock.now();
+    limits::learn(state, reported.iter().filter_map(|limit| heard(limit, now)));
+    let known = at.filter(|at| at.boot == summary.at.boot).map_or(0, |_| known);
+    let (named, limits_at) = state.limits.throttle.borrow().since(known);
+    Summary { limits: told(&named, now), limits_at, permits, ..summary }
+}
+
+/// Limits as they go to other nodes: their clocks differ, so times are ages.
+fn told(named: &[Named], now: Instant) -> Vec<Limit> {
+    let limit = |named: &Named| {
+        let age = now.saturating_duration_since(named.at).as_millis();
+        Limit {
+            server: named.server,
+            rate: named.rate.map(|rate| (rate * RATE_SECONDS).round() as u32),
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    };
+    named.iter().map(limit).collect()
+}
+
+/// What another node heard; none if it is older than this node's clock can tell.
+fn heard(limit: &Limit, now: Instant) -> Option<Named> {
+    let at = now.checked_sub(Duration::from_millis(limit.age_ms.into()))?;
+    let rate = limit.rate.map(|rate| f64::from(rate) / RATE_SECONDS);
+    Some(Named { server: limit.server, rate, at })
+}
--- a/components/forward/src/gossip/suspects.rs
+++ b/components/forward/src/gossip/suspects.rs
@@ -10,54 +10,29 @@
 use policy::{Crash, Evidence, Quarantine};
 use wire::gossip::{self, Position, Report, Summary, Suspect};
 
+use super::cursor::Cursor;
 use crate::site::Site;
 use crate::state::State;
 
 /// Crashes from which on nodes are told of a request.
 const TOLD_NODES: usize = 2;
 
-/// How far a node and one start of a seed know each other's suspicions.
-#[derive(Debug, Default)]
-pub(super) struct Cursor {
-    /// Random number of the seed's process.
-    boot: Option<u32>,
-    /// Version of the node's own up to which the seed knows them.
-    told: u64,
-    /// Version of those reported last, once the seed has answered.
-    telling: u64,
-    /// Version of the seed's up to which the node knows them.
-    known: u64,
+/// Adds to a report what the seed may not know, and asks for the rest.
+pub(super) fn report<S: Site>(state: &State<S>, cursor: &mut Cursor, report: Report) -> Report {
+    let (now, quarantine) = (state.clock.now(), state.crashes.quarantine.borrow());
+    let (evidence, version) = quarantine.since(cursor.told(), 1);
+    cursor.tell(version);
+    let suspects = evidence.iter().map(|evidence| told(evidence, now)).collect();
+    Report { suspects, suspects_known: cursor.known(), ..report }
 }
 
-impl Cursor {
-    /// Adds to a report what the seed may not know, and asks for the rest.
-    pub(super) fn report<S: Site>(&mut self, state: &State<S>, report: Report) -> Report {
-        let (now, quarantine) = (state.clock.now(), state.crashes.quarantine.borrow());
-        let (evidence, version) = quarantine.since(self.told, 1);
-        self.telling = version;
-        let suspects = evidence.iter().map(|evidence| told(evidence, now)).collect();
-        Report { suspects, suspects_known: self.known, ..report }
-    }
-
-    /// As [`Cursor::report`], where the seed asks in its turn.
-    pub(super) fn ask(&self, report: Report) -> Report {
-        Report { suspects_known: self.known, ..report }
-    }
-
-    /// Takes in a seed's answer. One that has started anew knows nothing, and is told all.
-    pub(super) fn answered<S: Site>(&mut self, state: &State<S>, summary: &Summary) {
-        let before = self.boot.replace(summary.at.boot);
-        let anew = before.is_some_and(|boot| boot != summary.at.boot);
-        self.told = if anew { 0 } else { self.telling };
-        let mut quarantine = state.crashes.quarantine.borrow_mut();
-        let all_told = self.told == quarantine.version();
-        learn(&mut quarantine, &summary.suspects, state.clock.now());
-        self.known = summary.suspects_at;
-        if all_told {
-            // What came from the seed needn't go back to it.
-            self.told = quarantine.version();
-        }
-    }
+/// Takes in a seed's answer.
+pub(super) fn answered<S: Site>(state: &State<S>, cursor: &mut Cursor, summary: &Summary) {
+    cursor.answered(summary.at.boot, summary.suspects_at);
+    let mut quarantine = state.crashes.quarantine.borrow_mut();
+    let before = quarantine.version();
+    learn(&mut quarantine, &summary.suspects, state.clock.now());
+    cursor.learned(before, quarantine.version());
 }
 
 /// Takes in what a node reports, and adds to its answer what it may not know.
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod gossip;
 mod intake;
+mod limits;
 mod mechanism;
 mod names;
 mod node;
@@ -62,7 +63,7 @@
         let state = State::new(node, site);
         let shared = state.clone();
         let handler = move |request| serve::handle(shared.clone(), request);
-        let limits = state.limits.subscribe();
+        let limits = state.intake.subscribe();
         let callers = Listener::open_for("callers", callers, limits, handler).await?;
         let shared = state.clone();
         let handler = move |request| operators::handle(shared.clone(), request);
--- a/components/forward/src/site.rs
+++ b/components/forward/src/site.rs
@@ -76,6 +76,16 @@
         Broken(String),
     }
 
+    /// What the head of a response says of how many requests its server takes.
+    pub enum Limit {
+        /// Nothing: as many as it has places for.
+        Unnamed,
+        /// Requests a second from all nodes together.
+        Rate(f64),
+        /// It names a limit that isn't one; the text is what it sent.
+        Unreadable(String),
+    }
+
     /// The head of a request can't be used; the text says what to send instead.
     pub struct Malformed(pub String);
 }
@@ -97,6 +107,9 @@
     /// Judges the head of a response to `call` by `server`.
     fn judge(&self, head: &ResponseHead, call: &Call, server: &Entry) -> Verdict;
 
+    /// How many requests the server takes, as a response says.
+    fn limit(&self, head: &ResponseHead) -> Limit;
+
     /// How long the server keeps the connection of a response without a request, if it says so.
     fn idle(&self, head: &ResponseHead) -> Option<Duration>;
 }
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -17,6 +17,7 @@
 
 use crate::crossing::Crossing;
 use crate::gossip::Gossip;
+use crate::limits::{self, Limits};
 use crate::mechanism::{Mechanism as Own, Without};
 use crate::names::Names;
 use crate::node::Node;
@@ -98,8 +99,10 @@
     /// What nodes report to each other of engines.
     pub(crate) gossip: Gossip,
     pub(crate) crossing: Crossing,
+    /// Rate limits that servers have named.
+    pub(crate) limits: Limits,
     /// Limits of the callers' listener.
-    pub(crate) limits: watch::Sender<listen::Limits>,
+    pub(crate) intake: watch::Sender<listen::Limits>,
     /// Bytes of bodies that are held.
     pub(crate) bytes: Cell<usize>,
     held: RefCell<Slab<String>>,
@@ -156,7 +159,8 @@
             seeds_received: Received::default(),
             gossip,
             crossing: Crossing::new(clock.now()),
-            limits: watch::channel(intake).0,
+            limits: Limits::default(),
+            intake: watch::channel(intake).0,
             bytes: Cell::new(0),
             held: RefCell::default(),
             ended: Notify::new(),
@@ -293,7 +297,7 @@
         }
         self.unusable.set(false);
         self.names.borrow_mut().apply(&mut self.turns.scheduler.borrow_mut(), &book);
-        self.limits.send_modify(|limits| {
+        self.intake.send_modify(|limits| {
             limits.head_time = book.intake.head_time;
             // Callers use connections that were idle for nearly as long as this allows.
             limits.keep_alive = book.intake.idle;
@@ -329,10 +333,12 @@
                 None => {
                     log::info!(server = name.as_str(); "server gone");
                     names.remove_server(&mut scheduler, &name);
+                    self.limits.throttle.borrow_mut().forget(wire::key(&name));
                 }
             }
         }
         drop((roster, names, scheduler));
+        limits::apply(self);
         self.turns.pump();
     }
 }
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -241,6 +241,9 @@
         let (mut near, mut far, mut free) = (false, 0, false);
         for key in &pool.servers {
             let known = &self.servers[*key];
+            if !known.permitted(now) {
+                continue;
+            }
             let here = known.terms.region == held.request.region;
             near |= here && !known.leaving() && !self.ejected(*key, now);
             let place = known.free(self.without);
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -101,7 +101,7 @@
         let context = Context { group, copies: &copies, unreported };
         let all_out = pool.members.iter().all(|member| self.barred(member.server, now));
         let usable = pool.members.iter().filter(|member| {
-            (all_out || !self.barred(member.server, now)) && self.usable(held, member)
+            (all_out || !self.barred(member.server, now)) && self.usable(held, member, now)
         });
         let usable: Vec<_> = usable.collect();
         let free = !usable.is_empty();
@@ -109,7 +109,11 @@
         let drawn = usable.iter().map(|member| (*member, places(member)));
         let drawn = self.drawn(held, drawn, homes);
         let mut best: Option<Chosen> = None;
-        for member in usable.iter().filter(|member| drawn.contains(&member.server)) {
+        // A permit soon ends, so its engine is looked at in any case.
+        let looked = |member: &&&Member| {
+            drawn.contains(&member.server) || self.servers[member.server].permits.is_some()
+        };
+        for member in usable.iter().filter(looked) {
             let Some(chosen) = self.cost(held, member, context, now) else { continue };
             if best.is_none_or(|best| chosen.cost < best.cost) {
                 best = Some(chosen);
@@ -125,10 +129,11 @@
     }
 
     /// Whether an engine that isn't left out may take a request now.
-    fn usable(&self, held: &Held, member: &Member) -> bool {
+    fn usable(&self, held: &Held, member: &Member, now: Instant) -> bool {
         let known = &self.servers[member.server];
         let avoided = held.avoid == Some(member.server) && self.pools[held.pool].members.len() > 1;
-        known.free(self.without) && !known.leaving() && !avoided
+        let room = known.free(self.without) && known.permitted(now);
+        room && !known.leaving() && !avoided
     }
 
     /// The engine that has most likely cached the beginning of a request's prompt: of its group, and
@@ -150,8 +155,11 @@
             (near, own, mix(held.request.prefix ^ known.terms.salt))
         };
         let members = pool.members.iter();
-        let able =
-            members.filter(|m| !self.servers[m.server].leaving() && !self.barred(m.server, now));
+        let able = members.filter(|member| {
+            let known = &self.servers[member.server];
+            let open = !known.leaving() && known.permits.is_none();
+            open && !self.barred(member.server, now)
+        });
         let mut homes: [Option<(_, ids::Server)>; 2] = [None, None];
         for member in able {
             let found = Some((weight(&member), member.server));
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod server;
 mod stop;
 mod terms;
+mod throttle;
 
 pub use action::{Action, Ending, Policy, Refusal};
 pub use belief::{Belief, Unused};
@@ -48,3 +49,4 @@
 pub use terms::{
     Backlog, Cached, Class, Demand, Fetch, Limits, Part, Report, Request, Server, Share, Workspace,
 };
+pub use throttle::{Issuer, Named, Throttle};
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -22,6 +22,7 @@
 use crate::reading::Begun;
 use crate::server;
 use crate::terms::{Class, Demand, Fetch, Limits, Report, Request, Server, Share, Workspace};
+use crate::throttle::Permits;
 
 /// Retries that may come at once, over what fresh work has earned: those of one server that crashes
 /// with its places full.
@@ -201,6 +202,25 @@
         }
     }
 
+    /// Says whether a backend server has named a rate limit. From then on it is sent nothing without a
+    /// permit of [`Scheduler::permit`].
+    pub fn set_limited(&mut self, key: ids::Server, limited: bool) {
+        let Some(known) = self.servers.get_mut(key) else { return };
+        if known.permits.is_some() != limited {
+            known.permits = limited.then(Permits::default);
+            self.epoch += 1;
+        }
+    }
+
+    /// Permits so many requests to a server that has named a rate limit, for a while.
+    pub fn permit(&mut self, key: ids::Server, count: u32, now: Instant) {
+        let known = self.servers.get_mut(key);
+        if let Some(permits) = known.and_then(|known| known.permits.as_mut()) {
+            permits.add(count, now);
+            self.epoch += 1;
+        }
+    }
+
     /// Forgets a class that the settings no longer name.
     pub fn remove_class(&mut self, key: ids::Class) {
         self.classes.remove(key);
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -12,6 +12,7 @@
 use crate::ranks::Ranked;
 use crate::reading::Reading;
 use crate::terms::{Report, Server, Share};
+use crate::throttle::Permits;
 
 /// A report counts half after this time: about a third of a stream's life, by when a third of what
 /// it told of has ended.
@@ -41,6 +42,8 @@
     pub(crate) health: Health,
     pub(crate) limit: Limit,
     pub(crate) reading: Reading,
+    /// Permits to send to it, if it has named a rate limit.
+    pub(crate) permits: Option<Permits>,
     report: Option<Report>,
     /// What was sent less what ended since the report was made.
     since: i32,
@@ -63,6 +66,7 @@
             health: Health::default(),
             limit: Limit::default(),
             reading: Reading::default(),
+            permits: None,
             report: None,
             since: 0,
             recent: VecDeque::new(),
@@ -100,6 +104,11 @@
         self.sent < self.places(without)
     }
 
+    /// Whether its rate limit leaves room for one more, if it has named one.
+    pub(crate) fn permitted(&self, now: Instant) -> bool {
+        self.permits.as_ref().is_none_or(|permits| permits.any(now))
+    }
+
     /// Whether it seems to have a place, be it this node's or not, and this node holds no more than
     /// its part: one beyond it is all that a node adds to what an engine may be overrun by.
     pub(crate) fn roomy(&self, now: Instant, without: Without) -> bool {
@@ -193,6 +202,9 @@
     /// Counts a request sent.
     pub(crate) fn send(&mut self, job: ids::Job, rank: u8, now: Instant) {
         self.sent += 1;
+        if let Some(permits) = &mut self.permits {
+            permits.take(now);
+        }
         self.taken.add(rank, 1.0);
         self.jobs.push(job);
         self.change(1, now);
--- /dev/null
+++ b/components/policy/src/throttle/tests.rs
@@ -0,0 +1,91 @@
+use std::time::{Duration, Instant};
+
+use super::{GOOD, Issuer, Named, Permits, Throttle};
+
+const SERVER: u32 = 7;
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(20);
+
+fn named(rate: f64, at: Instant) -> Named {
+    Named { server: SERVER, rate: Some(rate), at }
+}
+
+/// Permits that an issuer hands to nodes which come in turn, in so many seconds.
+fn issued(rate: f64, issuers: f64, nodes: usize, seconds: u32) -> u32 {
+    let (mut issuer, start) = (Issuer::default(), Instant::now());
+    let steps = seconds * (SECOND.as_millis() / STEP.as_millis()) as u32;
+    let mut sum = 0;
+    for step in 0..=steps {
+        let permits =
+            issuer.issue([named(rate, start)].into_iter(), issuers, nodes, start + STEP * step);
+        sum += permits.iter().map(|(_, count)| count).sum::<u32>();
+    }
+    sum
+}
+
+#[test]
+fn an_issuer_hands_out_its_part() {
+    for (rate, issuers, nodes) in [(2.6, 3.0, 3), (2.6, 3.0, 98), (50.0, 3.0, 24), (0.5, 3.0, 98)] {
+        let part = rate / issuers * 60.0;
+        let sum = f64::from(issued(rate, issuers, nodes, 60));
+        assert!(sum <= part + 1.0 && sum >= part * 0.95 - 1.0, "{sum} of {part}");
+    }
+}
+
+/// Guards against a high limit that throttles.
+#[test]
+fn a_limit_of_a_million_is_handed_out_in_full() {
+    assert!(issued(1e6, 3.0, 3, 1) > 300_000);
+}
+
+/// Guards against a server whose limit is zero never being asked whether it still is.
+#[test]
+fn a_limit_of_zero_leaves_a_request_now_and_then() {
+    let sum = issued(0.0, 1.0, 3, 60);
+    assert!((10..=16).contains(&sum), "{sum} in a minute");
+}
+
+/// Guards against a rush after a time in which nobody came for permits.
+#[test]
+fn little_is_saved_up() {
+    let (mut issuer, start) = (Issuer::default(), Instant::now());
+    for (seconds, most) in [(0, 0), (3_600, 1)] {
+        let permits =
+            issuer.issue([named(2.0, start)].into_iter(), 3.0, 1, start + SECOND * seconds);
+        assert_eq!(permits.iter().map(|(_, count)| *count).sum::<u32>(), most);
+    }
+}
+
+/// Guards against permits that are used twice, or long after they were handed out.
+#[test]
+fn a_permit_is_good_once_and_for_a_while() {
+    let (mut permits, now) = (Permits::default(), Instant::now());
+    permits.add(2, now);
+    permits.take(now);
+    assert!(permits.any(now));
+    permits.take(now);
+    assert!(!permits.any(now));
+    permits.add(1, now);
+    assert!(!permits.any(now + GOOD));
+}
+
+/// Guards against nodes that tell each other the same limit for ever, each a little later.
+#[test]
+fn hearing_the_same_again_is_no_news() {
+    let (mut throttle, now) = (Throttle::default(), Instant::now());
+    throttle.learn(named(2.5, now));
+    let (_, version) = throttle.since(0);
+    throttle.learn(named(2.51, now + SECOND));
+    assert_eq!(throttle.since(version).0, []);
+    throttle.learn(named(5.0, now + SECOND * 2));
+    assert_eq!(throttle.since(version).0.len(), 1);
+}
+
+/// Guards against an old word of a limit that undoes a newer one.
+#[test]
+fn the_newest_word_of_a_server_holds() {
+    let (mut throttle, now) = (Throttle::default(), Instant::now());
+    throttle.learn(Named { server: SERVER, rate: None, at: now + SECOND });
+    throttle.learn(named(2.5, now));
+    assert_eq!(throttle.rate(SERVER), None);
+}
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -43,6 +43,12 @@
         /// Version up to which the node knows those of the seed.
         #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
         pub suspects_known: u64,
+        /// Rate limits that servers named, as far as the seed may not know of them.
+        #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+        pub limits: Vec<Limit>,
+        /// Version up to which the node knows those of the seed.
+        #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
+        pub limits_known: u64,
     }
 
     /// What changed in a seed's table since the position that was asked for.
@@ -75,6 +81,28 @@
         /// Version up to which it tells of those.
         #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
         pub suspects_at: u64,
+        /// Rate limits that servers named, as far as the node may not know of them.
+        #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+        pub limits: Vec<Limit>,
+        /// Version up to which it tells of those.
+        #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
+        pub limits_at: u64,
+        /// Requests that the node may send to servers with a limit: the key of the server's name, and how
+        /// many.
+        #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+        pub permits: Vec<(u32, u32)>,
+    }
+
+    /// A rate limit that a server named. An array on the wire.
+    #[derive(Copy, Eq, Serialize, Deserialize)]
+    #[serde(from = "LimitRow", into = "LimitRow")]
+    pub struct Limit {
+        /// Key of the server's name, as by [`crate::key`].
+        pub server: u32,
+        /// Requests in 1,000 seconds that it takes from all nodes; none if it no longer names a limit.
+        pub rate: Option<u32>,
+        /// Milliseconds since a node heard so.
+        pub age_ms: u32,
     }
 
     /// A request that servers crashed under. An array on the wire.
@@ -120,6 +148,19 @@
 
 type SuspectRow = (u64, Vec<Crash>, Option<u32>);
 type CrashRow = (u32, u32, u32);
+type LimitRow = (u32, Option<u32>, u32);
+
+impl From<LimitRow> for Limit {
+    fn from((server, rate, age_ms): LimitRow) -> Self {
+        Limit { server, rate, age_ms }
+    }
+}
+
+impl From<Limit> for LimitRow {
+    fn from(limit: Limit) -> Self {
+        (limit.server, limit.rate, limit.age_ms)
+    }
+}
 
 impl From<SuspectRow> for Suspect {
     fn from((content, crashes, completed_ms): SuspectRow) -> Self {
