The soak crashes servers under a marked body, and has one that names a rate limit

Beside all other faults a request that crashes servers comes to any node; once faults are over, at most three more servers may end under it, and the limited server gets no more than is allowed.

--- /dev/null
+++ b/tests/soak/brittle.rs
@@ -0,0 +1,110 @@
+//! Servers that crash under a marked body and are started again, and that name a rate limit.
+
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+use fakes::{Raw, Step};
+
+use crate::site::store::Store;
+use crate::site::{HEAD, ID, KEY, runner};
+
+/// Service and route of these servers.
+const SERVICE: &str = "brittle";
+pub const ROUTE: &str = r#",
+{"name":"brittle","host":"desk.example","pathPrefix":"/brittle/","kind":"non_idempotent","timeoutMs":4000,"targetLatencyMs":200,"priority":1,"service":"brittle","maxAttempts":1}"#;
+/// Body of the request that crashes them.
+const POISON: &str = "poison";
+const SERVERS: usize = 4;
+/// Requests a second that the first of them takes, and the most in some seconds.
+const LIMIT: f64 = 2.0;
+const WINDOW: Duration = Duration::from_secs(4);
+/// Servers that one request may crash.
+const CRASHES: usize = 3;
+
+/// A server, and the start of it.
+struct Server {
+    raw: Raw,
+    start: usize,
+}
+
+/// The servers of the service.
+pub struct Brittle {
+    servers: RefCell<Vec<Server>>,
+    starts: Cell<usize>,
+    crashes: Cell<usize>,
+    /// When the limited server got requests.
+    arrivals: std::rc::Rc<RefCell<Vec<Instant>>>,
+}
+
+/// A request to them.
+pub fn request(id: &str, poison: bool) -> String {
+    let body = if poison { POISON } else { id };
+    format!(
+        "POST /brittle/a HTTP/1.1\r\nhost: desk.example\r\n{ID}: {id}\r\nx-deadline-ms: 4000\r\n\
+         api-key: {KEY}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+impl Brittle {
+    pub async fn start(store: &Store) -> Self {
+        let brittle = Brittle {
+            servers: RefCell::default(),
+            starts: Cell::new(0),
+            crashes: Cell::new(0),
+            arrivals: Default::default(),
+        };
+        for index in 0..SERVERS {
+            brittle.add(store, index == 0).await;
+        }
+        brittle
+    }
+
+    async fn add(&self, store: &Store, limited: bool) {
+        let start = self.starts.replace(self.starts.get() + 1);
+        let arrivals = self.arrivals.clone();
+        let limit = if limited { format!("server-limit: {LIMIT}\r\n") } else { String::new() };
+        let answer = format!("{HEAD}{limit}content-length: 6\r\n\r\nbooked");
+        let raw = Raw::named(ID, move |_| {
+            if limited {
+                arrivals.borrow_mut().push(Instant::now());
+            }
+            vec![Step::Run, Step::CrashAt(POISON.to_string()), Step::Write(answer.clone())]
+        });
+        let raw = raw.await.unwrap();
+        let text = runner(&raw.address(), "ready").replace("\"plain\"", &format!("\"{SERVICE}\""));
+        store.put(&format!("servers/b-{start}"), &text);
+        self.servers.borrow_mut().push(Server { raw, start });
+    }
+
+    /// Starts those that crashed again, under new names.
+    pub async fn restart(&self, store: &Store) {
+        let crashed = |server: &Server| server.raw.crashed();
+        let gone: Vec<_> =
+            self.servers.borrow_mut().extract_if(.., |server| crashed(server)).collect();
+        for Server { start, .. } in gone {
+            self.crashes.set(self.crashes.get() + 1);
+            store.delete(&format!("servers/b-{start}"));
+            self.add(store, start == 0).await;
+        }
+    }
+
+    /// Crashes so far.
+    pub fn crashes(&self) -> usize {
+        self.crashes.get()
+    }
+
+    /// Checks what a request crashed since there were `before` crashes, and what the limited server got since
+    /// a time.
+    pub fn check(&self, before: usize, since: Instant) {
+        let crashes = self.crashes.get() - before;
+        assert!(crashes <= CRASHES, "one request crashed {crashes} servers");
+        let arrivals = self.arrivals.borrow();
+        let allowed = 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0;
+        for end in arrivals.iter().filter(|end| **end >= since) {
+            let window = arrivals.iter().filter(|at| *at <= end && *end < **at + WINDOW);
+            let count = window.filter(|at| **at >= since).count();
+            assert!(count as f64 <= allowed, "{count} requests in {WINDOW:?}, {allowed} allowed");
+        }
+    }
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,6 +5,7 @@
 //! A seed sets what happens; when exactly depends on the machine, and no check depends on that.
 //! `SOAK_SEEDS=50 cargo test --release --test soak -- --ignored --nocapture` plays many.
 
+mod brittle;
 mod nodes;
 #[path = "../../platform/tests/site/mod.rs"]
 mod site;
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::brittle::{self, Brittle};
 use crate::nodes::Node;
 use crate::site::store::{Mood, Store};
 use crate::site::{
@@ -24,6 +25,11 @@
 const REVOCATION: Duration = Duration::from_millis(5_050);
 /// A caller gives up after this.
 const PATIENCE: Duration = Duration::from_secs(6);
+/// Time in which nodes that are well know what the others know.
+const SETTLED: Duration = Duration::from_secs(3);
+/// Requests to servers that crash, and the pause between them.
+const HELD: usize = 96;
+const PACE: Duration = Duration::from_millis(50);
 /// After the last fault, nodes and servers have this long to be well again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -40,6 +46,7 @@
     seed: u64,
     store: Store,
     servers: Vec<Raw>,
+    brittle: Brittle,
     /// Ways of the nodes to the store, and of all nodes to the servers.
     links: Vec<Link>,
     nodes: Vec<Node>,
@@ -57,7 +64,7 @@
             line.to_string()
         }
     };
-    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n")
+    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n") + brittle::ROUTE
 }
 
 /// What a server does with a request: mostly what it should.
@@ -102,6 +109,7 @@
         let world = World {
             seed,
             nodes: Node::fleet(seed, &stores),
+            brittle: Brittle::start(&store).await,
             store,
             servers,
             links,
@@ -192,7 +200,22 @@
     /// Callers send all the while, each its requests one after the other.
     pub async fn callers(&self, time: Duration) {
         let callers = (0..CALLERS).map(|number| self.caller(number, time));
-        futures_util::future::join_all(callers).await;
+        let poison = self.poison(time);
+        tokio::join!(futures_util::future::join_all(callers), poison);
+    }
+
+    /// A request that crashes servers comes again and again, at any node, beside others to the same servers.
+    async fn poison(&self, time: Duration) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ 2);
+        let (start, mut count) = (Instant::now(), 0);
+        while start.elapsed() < time {
+            count += 1;
+            let callers = self.nodes[rng.random_range(0..NODES)].callers;
+            let text = brittle::request(&format!("{}-b{count}", self.seed), count % 8 == 0);
+            let _ = tokio::time::timeout(PATIENCE, exchange(callers, &text)).await;
+            self.brittle.restart(&self.store).await;
+            tokio::time::sleep(Duration::from_millis(rng.random_range(1..80))).await;
+        }
     }
 
     async fn caller(&self, number: usize, time: Duration) {
@@ -224,6 +247,7 @@
     /// Checks what was promised; returns what callers were told, in numbers.
     pub async fn check(&self) -> String {
         self.recovers().await;
+        self.holds_back().await;
         let sent = self.sent.borrow();
         let (mut whole, mut refused) = (0, 0);
         for request in sent.iter() {
@@ -247,6 +271,20 @@
         format!("{} requests, {whole} whole, {refused} refused", sent.len())
     }
 
+    /// Once all faults are over, nodes together hold back what crashes servers, and keep to a server's limit.
+    async fn holds_back(&self) {
+        tokio::time::sleep(SETTLED).await;
+        let (before, since) = (self.brittle.crashes(), Instant::now());
+        for count in 0..HELD {
+            let callers = self.nodes[count % NODES].callers;
+            let text = brittle::request(&format!("{}-h{count}", self.seed), count % 6 == 0);
+            let _ = tokio::time::timeout(PATIENCE, exchange(callers, &text)).await;
+            self.brittle.restart(&self.store).await;
+            tokio::time::sleep(PACE).await;
+        }
+        self.brittle.check(before, since);
+    }
+
     /// Once all faults are over, requests are served again at every node.
     async fn recovers(&self) {
         let ends = Instant::now() + RECOVERY;
