--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -28,8 +28,8 @@
 /// Time in which nodes that are well know what the others know.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Requests to servers that crash, and the pause between them.
-const HELD: usize = 96;
-const PACE: Duration = Duration::from_millis(50);
+const HELD: usize = 240;
+const PACE: Duration = Duration::from_millis(20);
 /// After the last fault, nodes and servers have this long to be well again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -277,7 +277,7 @@
         let (before, since) = (self.brittle.crashes(), Instant::now());
         for count in 0..HELD {
             let callers = self.nodes[count % NODES].callers;
-            let text = brittle::request(&format!("{}-h{count}", self.seed), count % 6 == 0);
+            let text = brittle::request(&format!("{}-h{count}", self.seed), count % 15 == 0);
             let _ = tokio::time::timeout(PATIENCE, exchange(callers, &text)).await;
             self.brittle.restart(&self.store).await;
             tokio::time::sleep(PACE).await;
