Names of the exchange by the field's terms; rows of gossip by the macro that the others use

No behaviour changes: reported and received in place of told and heard, a server that was sent to is a target, and the two new rows drop their hand-written conversions. The bytes on the wire stay the same.

--- a/components/forward/src/gossip/cursor.rs
+++ b/components/forward/src/gossip/cursor.rs
@@ -1,43 +1,44 @@
-//! How far a node and one start of a seed know each other's versions of something.
+//! How far a node and one start of a seed have exchanged something that has versions.
 
-/// Versions up to which each of the two knows what the other has.
+/// Versions up to which each side has received what the other has.
 #[derive(Debug, Default)]
 pub(super) struct Cursor {
     /// Random number of the seed's process.
     boot: Option<u32>,
-    told: u64,
-    telling: u64,
-    known: u64,
+    reported: u64,
+    reporting: u64,
+    received: u64,
 }
 
 impl Cursor {
-    /// Version of the node's own up to which the seed knows it.
-    pub(super) fn told(&self) -> u64 {
-        self.told
+    /// Version of the node's own up to which the seed has acknowledged it.
+    pub(super) fn reported(&self) -> u64 {
+        self.reported
     }
 
-    /// Version of the seed's up to which the node knows it.
-    pub(super) fn known(&self) -> u64 {
-        self.known
+    /// Version of the seed's up to which the node has received it.
+    pub(super) fn received(&self) -> u64 {
+        self.received
     }
 
-    /// The next report tells up to a version.
-    pub(super) fn tell(&mut self, version: u64) {
-        self.telling = version;
+    /// The report under way goes up to a version.
+    pub(super) fn report(&mut self, version: u64) {
+        self.reporting = version;
     }
 
-    /// The report was answered, up to a version of the seed's. A seed that has started anew knows nothing.
+    /// The report was answered, up to a version of the seed's. A seed that has started anew has nothing of
+    /// what was reported before.
     pub(super) fn answered(&mut self, boot: u32, version: u64) {
         let before = self.boot.replace(boot);
         let anew = before.is_some_and(|before| before != boot);
-        self.told = if anew { 0 } else { self.telling };
-        self.known = version;
+        self.reported = if anew { 0 } else { self.reporting };
+        self.received = version;
     }
 
-    /// What the seed answered took the node's own from one version to another, and needn't go back to it.
+    /// The seed's answer took the node's own from one version to another, which needn't be reported back.
     pub(super) fn learned(&mut self, from: u64, to: u64) {
-        if self.told == from {
-            self.told = to;
+        if self.reported == from {
+            self.reported = to;
         }
     }
 }
--- a/components/forward/src/gossip/limits.rs
+++ b/components/forward/src/gossip/limits.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other of rate limits that servers name, and the permits that seeds hand out.
+//! Exchange of the rate limits that servers name, and the permits that seeds hand out.
 
 use std::time::{Duration, Instant};
 
@@ -11,15 +11,15 @@
 use crate::site::Site;
 use crate::state::State;
 
-/// Limits are told as requests in so many seconds, in whole numbers.
+/// Limits are reported as requests in so many seconds, in whole numbers.
 const RATE_SECONDS: f64 = 1_000.0;
 
 /// Adds to a report what the seed may not know, and asks for the rest.
 pub(super) fn report<S: Site>(state: &State<S>, cursor: &mut Cursor, report: Report) -> Report {
-    let (named, version) = state.limits.throttle.borrow().since(cursor.told());
-    cursor.tell(version);
-    let limits = told(&named, state.clock.now());
-    Report { limits, limits_known: cursor.known(), ..report }
+    let (named, version) = state.limits.throttle.borrow().since(cursor.reported());
+    cursor.report(version);
+    let limits = to_wire(&named, state.clock.now());
+    Report { limits, limits_known: cursor.received(), ..report }
 }
 
 /// Takes in a seed's answer, with the permits in it.
@@ -31,7 +31,7 @@
     let now = state.clock.now();
     cursor.answered(summary.at.boot, summary.limits_at);
     let before = state.limits.throttle.borrow().version();
-    limits::learn(state, summary.limits.iter().filter_map(|limit| heard(limit, now)));
+    limits::learn(state, summary.limits.iter().filter_map(|limit| from_wire(limit, now)));
     cursor.learned(before, state.limits.throttle.borrow().version());
     limits::permit(state, &summary.permits);
 }
@@ -46,14 +46,14 @@
     permits: Vec<(u32, u32)>,
 ) -> Summary {
     let now = state.clock.now();
-    limits::learn(state, reported.iter().filter_map(|limit| heard(limit, now)));
+    limits::learn(state, reported.iter().filter_map(|limit| from_wire(limit, now)));
     let known = at.filter(|at| at.boot == summary.at.boot).map_or(0, |_| known);
     let (named, limits_at) = state.limits.throttle.borrow().since(known);
-    Summary { limits: told(&named, now), limits_at, permits, ..summary }
+    Summary { limits: to_wire(&named, now), limits_at, permits, ..summary }
 }
 
 /// Limits as they go to other nodes: their clocks differ, so times are ages.
-fn told(named: &[Named], now: Instant) -> Vec<Limit> {
+fn to_wire(named: &[Named], now: Instant) -> Vec<Limit> {
     let limit = |named: &Named| {
         let age = now.saturating_duration_since(named.at).as_millis();
         Limit {
@@ -65,8 +65,8 @@
     named.iter().map(limit).collect()
 }
 
-/// What another node heard; none if it is older than this node's clock can tell.
-fn heard(limit: &Limit, now: Instant) -> Option<Named> {
+/// A limit that another node received; none if it is older than this node's clock can tell.
+fn from_wire(limit: &Limit, now: Instant) -> Option<Named> {
     let at = now.checked_sub(Duration::from_millis(limit.age_ms.into()))?;
     let rate = limit.rate.map(|rate| f64::from(rate) / RATE_SECONDS);
     Some(Named { server: limit.server, rate, at })
--- a/components/forward/src/gossip/suspects.rs
+++ b/components/forward/src/gossip/suspects.rs
@@ -1,7 +1,7 @@
-//! What nodes tell each other of requests that servers crashed under.
+//! Exchange of the evidence against requests that servers crashed under.
 //!
-//! A request that is held back at one node alone comes to the next. Nodes tell their seed of each suspicion,
-//! and are told of those that two crashes support: one crash is no reason to hold anything back, and a loss of
+//! A request that is held back at one node alone comes to the next. Nodes report each suspicion to their seed,
+//! which passes on those that two crashes support: one crash is no reason to hold anything back, and a loss of
 //! many servers makes hundreds of them.
 
 use std::time::{Duration, Instant};
@@ -14,16 +14,16 @@
 use crate::site::Site;
 use crate::state::State;
 
-/// Crashes from which on nodes are told of a request.
-const TOLD_NODES: usize = 2;
+/// Crashes from which on a suspicion is passed on to nodes.
+const NODE_THRESHOLD: usize = 2;
 
 /// Adds to a report what the seed may not know, and asks for the rest.
 pub(super) fn report<S: Site>(state: &State<S>, cursor: &mut Cursor, report: Report) -> Report {
     let (now, quarantine) = (state.clock.now(), state.crashes.quarantine.borrow());
-    let (evidence, version) = quarantine.since(cursor.told(), 1);
-    cursor.tell(version);
-    let suspects = evidence.iter().map(|evidence| told(evidence, now)).collect();
-    Report { suspects, suspects_known: cursor.known(), ..report }
+    let (evidence, version) = quarantine.since(cursor.reported(), 1);
+    cursor.report(version);
+    let suspects = evidence.iter().map(|evidence| to_wire(evidence, now)).collect();
+    Report { suspects, suspects_known: cursor.received(), ..report }
 }
 
 /// Takes in a seed's answer.
@@ -47,22 +47,22 @@
     let mut quarantine = state.crashes.quarantine.borrow_mut();
     learn(&mut quarantine, suspects, now);
     let known = at.filter(|at| at.boot == summary.at.boot).map_or(0, |_| known);
-    let least = if from_seed { 1 } else { TOLD_NODES };
+    let least = if from_seed { 1 } else { NODE_THRESHOLD };
     let (evidence, suspects_at) = quarantine.since(known, least);
-    let suspects = evidence.iter().map(|evidence| told(evidence, now)).collect();
+    let suspects = evidence.iter().map(|evidence| to_wire(evidence, now)).collect();
     Summary { suspects, suspects_at, ..summary }
 }
 
 fn learn(quarantine: &mut Quarantine, suspects: &[Suspect], now: Instant) {
     for suspect in suspects {
-        if let Some(evidence) = heard(suspect, now) {
+        if let Some(evidence) = from_wire(suspect, now) {
             quarantine.learn(evidence, now);
         }
     }
 }
 
 /// Evidence as it goes to other nodes: their clocks differ, so times are ages.
-fn told(evidence: &Evidence, now: Instant) -> Suspect {
+fn to_wire(evidence: &Evidence, now: Instant) -> Suspect {
     let age = |at: Instant| {
         let age = now.saturating_duration_since(at).as_millis();
         u32::try_from(age).unwrap_or(u32::MAX)
@@ -80,7 +80,7 @@
 }
 
 /// Evidence from another node; none if it is older than this node's clock can tell.
-fn heard(suspect: &Suspect, now: Instant) -> Option<Evidence> {
+fn from_wire(suspect: &Suspect, now: Instant) -> Option<Evidence> {
     let at = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
     let crash = |crash: &gossip::Crash| {
         let (sent, at) = (at(crash.sent_ms)?, at(crash.crashed_ms)?);
--- a/components/forward/src/limits.rs
+++ b/components/forward/src/limits.rs
@@ -1,4 +1,4 @@
-//! Rate limits that servers name in their answers: what this node heard, and the permits it may use.
+//! Rate limits that servers name in their answers: what this node knows of them, and its permits.
 //!
 //! Seeds hand out the permits (`gossip`). A node that no seed answers makes do with a small part of its own.
 
@@ -17,7 +17,7 @@
 const ALONE: Duration = Duration::from_secs(2);
 /// Part of a limit that nodes without a seed use together at most, beside what seeds hand out.
 const ALONE_PART: f64 = 0.5;
-/// Nodes of a fleet whose size was never heard of.
+/// Nodes of a fleet whose size isn't known.
 const UNKNOWN_FLEET: u32 = 100;
 
 /// Limits that servers have named, and this node's part in keeping to them.
@@ -62,7 +62,7 @@
     }
 }
 
-/// Takes in what other nodes heard of servers that are listed.
+/// Takes in what other nodes know of servers that are listed.
 pub(crate) fn learn<S: Site>(state: &State<S>, named: impl Iterator<Item = Named>) {
     let before = state.limits.throttle.borrow().version();
     for named in named.filter(|named| state.names.borrow().keyed(named.server).is_some()) {
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -9,7 +9,7 @@
 use clock::Clock;
 use life::{Outcome, Reason, Sending, Waiting};
 use policy::{Ending, Expected, Refusal};
-use turns::{Place, Refused, Suspect};
+use turns::{Place, Refused, Target};
 
 use crate::answer::{Answer, Error};
 use crate::attempt::{self, Start, Trouble, Whole};
@@ -202,7 +202,7 @@
         match trouble {
             Trouble::Failed(_) => self.state.crashes.completed(self.job.content),
             Trouble::Lost(_) if self.stays(name) => {
-                self.state.crashes.lost(suspect(server), self.job.content, self.sent);
+                self.state.crashes.lost(target(server), self.job.content, self.sent);
             }
             _ => {}
         }
@@ -310,9 +310,9 @@
 }
 
 /// A server as it is known if it crashes: one that starts again under its name is another.
-fn suspect(server: &Entry) -> Suspect {
+fn target(server: &Entry) -> Target {
     let start = format!("{} {}", server.name, server.started.unwrap_or_default());
-    Suspect { start: Some(wire::key(&start)), address: server.address.clone() }
+    Target { start: Some(wire::key(&start)), address: server.address.clone() }
 }
 
 /// A request whose caller went away is dropped wherever it stands.
--- a/components/policy/src/throttle.rs
+++ b/components/policy/src/throttle.rs
@@ -19,7 +19,7 @@
 const SAVED: Duration = Duration::from_millis(300);
 /// Requests a second that a server gets however little it takes, so that the end of its limit is seen.
 const LEAST: f64 = 0.25;
-/// Change of a limit, as a part of it, that other nodes are told of.
+/// Change of a limit, as a part of it, that is passed on to other nodes.
 const NOTICEABLE: f64 = 0.05;
 
 derives::data! {
@@ -30,7 +30,7 @@
         pub server: u32,
         /// Requests a second that it takes from all nodes; none if it no longer names a limit.
         pub rate: Option<f64>,
-        /// When a node last heard so.
+        /// When a node last received that.
         pub at: Instant,
     }
 }
@@ -44,7 +44,7 @@
 
 impl Throttle {
     /// Takes in the head of an answer to a request that was sent at a time. One that names no limit ends an
-    /// earlier one only if the request was sent after that was heard of: else it may have been made before.
+    /// earlier one only if the request was sent after that was received: else it may have been made before.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
@@ -54,7 +54,7 @@
     /// throttle.answered(7, Some(2.5), start, start + second);
     /// assert_eq!(throttle.rate(7), Some(2.5));
     /// throttle.answered(7, None, start, start + second * 2);
-    /// assert_eq!(throttle.rate(7), Some(2.5), "it was sent before the limit was heard of");
+    /// assert_eq!(throttle.rate(7), Some(2.5), "it was sent before the limit was received");
     /// throttle.answered(7, None, start + second * 2, start + second * 3);
     /// assert_eq!(throttle.rate(7), None);
     /// ```
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Takes in what another node heard.
+    /// Takes in what another node received.
     pub fn learn(&mut self, news: Named) {
         let Some((known, version)) = self.named.get_mut(&news.server) else {
             self.version += 1;
--- a/components/router/src/place.rs
+++ b/components/router/src/place.rs
@@ -7,7 +7,7 @@
 use policy::Ending;
 use settings::Server;
 pub(crate) use turns::Refused;
-use turns::Suspect;
+use turns::Target;
 
 use crate::relay::Parcel;
 use crate::state::State;
@@ -60,7 +60,7 @@
         if self.state.leaving.borrow().contains(address) {
             return;
         }
-        let server = Suspect { start: None, address: address.to_string() };
+        let server = Target { start: None, address: address.to_string() };
         self.state.crashes.lost(server, self.content, self.sent);
     }
 
--- a/components/turns/src/crashes.rs
+++ b/components/turns/src/crashes.rs
@@ -23,7 +23,7 @@
 
 /// A server as it was when a request was sent to it.
 #[derive(Clone, Debug)]
-pub struct Suspect {
+pub struct Target {
     /// Key of this start of it, the same at all nodes; none if its starts can't be told apart.
     pub start: Option<u32>,
     /// IP number and port.
@@ -61,7 +61,7 @@
 
     /// Takes in that the connection of a request, which was sent at a time, ended early. Asks its server
     /// whether it has crashed.
-    pub fn lost(self: &Rc<Self>, server: Suspect, content: u64, sent: Instant) {
+    pub fn lost(self: &Rc<Self>, server: Target, content: u64, sent: Instant) {
         let mut asked = self.asked.borrow_mut();
         let first = !asked.contains_key(&server.address);
         let lost = Lost { content, sent, at: self.clock.now() };
@@ -71,7 +71,7 @@
         }
     }
 
-    async fn ask(self: Rc<Self>, server: Suspect) {
+    async fn ask(self: Rc<Self>, server: Target) {
         tokio::time::sleep(SETTLE).await;
         let answer = Link::connect(&server.address, CONNECT).await;
         let refused = answer.is_err_and(|cause| cause.kind() == ErrorKind::ConnectionRefused);
--- a/components/turns/src/lib.rs
+++ b/components/turns/src/lib.rs
@@ -14,7 +14,7 @@
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, oneshot};
 
-pub use crashes::{Crashes, Suspect};
+pub use crashes::{Crashes, Target};
 pub use fingerprint::fingerprint;
 pub use place::{Place, Refused};
 
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -93,18 +93,6 @@
         pub permits: Vec<(u32, u32)>,
     }
 
-    /// A rate limit that a server named. An array on the wire.
-    #[derive(Copy, Eq, Serialize, Deserialize)]
-    #[serde(from = "LimitRow", into = "LimitRow")]
-    pub struct Limit {
-        /// Key of the server's name, as by [`crate::key`].
-        pub server: u32,
-        /// Requests in 1,000 seconds that it takes from all nodes; none if it no longer names a limit.
-        pub rate: Option<u32>,
-        /// Milliseconds since a node heard so.
-        pub age_ms: u32,
-    }
-
     /// A request that servers crashed under. An array on the wire.
     #[derive(Default, Eq, Serialize, Deserialize)]
     #[serde(from = "SuspectRow", into = "SuspectRow")]
@@ -117,18 +105,6 @@
         pub completed_ms: Option<u32>,
     }
 
-    /// A server crashed while it ran a request. An array on the wire.
-    #[derive(Copy, Eq, Serialize, Deserialize)]
-    #[serde(from = "CrashRow", into = "CrashRow")]
-    pub struct Crash {
-        /// Key of this start of the server, as by [`crate::key`].
-        pub server: u32,
-        /// Milliseconds since the request was sent to it.
-        pub sent_ms: u32,
-        /// Milliseconds since it crashed.
-        pub crashed_ms: u32,
-    }
-
     /// Prompts at one engine. An array on the wire, as there are many of them.
     #[derive(Default, Eq, Serialize, Deserialize)]
     #[serde(from = "Row", into = "Row")]
@@ -146,22 +122,32 @@
     }
 }
 
-type SuspectRow = (u64, Vec<Crash>, Option<u32>);
-type CrashRow = (u32, u32, u32);
-type LimitRow = (u32, Option<u32>, u32);
-
-impl From<LimitRow> for Limit {
-    fn from((server, rate, age_ms): LimitRow) -> Self {
-        Limit { server, rate, age_ms }
+row! {
+    /// A server crashed while it ran a request.
+    pub struct Crash {
+        /// Key of this start of the server, as by [`crate::key`].
+        pub server: u32,
+        /// Milliseconds since the request was sent to it.
+        pub sent_ms: u32,
+        /// Milliseconds since it crashed.
+        pub crashed_ms: u32,
     }
 }
 
-impl From<Limit> for LimitRow {
-    fn from(limit: Limit) -> Self {
-        (limit.server, limit.rate, limit.age_ms)
+row! {
+    /// A rate limit that a server named.
+    pub struct Limit {
+        /// Key of the server's name, as by [`crate::key`].
+        pub server: u32,
+        /// Requests in 1,000 seconds that it takes from all nodes; none if it no longer names a limit.
+        pub rate: Option<u32>,
+        /// Milliseconds since a node received that.
+        pub age_ms: u32,
     }
 }
 
+type SuspectRow = (u64, Vec<Crash>, Option<u32>);
+
 impl From<SuspectRow> for Suspect {
     fn from((content, crashes, completed_ms): SuspectRow) -> Self {
         Suspect { content, crashes, completed_ms }
@@ -174,18 +160,6 @@
     }
 }
 
-impl From<CrashRow> for Crash {
-    fn from((server, sent_ms, crashed_ms): CrashRow) -> Self {
-        Crash { server, sent_ms, crashed_ms }
-    }
-}
-
-impl From<Crash> for CrashRow {
-    fn from(crash: Crash) -> Self {
-        (crash.server, crash.sent_ms, crash.crashed_ms)
-    }
-}
-
 fn is_zero(number: &u64) -> bool {
     *number == 0
 }
