--- a/tests/soak/brittle.rs
+++ b/tests/soak/brittle.rs
@@ -6,12 +6,10 @@
 use fakes::{Raw, Step};
 
 use crate::site::store::Store;
-use crate::site::{HEAD, ID, KEY, runner};
+use crate::site::{BRITTLE_PATH, HEAD, ID, post, runner};
 
-/// Service and route of these servers.
+/// Service of these servers.
 const SERVICE: &str = "brittle";
-pub const ROUTE: &str = r#",
-{"name":"brittle","host":"desk.example","pathPrefix":"/brittle/","kind":"non_idempotent","timeoutMs":4000,"targetLatencyMs":200,"priority":1,"service":"brittle","maxAttempts":1}"#;
 /// Body of the request that crashes them.
 const POISON: &str = "poison";
 const SERVERS: usize = 4;
@@ -38,12 +36,7 @@
 
 /// A request to them.
 pub fn request(id: &str, poison: bool) -> String {
-    let body = if poison { POISON } else { id };
-    format!(
-        "POST /brittle/a HTTP/1.1\r\nhost: desk.example\r\n{ID}: {id}\r\nx-deadline-ms: 4000\r\n\
-         api-key: {KEY}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        body.len()
-    )
+    post(BRITTLE_PATH, id, if poison { POISON } else { id })
 }
 
 impl Brittle {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -14,7 +14,7 @@
 use crate::nodes::Node;
 use crate::site::store::{Mood, Store};
 use crate::site::{
-    CONFIGURATION, ID, KEY, KINDS, Kind, ROUTES, Told, answer, configuration, runner,
+    BRITTLE_ROUTE, CONFIGURATION, ID, KEY, KINDS, Kind, ROUTES, Told, answer, configuration, runner,
 };
 
 const NODES: usize = 4;
@@ -64,7 +64,7 @@
             line.to_string()
         }
     };
-    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n") + brittle::ROUTE
+    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n") + BRITTLE_ROUTE
 }
 
 /// What a server does with a request: mostly what it should.
