catalog: allowed regions, cold servers and their statements

Routes and workspaces name the regions in which they may be served; where both do, both bind. A service says for how long its servers are cold after a start and what they tolerate meanwhile, an entry how much longer its server is cold.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod freshness;
 mod membership;
+mod residency;
 mod route;
 mod settings;
 
 pub use freshness::Freshness;
 pub use membership::{Change, Entry, Membership};
-pub use route::{Kind, RequestLimits, Route, Service, Split, Workspace};
+pub use residency::Residency;
+pub use route::{Cold, Kind, RequestLimits, Route, Service, Split, Workspace};
 pub use settings::{Denied, Match, Settings};
--- a/components/catalog/src/membership.rs
+++ b/components/catalog/src/membership.rs
@@ -37,6 +37,9 @@
         pub models: Vec<String>,
         /// Start time by its own clock; differs between two starts under one name.
         pub started: Option<u64>,
+        /// How much longer the server is cold, by its own word when it wrote the entry; `None` if it
+        /// doesn't say.
+        pub cold: Option<Duration>,
     }
 
     /// A change of one server in the list.
--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use crate::residency::Residency;
+
 /// Tiers that are distinguished of a route and of a workspace; lower tiers count as the last of them.
 /// Engines have ten priorities, enough for three tiers of routes times three of workspaces.
 const TIERS: u8 = 3;
@@ -55,6 +57,8 @@
         pub max_attempts: u8,
         /// Requests need no API key.
         pub public: bool,
+        /// Regions in which its requests may be served.
+        pub residency: Residency,
     }
 
     /// A group of interchangeable backend servers.
@@ -66,6 +70,17 @@
         /// Prompt tokens per second whose cached state one engine can fetch from another; `None` if its
         /// engines can't.
         pub fetch_tokens_per_second: Option<f64>,
+        /// What its servers withstand while they are cold; `None` if they are never cold.
+        pub cold: Option<Cold>,
+    }
+
+    /// What a server withstands that was started a short time ago.
+    #[derive(Copy)]
+    pub struct Cold {
+        /// Time after its start for which a server is cold.
+        pub time: Duration,
+        /// Requests per second that it tolerates in that time, from all nodes together.
+        pub requests_per_second: f64,
     }
 
     /// A workspace that callers belong to.
@@ -74,6 +89,8 @@
         pub name: String,
         /// Tier of its requests; 0 is the highest. The route's tier applies if it is `None`.
         pub tier: Option<u8>,
+        /// Regions in which its requests may be served.
+        pub residency: Residency,
     }
 
     /// Limits on the size of a request and on the time to send it.
--- a/components/catalog/src/settings.rs
+++ b/components/catalog/src/settings.rs
@@ -5,6 +5,7 @@
 
 use sha2::{Digest, Sha256};
 
+use crate::residency::Residency;
 use crate::route::{RequestLimits, Route, Service, Workspace};
 
 /// SHA-256 of an API key, so that neither the duration of a lookup nor a memory dump reveals a key.
@@ -115,6 +116,13 @@
         self.route.priority_for(self.workspace_tier())
     }
 
+    /// Regions in which the request may be served: those that both its route and its workspace allow.
+    pub fn residency(&self) -> Residency {
+        let route = &self.route.residency;
+        let workspace = self.workspace.as_ref().map(|workspace| &workspace.residency);
+        workspace.map_or_else(|| route.clone(), |workspace| route.intersect(workspace))
+    }
+
     /// The workspace's own tier, or the route's if it has none.
     pub fn workspace_tier(&self) -> u8 {
         let own = self.workspace.as_ref().and_then(|workspace| workspace.tier);
--- a/components/catalog/tests/membership.rs
+++ b/components/catalog/tests/membership.rs
@@ -15,6 +15,7 @@
         engine: false,
         models: vec![],
         started: None,
+        cold: None,
     })
 }
 
--- a/components/catalog/tests/settings.rs
+++ b/components/catalog/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use catalog::{Denied, Kind, RequestLimits, Route, Settings, Split, Workspace};
+use catalog::{Denied, Kind, RequestLimits, Residency, Route, Settings, Split, Workspace};
 
 fn route(name: &str, prefix: &str, tier: u8) -> Route {
     Route {
@@ -17,6 +17,7 @@
         split: vec![Split { service: "a".to_string(), weight: 1 }],
         max_attempts: 1,
         public: name == "open",
+        residency: Residency::default(),
     }
 }
 
@@ -27,7 +28,11 @@
         head_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(1),
     };
-    let workspace = |name: &str, tier| Workspace { name: name.to_string(), tier };
+    let workspace = |name: &str, tier| Workspace {
+        name: name.to_string(),
+        tier,
+        residency: Residency::default(),
+    };
     let workspaces = vec![
         (workspace("choir", Some(1)), vec!["k1".to_string(), "k2".to_string()]),
         (workspace("radio", Some(0)), vec!["k3".to_string()]),
