policy: pools by allowed regions, permits for cold servers, evacuated domains

Cause: nothing filtered servers by region, and every node sent what it liked to a server that had just started. A pool now holds only servers in the regions that its requests may use, so each choice (attempt, retry, preferred engine, source of a copied prefix) is made among them.

--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -1,7 +1,7 @@
 //! Submits a request to the scheduler and follows it until its end.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use clock::Clock;
 use policy::{Action, Ending, Expected, Policy, Refusal};
@@ -82,6 +82,11 @@
         self.driver.scheduler.borrow().estimates(self.job)
     }
 
+    /// Until when the attempt must be sent; none if its server isn't cold.
+    pub fn send_by(&self) -> Option<Instant> {
+        self.driver.scheduler.borrow().send_by(self.job)
+    }
+
     /// Waits until the scheduler stops the attempt; never returns if it doesn't.
     pub async fn wait_for_stop(&mut self) {
         if let Some(receiver) = &mut self.stop_receiver
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -183,9 +183,11 @@
             slots: SLOTS,
             models: vec![keys.model],
             leaving: false,
+            evacuated: false,
             resumes: true,
             prefill_rate: None,
             fetch: None,
+            cold_time: None,
         };
         scheduler.set_server(*key, server);
     }
--- a/components/policy/examples/patterns/driver/simulation.rs
+++ b/components/policy/examples/patterns/driver/simulation.rs
@@ -287,6 +287,7 @@
             deadline: self.instant(call.at + class.deadline),
             idempotent: class.idempotent,
             region: self.keys.regions[region_of_node(call.node)],
+            regions: None,
         };
         let (class, node, now) = (call.class, call.node, self.now_instant());
         self.gaps[class].since.get_or_insert(self.now);
--- a/components/policy/src/action.rs
+++ b/components/policy/src/action.rs
@@ -29,8 +29,12 @@
         /// The request never reached the server. It cost no server anything, so it counts neither as an
         /// attempt nor against the retry budget.
         Unreached,
+        /// It wasn't sent because the permit for its server expired before. This is no fault of the server.
+        Expired,
         /// It may have run, and the answer is missing or incomplete.
         Failed,
+        /// As [`Ending::Failed`], because the connection broke: the server may have been restarted.
+        Broken,
         /// It ran and the server reported an error. The request itself may be the cause, so this raises the
         /// server's failure rate but doesn't eject it.
         ServerError,
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -71,6 +71,7 @@
             ahead: 0.0,
             expected: None,
             sent_at: now,
+            send_by: None,
             last_token: None,
         };
         let job = self.jobs.insert(pending);
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -38,7 +38,7 @@
             self.enqueue(job, now);
             return true;
         }
-        if ending == Ending::Unreached {
+        if matches!(ending, Ending::Unreached | Ending::Expired) {
             pending.attempts -= 1;
         }
         let doublings = u32::from(pending.attempts.saturating_sub(1)).min(8);
@@ -56,9 +56,9 @@
         let pending = &self.jobs[job];
         let repeatable = match ending {
             Ending::Stopped => return true,
-            Ending::Unreached => return now < pending.latest_send,
+            Ending::Unreached | Ending::Expired => return now < pending.latest_send,
             Ending::NotRun => true,
-            Ending::Failed | Ending::ServerError => pending.request.idempotent,
+            Ending::Failed | Ending::Broken | Ending::ServerError => pending.request.idempotent,
             Ending::Completed | Ending::Cancelled => false,
         };
         let model = pending.request.model;
@@ -84,21 +84,28 @@
                 state.health.record_stall(self.jobs[job].sent_at, now, jitter);
             }
             state.prefill.prompt_done(priority, prefill);
-            if !matches!(ending, Ending::Cancelled | Ending::Stopped) {
+            if !matches!(ending, Ending::Cancelled | Ending::Stopped | Ending::Expired) {
                 state.health.record_outcome(ending == Ending::Completed, now);
             }
             match ending {
                 Ending::Completed => state.health.record_response(),
-                Ending::NotRun | Ending::Unreached | Ending::Failed => {
+                Ending::NotRun | Ending::Unreached | Ending::Failed | Ending::Broken => {
                     state.health.record_failure(now, jitter);
                 }
-                Ending::Cancelled | Ending::Stopped | Ending::ServerError => {}
+                Ending::Cancelled | Ending::Stopped | Ending::Expired | Ending::ServerError => {}
             }
         }
+        match ending {
+            Ending::Unreached | Ending::Broken => self.record_silence(server),
+            Ending::Completed | Ending::NotRun | Ending::ServerError => {
+                self.record_answer(server, now);
+            }
+            Ending::Failed | Ending::Cancelled | Ending::Stopped | Ending::Expired => {}
+        }
         let pending = &mut self.jobs[job];
         let (class, workspace) = (pending.request.class, pending.request.workspace);
         let used = fair::cost(pending.request.prompt_tokens, pending.produced);
-        let not_run = matches!(ending, Ending::NotRun | Ending::Unreached);
+        let not_run = matches!(ending, Ending::NotRun | Ending::Unreached | Ending::Expired);
         let used = if not_run { 0 } else { used };
         let change = i64::from(used) - i64::from(pending.charged);
         pending.charged = used;
--- a/components/policy/src/cache/tests.rs
+++ b/components/policy/src/cache/tests.rs
@@ -20,6 +20,7 @@
         deadline: now,
         idempotent: true,
         region: ids::Region::default(),
+        regions: None,
     }
 }
 
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -379,7 +379,8 @@
         let more = i64::from(charge) - i64::from(pending.charged);
         pending.charged = charge;
         let far = self.servers[server].terms.region != pending.request.region;
-        self.servers[server].record_send(job, priority, now);
+        let send_by = self.servers[server].record_send(job, priority, now);
+        self.jobs[job].send_by = send_by;
         let lane = self.lane_key(workspace);
         let counter = self.fair.workspace_counter(class, lane);
         let queue = self.pools[pool].queue_mut(tier, class);
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -122,7 +122,7 @@
         let mut best: Option<Estimate> = None;
         // A permit expires soon, so its engine is considered in any case.
         let considered = |member: &&&Member| {
-            sampled.contains(&member.server) || self.servers[member.server].permits.is_some()
+            sampled.contains(&member.server) || self.servers[member.server].needs_permit(now)
         };
         for member in usable.iter().filter(considered) {
             let Some(estimate) = self.estimate_cost(pending, member, context, now) else {
@@ -181,7 +181,7 @@
         let members = pool.members.iter();
         let open = members.filter(|member| {
             let state = &self.servers[member.server];
-            let unlimited = !state.leaving() && state.permits.is_none();
+            let unlimited = !state.leaving() && !state.needs_permit(now);
             unlimited && !self.is_excluded(member.server, now)
         });
         let mut preferred: [Option<(_, ids::Server)>; 2] = [None, None];
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod backlog;
 mod bucket;
 mod cache;
+pub mod cold;
 mod demand;
 mod dispatch;
 mod engines;
--- a/components/policy/src/pending.rs
+++ b/components/policy/src/pending.rs
@@ -76,6 +76,8 @@
     /// Estimates for the engine that it was last sent to.
     pub(crate) expected: Option<Expected>,
     pub(crate) sent_at: Instant,
+    /// Until when it must be sent, if its server is cold.
+    pub(crate) send_by: Option<Instant>,
     pub(crate) last_token: Option<Instant>,
 }
 
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -1,11 +1,12 @@
 //! Groups interchangeable backend servers into pools, with the queues of requests that wait for them.
 //!
-//! All requests of a pool ask for the same model and may use the same servers. So when the first request of a
+//! All requests of a pool ask for the same model and may use the same servers, in the same regions. So when the first request of a
 //! class gets no slot, no request behind it would, and the dispatcher needn't look further.
 
 use crate::forecast::Throughput;
 use crate::isolation::Isolation;
 use crate::queue::Lanes;
+use crate::terms::Server;
 
 slotmap::new_key_type! {
     /// Key of a pool.
@@ -50,6 +51,29 @@
     }
 }
 
+/// What the requests of a pool have in common.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Scope {
+    pub(crate) model: ids::Model,
+    /// Servers that their workspaces may use; empty if they may use all.
+    pub(crate) servers: Vec<ids::Server>,
+    /// Regions in which they may be served; all if it is `None`.
+    pub(crate) regions: Option<Vec<ids::Region>>,
+}
+
+impl Scope {
+    /// Whether a request may be sent to a server.
+    pub(crate) fn contains(&self, key: ids::Server, terms: &Server) -> bool {
+        let listed = self.servers.is_empty() || self.servers.contains(&key);
+        listed && terms.models.contains(&self.model) && self.allows_region(terms.region)
+    }
+
+    /// Whether a request, or what is cached of it, may be in a region.
+    pub(crate) fn allows_region(&self, region: ids::Region) -> bool {
+        self.regions.as_ref().is_none_or(|regions| regions.contains(&region))
+    }
+}
+
 /// A server of a pool.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Member {
@@ -62,9 +86,7 @@
 /// A pool of backend servers.
 #[derive(Debug)]
 pub(crate) struct Pool {
-    pub(crate) model: ids::Model,
-    /// Servers that its workspaces may use; empty if they may use all.
-    pub(crate) allowed: Vec<ids::Server>,
+    pub(crate) scope: Scope,
     pub(crate) servers: Vec<ids::Server>,
     /// The servers that take new work.
     pub(crate) members: Vec<Member>,
@@ -84,10 +106,9 @@
 }
 
 impl Pool {
-    pub(crate) fn new(model: ids::Model, allowed: Vec<ids::Server>) -> Self {
+    pub(crate) fn new(scope: Scope) -> Self {
         Pool {
-            model,
-            allowed,
+            scope,
             servers: vec![],
             members: vec![],
             isolation: Isolation::default(),
--- a/components/policy/src/prefix.rs
+++ b/components/policy/src/prefix.rs
@@ -71,11 +71,15 @@
             |member: &&Member| self.cross_region || member.region == pending.request.region;
         let mut members = self.pools[pending.pool].members.iter().filter(in_reach);
         let known = members.any(|member| self.cached_tokens(pending, member.server, now) >= shared);
+        let scope = &self.pools[pending.pool].scope;
         let sources = self.prefixes.fetch_sources(&pending.request.shared, now);
         let usable = sources.filter(|source| {
             let state = self.servers.get(*source);
             state.is_some_and(|state| {
-                self.can_serve_prefixes(state, now) && !self.is_excluded(*source, now)
+                self.can_serve_prefixes(state, now)
+                    && !self.is_excluded(*source, now)
+                    && !state.terms.evacuated
+                    && scope.allows_region(state.terms.region)
             })
         });
         let in_region =
--- a/components/policy/src/quota.rs
+++ b/components/policy/src/quota.rs
@@ -24,7 +24,7 @@
         let mut waits: Vec<Wait> = vec![];
         for pool in self.pools.values() {
             for queue in pool.queues.iter().filter(|queue| queue.len() > 0) {
-                let (model, tier, count) = (pool.model, queue.tier, queue.len() as u32);
+                let (model, tier, count) = (pool.scope.model, queue.tier, queue.len() as u32);
                 match waits.iter_mut().find(|wait| wait.model == model && wait.tier == tier) {
                     Some(wait) => wait.count += count,
                     None => waits.push(Wait { model, tier, count }),
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -17,12 +17,12 @@
 use crate::mechanism::{Mechanism, Switches};
 use crate::pending::{Expected, Pending, Stage};
 use crate::pick::Candidate;
-use crate::pool::{Key, Member, Pool};
+use crate::pool::{Key, Member, Pool, Scope};
 use crate::prefill::FirstToken;
 use crate::server;
 use crate::slots;
 use crate::terms::{Class, Demand, Fetch, Limits, Report, Request, Server, Share, Workspace};
-use crate::throttle::Permits;
+use crate::throttle::{PERMIT_LIFETIME, Permits};
 
 /// Retries allowed at once beyond the percentage of first attempts: as many as one server loses that
 /// crashes with all slots occupied.
@@ -46,7 +46,7 @@
     pub(crate) servers: SecondaryMap<ids::Server, server::State>,
     pub(crate) jobs: SlotMap<ids::Job, Pending>,
     pub(crate) pools: SlotMap<Key, Pool>,
-    pub(crate) pool_index: HashMap<(ids::Model, Vec<ids::Server>), Key>,
+    pub(crate) pool_index: HashMap<Scope, Key>,
     pub(crate) unserved: SecondaryMap<ids::Class, Unserved>,
     pub(crate) in_flight: SecondaryMap<ids::Workspace, u32>,
     pub(crate) fair: Counters,
@@ -222,7 +222,7 @@
     pub fn add_permits(&mut self, key: ids::Server, count: u32, now: Instant) {
         let state = self.servers.get_mut(key);
         if let Some(permits) = state.and_then(|state| state.permits.as_mut()) {
-            permits.add(count, now);
+            permits.add(count, now + PERMIT_LIFETIME);
             self.epoch += 1;
         }
     }
@@ -316,7 +316,7 @@
     /// Updates which servers belong to which pool, and drops unused pools.
     fn rebuild_pools(&mut self) {
         for pool in self.pools.values_mut() {
-            pool.servers = servers_for(&self.servers, pool.model, &pool.allowed);
+            pool.servers = servers_for(&self.servers, &pool.scope);
             pool.members = rank_members(&self.servers, &pool.servers);
         }
         self.epoch += 1;
@@ -328,18 +328,22 @@
         pool_index.retain(|_, key| pools.contains_key(*key));
     }
 
-    /// The pool of a request's model and allowed servers, created if needed.
+    /// The pool of a request's model, allowed servers and allowed regions, created if needed.
     pub(crate) fn get_or_create_pool(&mut self, request: &Request, now: Instant) -> Key {
-        let allowed = self.workspaces.get(request.workspace).map(|w| w.servers.clone());
-        let allowed = allowed.unwrap_or_default();
-        if let Some(key) = self.pool_index.get(&(request.model, allowed.clone())) {
+        let servers = self.workspaces.get(request.workspace).map(|w| w.servers.clone());
+        let scope = Scope {
+            model: request.model,
+            servers: servers.unwrap_or_default(),
+            regions: request.regions.clone(),
+        };
+        if let Some(key) = self.pool_index.get(&scope) {
             return *key;
         }
-        let mut pool = Pool::new(request.model, allowed.clone());
-        pool.servers = servers_for(&self.servers, request.model, &allowed);
+        let mut pool = Pool::new(scope.clone());
+        pool.servers = servers_for(&self.servers, &scope);
         pool.members = rank_members(&self.servers, &pool.servers);
         let key = self.pools.insert(pool);
-        self.pool_index.insert((request.model, allowed), key);
+        self.pool_index.insert(scope, key);
         self.update_isolation(key, now);
         self.update_pool_statistics(key);
         key
@@ -401,15 +405,13 @@
     }
 }
 
-/// The servers that serve a model and are among those allowed; an empty list allows all.
+/// The servers that the requests of a pool may be sent to. Each choice of a server is made among them.
 fn servers_for(
     servers: &SecondaryMap<ids::Server, server::State>,
-    model: ids::Model,
-    allowed: &[ids::Server],
+    scope: &Scope,
 ) -> Vec<ids::Server> {
-    let is_allowed = |key: &ids::Server| allowed.is_empty() || allowed.contains(key);
-    let serving = servers.iter().filter(|(_, state)| state.terms.models.contains(&model));
-    serving.map(|(key, _)| key).filter(is_allowed).collect()
+    let in_scope = servers.iter().filter(|(key, state)| scope.contains(*key, &state.terms));
+    in_scope.map(|(key, _)| key).collect()
 }
 
 /// The servers of a pool that take new work, each with its rank within its region.
@@ -471,6 +473,9 @@
             (pending.request.class, pending.request.workspace, pending.sent_at);
         if let Some(state) = self.servers.get_mut(server) {
             state.health.record_response();
+            if let Some(cold_time) = state.terms.cold_time {
+                state.guard.record_answer(cold_time, now);
+            }
             match last {
                 None => {
                     let took = now.saturating_duration_since(sent);
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::cold::Guard;
 use crate::health::Health;
 use crate::limit::Limit;
 use crate::mechanism::{Mechanism, Switches};
@@ -46,6 +47,8 @@
     pub(crate) prefill: Estimator,
     /// Permits to send to it, if it has named a rate limit.
     pub(crate) permits: Option<Permits>,
+    /// Whether it is cold, and permits to send to it while it is.
+    pub(crate) guard: Guard,
     report: Option<Report>,
     /// Requests sent less requests ended since the report was made.
     net_change: i32,
@@ -72,6 +75,7 @@
             limit: Limit::default(),
             prefill: Estimator::default(),
             permits: None,
+            guard: Guard::default(),
             report: None,
             net_change: 0,
             recent_changes: VecDeque::new(),
@@ -84,7 +88,8 @@
 
     /// Whether the settings or its report say that it takes no new work.
     pub(crate) fn leaving(&self) -> bool {
-        self.terms.leaving || self.report.as_ref().is_some_and(|report| report.leaving)
+        let unused = self.terms.leaving || self.terms.evacuated;
+        unused || self.report.as_ref().is_some_and(|report| report.leaving)
     }
 
     /// Requests that it runs at once, by settings and report.
@@ -114,9 +119,15 @@
         self.sent < self.node_slots(switches)
     }
 
-    /// Whether a permit is left, if it has named a rate limit.
+    /// Whether a permit is left, if it has named a rate limit or is cold.
     pub(crate) fn has_permit(&self, now: Instant) -> bool {
-        self.permits.as_ref().is_none_or(|permits| permits.available(now))
+        let within_limit = self.permits.as_ref().is_none_or(|permits| permits.available(now));
+        within_limit && self.guard.admits(now)
+    }
+
+    /// Whether requests are sent to it only on permits.
+    pub(crate) fn needs_permit(&self, now: Instant) -> bool {
+        self.permits.is_some() || self.guard.is_cold(now)
     }
 
     /// Whether it seems to have a free slot, in this node's share or another's, and this node's requests
@@ -214,8 +225,14 @@
         self.first_token
     }
 
-    /// Counts a request sent, which uses a permit if it has named a rate limit.
-    pub(crate) fn record_send(&mut self, job: ids::Job, priority: u8, now: Instant) {
+    /// Counts a request sent, which uses a permit if it has named a rate limit or is cold. Returns until when
+    /// the request must be sent, if it is cold.
+    pub(crate) fn record_send(
+        &mut self,
+        job: ids::Job,
+        priority: u8,
+        now: Instant,
+    ) -> Option<Instant> {
         self.sent += 1;
         if let Some(permits) = &mut self.permits {
             permits.take(now);
@@ -223,6 +240,7 @@
         self.occupied.add(priority, 1.0);
         self.jobs.push(job);
         self.record_change(1, now);
+        self.guard.take(now)
     }
 
     /// Counts a request ended.
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -48,6 +48,8 @@
         pub models: Vec<ids::Model>,
         /// It takes no new work.
         pub leaving: bool,
+        /// Its failure domain is evacuated: it takes no new work, and nothing is copied from it.
+        pub evacuated: bool,
         /// It can continue an answer that another server began.
         pub resumes: bool,
         /// Prompt tokens that it prefills per second; none if that is unknown or the server has no
@@ -55,6 +57,8 @@
         pub prefill_rate: Option<u32>,
         /// How fast it fetches a cached prefix from another engine; none if it can't.
         pub fetch: Option<Fetch>,
+        /// Time after a start for which it is cold and tolerates few requests; none if it is never cold.
+        pub cold_time: Option<Duration>,
     }
 
     /// The cost of fetching a cached prefix from another engine.
@@ -175,6 +179,8 @@
         pub idempotent: bool,
         /// The caller's region; sending to a server in another one uses the link between regions.
         pub region: ids::Region,
+        /// Regions in which it may be served; all if it is `None`.
+        pub regions: Option<Vec<ids::Region>>,
     }
 }
 
--- a/components/policy/src/throttle.rs
+++ b/components/policy/src/throttle.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 /// Time for which a permit is valid; unused permits must not add up to a burst.
-const PERMIT_LIFETIME: Duration = Duration::from_secs(1);
+pub(crate) const PERMIT_LIFETIME: Duration = Duration::from_secs(1);
 /// Time over which a seed accrues permits while no node asks for them.
 const ACCRUAL: Duration = Duration::from_millis(300);
 /// Least requests a second that all nodes together send to a server, whatever its limit, so that they notice
@@ -184,7 +184,7 @@
     }
 }
 
-/// The permits of a node for one server that has a rate limit.
+/// The permits of a node for one server.
 #[derive(Debug, Default)]
 pub(crate) struct Permits {
     /// How many were issued together, and when they expire.
@@ -192,9 +192,10 @@
 }
 
 impl Permits {
-    pub(crate) fn add(&mut self, count: u32, now: Instant) {
-        self.batches.retain(|(_, expires)| now < *expires);
-        self.batches.push_back((count, now + PERMIT_LIFETIME));
+    /// Adds permits that expire at the given time; those that expire first are used first.
+    pub(crate) fn add(&mut self, count: u32, expires: Instant) {
+        let index = self.batches.partition_point(|(_, other)| *other <= expires);
+        self.batches.insert(index, (count, expires));
     }
 
     /// Whether there is a valid permit.
@@ -202,12 +203,12 @@
         self.batches.iter().any(|(count, expires)| *count > 0 && now < *expires)
     }
 
-    /// Uses up the permit that expires first.
-    pub(crate) fn take(&mut self, now: Instant) {
+    /// Uses up the permit that expires first; returns when it expires.
+    pub(crate) fn take(&mut self, now: Instant) -> Option<Instant> {
         self.batches.retain(|(count, expires)| *count > 0 && now < *expires);
-        if let Some((count, _)) = self.batches.front_mut() {
-            *count -= 1;
-        }
+        let (count, expires) = self.batches.front_mut()?;
+        *count -= 1;
+        Some(*expires)
     }
 }
 
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -49,9 +49,11 @@
         slots,
         models: vec![model],
         leaving: false,
+        evacuated: false,
         resumes: true,
         prefill_rate: None,
         fetch: None,
+        cold_time: None,
     }
 }
 
@@ -94,6 +96,7 @@
             deadline: self.now + timeout,
             idempotent: class != 1,
             region: ids::Region::default(),
+            regions: None,
         }
     }
 }
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -346,6 +346,7 @@
         deadline: arrived + time_limit,
         idempotent: false,
         region: settings.region_names.key(&state.node.region).unwrap_or_default(),
+        regions: None,
     };
     Some(Job {
         lifecycle: lifecycle::Request::new(id).admit(),
--- a/components/router/src/scheduler.rs
+++ b/components/router/src/scheduler.rs
@@ -91,8 +91,10 @@
         slots: server.slots,
         models: server.models.clone(),
         leaving: server.leaving,
+        evacuated: false,
         resumes: server.resumes,
         prefill_rate: None,
         fetch: None,
+        cold_time: None,
     }
 }
