forward: keep requests in their regions, evacuated domains idle, cold servers within bounds

Orders to evacuate come through the store's operator prefix, read in one range call with the settings, so through seeds, delegates and full lists alike. Restrictions are applied before what they restrict. A request whose settings became stricter while it waited is refused as not run. Permits travel with gossip, by what each node could use; they are void after a suspension of the VM.

Tests on virtual time with 3, 12 and 40 nodes: regions, evacuation, cold.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -143,6 +143,13 @@
     InvalidSettings(String),
     /// A change of a backend server.
     Server(Change),
+    /// A failure domain whose servers get no new requests, or that is in use again.
+    Evacuation {
+        /// Name of the failure domain.
+        domain: String,
+        /// Whether it is evacuated.
+        in_force: bool,
+    },
 }
 
 /// The store's reply to a watch.
@@ -184,14 +191,15 @@
 /// The store in which settings and backend servers are published.
 #[allow(async_fn_in_trait)]
 pub trait Store {
-    /// Lists all items: the settings in force, if any were published, and the backend servers. Fails
+    /// Lists all items: the settings in force, if any were published, the evacuated failure domains, and the
+    /// backend servers. Fails
     /// with [`StoreError::ListTooLong`] as soon as the answer exceeds `max_bytes`.
     async fn list(&self, max_bytes: Option<usize>) -> Result<Versioned<Vec<Item>>, StoreError>;
 
     /// Waits for changes after a position; returns with the first ones, or empty after `wait`.
     async fn watch(&self, after: u64, wait: Duration) -> Result<WatchReply, StoreError>;
 
-    /// Decodes an item; none if it is neither settings nor a server.
+    /// Decodes an item; none if it is neither settings nor a server nor an evacuation.
     fn decode(&self, item: &Item) -> Option<Record>;
 }
 
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends one attempt of a request to one backend server and receives the start of its answer.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead, StatusCode, Uri, Version};
@@ -13,6 +13,7 @@
 use policy::Ending;
 
 use crate::adapter::{Adapter, Attempt, ServerProtocol, StatedLimit, Verdict};
+use crate::cold;
 use crate::events::{OutOfOrder, Splitter};
 use crate::intake::Received;
 use crate::limits;
@@ -34,6 +35,9 @@
     /// No connection was made.
     #[error("can't connect to the server ({0})")]
     Unreached(String),
+    /// The permit for a cold server expired before the request was sent.
+    #[error("the permit for the cold server expired before the request was sent")]
+    PermitExpired,
     /// Another server has the address.
     #[error("another server has its address now")]
     Misdirected,
@@ -58,9 +62,10 @@
     /// Proof that the attempt didn't run, if there is one.
     pub(crate) fn not_run_proof(&self) -> Option<Unsent> {
         match self {
-            AttemptError::Unreached(_) | AttemptError::Misdirected | AttemptError::Declined(_) => {
-                Some(Unsent::assume())
-            }
+            AttemptError::Unreached(_)
+            | AttemptError::PermitExpired
+            | AttemptError::Misdirected
+            | AttemptError::Declined(_) => Some(Unsent::assume()),
             AttemptError::Lost(_)
             | AttemptError::OutOfOrder(_)
             | AttemptError::ServerError(_)
@@ -72,11 +77,11 @@
     pub(crate) fn ending(&self) -> Ending {
         match self {
             AttemptError::Unreached(_) | AttemptError::Misdirected => Ending::Unreached,
+            AttemptError::PermitExpired => Ending::Expired,
             AttemptError::Declined(_) => Ending::NotRun,
             AttemptError::ServerError(_) => Ending::ServerError,
-            AttemptError::Lost(_) | AttemptError::OutOfOrder(_) | AttemptError::TimedOut => {
-                Ending::Failed
-            }
+            AttemptError::Lost(_) => Ending::Broken,
+            AttemptError::OutOfOrder(_) | AttemptError::TimedOut => Ending::Failed,
         }
     }
 }
@@ -164,6 +169,7 @@
     server: &Entry,
     last_event_id: Option<u64>,
     fetch_from: Option<Rc<Entry>>,
+    send_by: Option<Instant>,
 ) -> Result<Reply, AttemptError> {
     let connection = match state.pool.take(&server.address) {
         Some(connection) => connection,
@@ -173,6 +179,13 @@
             connection.map_err(|cause| AttemptError::Unreached(cause.to_string()))?
         }
     };
+    if !cold::may_send(state, send_by) {
+        state.pool.put_unused(&server.address, connection);
+        return Err(AttemptError::PermitExpired);
+    }
+    if send_by.is_some() {
+        state.metrics.add_cold_permits("used", 1);
+    }
     let head = request_head(state, received, server, last_event_id, fetch_from);
     let sent = state.clock.now();
     let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -285,12 +285,21 @@
     state.updated.notify_waiters();
 }
 
-/// Puts changed settings and servers into force.
+/// Puts changed settings, evacuations and servers into force. What restricts the use of servers goes first, so
+/// that no request is sent between two changes of one answer to a server that the other forbids.
 fn apply_items<A: Adapter>(state: &State<A>, items: Vec<Item>) {
-    for item in items {
-        match state.adapter.store.decode(&item) {
-            Some(Record::Settings(book)) => state.apply_settings(book),
-            Some(Record::InvalidSettings(cause)) => {
+    let mut records: Vec<_> =
+        items.iter().filter_map(|item| state.adapter.store.decode(item)).collect();
+    records.sort_by_key(|record| match record {
+        Record::Evacuation { .. } => 0,
+        Record::Settings(_) | Record::InvalidSettings(_) => 1,
+        Record::Server(_) => 2,
+    });
+    for record in records {
+        match record {
+            Record::Evacuation { domain, in_force } => state.apply_evacuation(&domain, in_force),
+            Record::Settings(settings) => state.apply_settings(settings),
+            Record::InvalidSettings(cause) => {
                 log::error!(
                     cause = cause.as_str();
                     "a revision of the settings can't be used; the last usable one stays in force"
@@ -298,11 +307,10 @@
                 state.metrics.settings.count_event("refused");
                 state.newest_invalid.set(true);
             }
-            Some(Record::Server(change)) => {
+            Record::Server(change) => {
                 let changed = state.membership.borrow_mut().apply(change, state.clock.now());
                 state.apply_servers(changed);
             }
-            None => {}
         }
     }
 }
--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -20,6 +20,7 @@
 
 use crate::adapter::Adapter;
 use crate::answer::Answer;
+use crate::cold;
 use crate::state::State;
 
 mod cursor;
@@ -97,6 +98,7 @@
         let asked = state.clock.now();
         let Some(seed) = seeds.select(asked) else {
             crate::limits::issue_without_seeds(&state);
+            cold::continue_without_seeds(&state);
             drop(state);
             tokio::time::sleep(MIN_REPORT_PAUSE).await;
             continue;
@@ -108,6 +110,7 @@
         let report = own_report(&state, &mut sent, view.position());
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
+        let report = cold::add_to_report(&state, report);
         let answer = post_report(&state, seed, NODE_PATH, report).await;
         let now = state.clock.now();
         let latency = answer.as_ref().ok().map(|_| now.saturating_duration_since(asked));
@@ -118,6 +121,7 @@
                 apply_cached_parts(&state, &summary.parts);
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
                 limits::apply_summary(&state, &mut limit_cursor, &summary);
+                cold::apply_permits(&state, &summary.cold_permits, asked);
                 state.rate_limits.record_seed_answer(now);
                 view.apply(summary, now);
                 let (loads, sends) = sent.subtract_own(&view, now);
@@ -127,6 +131,7 @@
             Err(cause) => {
                 log::debug!(cause = cause.as_str(); "failed to report to a seed");
                 crate::limits::issue_without_seeds(&state);
+                cold::continue_without_seeds(&state);
                 MIN_REPORT_PAUSE
             }
         };
@@ -151,6 +156,7 @@
         apply_peer_loads(&state, &loads, &sends);
         let permits = issue_permits(&state);
         crate::limits::add_permits(&state, &permits);
+        cold::issue_to_self(&state);
         drop(state);
         tokio::time::sleep(MIN_REPORT_PAUSE).await;
     }
@@ -217,6 +223,7 @@
     let (from, known) = (report.from.clone(), report.known);
     let (suspects, suspects_known) = (std::mem::take(&mut report.suspects), report.suspects_known);
     let (limits, limits_known) = (std::mem::take(&mut report.limits), report.limits_known);
+    let (cold, permits_wanted) = (std::mem::take(&mut report.cold), report.permits_wanted);
     if !from_seed {
         state.gossip.aggregate.borrow_mut().add_report(report, now);
     }
@@ -237,6 +244,9 @@
     let permits = if from_seed { vec![] } else { issue_permits(state) };
     summary =
         limits::merge_and_add_to_summary(state, (&limits, limits_known), known, summary, permits);
+    if !from_seed {
+        summary = cold::add_to_summary(state, (&cold, permits_wanted), summary);
+    }
     summary.pause_ms = state.gossip.pace.borrow().pause(aggregate.node_count()).as_millis() as u32;
     let body = summary.encode();
     if !from_seed && !summary.complete {
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -175,6 +175,10 @@
     let shared = call.prompt.parts.len().checked_sub(2).map(|index| call.prompt.parts[index].id);
     let session = shared.unwrap_or_else(|| xxh3_64(call.id.as_bytes()));
     let service = found.route.service(session).ok_or(Error::NoRoute)?;
+    let residency = found.residency();
+    if residency.regions().is_some() {
+        state.metrics.count_bound_request();
+    }
     let mut registry = state.registry.borrow_mut();
     let model = registry.requested_model(service, call.model.as_deref());
     let (class, workspace) = registry.register_class_and_workspace(
@@ -195,5 +199,6 @@
         deadline: state.clock.now() + time_left,
         idempotent: found.route.kind.is_repeatable(),
         region: state.region,
+        regions: registry.allowed_regions(&residency),
     })
 }
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod adapter;
 mod answer;
 mod attempt;
+mod cold;
 mod crossing;
+mod evacuation;
 mod events;
 mod follow;
 mod gossip;
--- a/components/forward/src/limits.rs
+++ b/components/forward/src/limits.rs
@@ -35,6 +35,11 @@
         self.seed_answered.set(Some(now));
     }
 
+    /// Whether no seed has answered for so long that this node must do without permits of theirs.
+    pub(crate) fn seeds_silent(&self, now: Instant) -> bool {
+        self.seed_answered.get().is_none_or(|answered| now >= answered + SEED_TIMEOUT)
+    }
+
     /// Issues permits to one of the `nodes` that get theirs from this node: the key of a server's name, and
     /// how many requests it may be sent. So many `issuers` share each limit equally.
     pub(crate) fn issue(&self, issuers: f64, nodes: usize, now: Instant) -> Vec<(u32, u32)> {
@@ -120,7 +125,7 @@
 /// Issues permits to this node itself if no seed has answered within [`SEED_TIMEOUT`].
 pub(crate) fn issue_without_seeds<A: Adapter>(state: &State<A>) {
     let now = state.clock.now();
-    if state.rate_limits.seed_answered.get().is_some_and(|answered| now < answered + SEED_TIMEOUT) {
+    if !state.rate_limits.seeds_silent(now) {
         return;
     }
     let nodes = match state.fleet_nodes.get() {
--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -60,6 +60,12 @@
         pub grace_s: f64,
         /// Retries as a fraction of first attempts.
         pub repeats: f64,
+        /// Requests that may reach a cold server in a second, as a multiple of those that it tolerates.
+        #[serde(default = "default_cold_overshoot")]
+        pub cold_overshoot: f64,
+        /// Further requests that may reach it in a second.
+        #[serde(default)]
+        pub cold_slack: f64,
     }
 }
 
@@ -68,6 +74,16 @@
 /// Bytes per second in one Mbit/s.
 const BYTES_PER_MBPS: f64 = 125_000.0;
 
+/// Default of [`Promises::cold_overshoot`]: a cold server gets what it tolerates.
+const DEFAULT_COLD_OVERSHOOT: f64 = 1.0;
+/// Largest values of what cold servers may get beyond what they tolerate.
+const MAX_COLD_OVERSHOOT: f64 = 100.0;
+const MAX_COLD_SLACK: f64 = 100_000.0;
+
+fn default_cold_overshoot() -> f64 {
+    DEFAULT_COLD_OVERSHOOT
+}
+
 fn default_link_mbps() -> f64 {
     DEFAULT_LINK_MBPS
 }
@@ -149,6 +165,12 @@
         if !(0.0..=3_600.0).contains(&node.promises.grace_s) {
             return Err(value("promises.grace_s is out of range", "seconds from 0 to 3600"));
         }
+        if !(0.0..=MAX_COLD_OVERSHOOT).contains(&node.promises.cold_overshoot) {
+            return Err(value("promises.cold_overshoot is out of range", "a factor from 0 to 100"));
+        }
+        if !(0.0..=MAX_COLD_SLACK).contains(&node.promises.cold_slack) {
+            return Err(value("promises.cold_slack is out of range", "requests from 0 to 100000"));
+        }
         for word in &node.disabled {
             let (origin, word) = (origin.to_string(), word.clone());
             Switches::parse(std::slice::from_ref(&word)).map_err(|known| Error::Mechanism {
--- a/components/forward/src/operators.rs
+++ b/components/forward/src/operators.rs
@@ -38,10 +38,16 @@
             "domain": entry.domain,
             "address": entry.address,
             "leaving": entry.leaving,
+            "evacuated": state.is_evacuated(&entry.domain),
+            "cold": scheduler.is_cold(key, now),
             "sent": status.as_ref().map(|status| status.sent),
             "unused": status.and_then(|status| status.unused).map(|unused| unused.as_str()),
         })
     });
+    let evacuated = state.evacuations.all().into_iter().map(|(domain, since)| {
+        let since_ms = now.saturating_duration_since(since).as_millis() as u64;
+        serde_json::json!({ "domain": domain, "since_ms": since_ms })
+    });
     serde_json::json!({
         "node": state.node().name,
         "ready": state.ready(),
@@ -52,6 +58,7 @@
         "quarantined": state.crashes.quarantine.borrow().blocked_count(now),
         "without": state.node().disabled,
         "waiting": scheduler.waiting(),
+        "evacuated": evacuated.collect::<Vec<_>>(),
         "servers": servers.collect::<Vec<_>>(),
     })
 }
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catalog::{Entry, Match, Route, Settings};
+use catalog::{Entry, Match, Residency, Route, Settings};
 use policy::Scheduler;
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64;
@@ -25,6 +25,15 @@
 /// Route and workspace tier of a class.
 type ClassName = (String, u8);
 
+/// What the scheduler needs to know of the servers of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct ServiceTerms {
+    /// How an engine copies cached prompts from others; none if it can't.
+    fetch: Option<policy::Fetch>,
+    /// Time after its start in which a server is cold; none if it never is.
+    cold_time: Option<Duration>,
+}
+
 /// Scheduler keys by name, and the entries of the servers.
 #[derive(Default)]
 pub(crate) struct Registry {
@@ -32,8 +41,10 @@
     by_name: HashMap<String, ids::Server>,
     /// By hash of their names, which identifies them between nodes.
     by_wire_key: HashMap<u32, ids::Server>,
-    /// Prompt tokens that an engine copies from another per second, by service.
-    fetch_rates: HashMap<String, f64>,
+    /// Nodes get permits for cold servers.
+    pub(crate) issues_permits: bool,
+    /// Terms that all servers of a service have in common, by service.
+    services: HashMap<String, ServiceTerms>,
     models: SlotMap<ids::Model, ()>,
     /// By service and model; an empty model stands for the service as a whole.
     by_model: HashMap<(String, String), ids::Model>,
@@ -68,6 +79,12 @@
         key_or_insert(&mut self.regions, &mut self.by_region, name)
     }
 
+    /// Keys of the regions in which a request may be served; none if it may be in all of them.
+    pub(crate) fn allowed_regions(&mut self, residency: &Residency) -> Option<Vec<ids::Region>> {
+        let regions = residency.regions()?;
+        Some(regions.map(|region| self.region_key(region)).collect())
+    }
+
     /// Key of the model that a request needs. If no server of the service lists the model, the key stands
     /// for the service as a whole.
     pub(crate) fn requested_model(&mut self, service: &str, model: Option<&str>) -> ids::Model {
@@ -90,7 +107,8 @@
         scheduler: &mut Scheduler,
         entry: &Rc<Entry>,
         regions: &BTreeMap<String, String>,
-    ) {
+        evacuated: bool,
+    ) -> ids::Server {
         let restarted = |key: &ids::Server| self.servers[*key].started != entry.started;
         if self.by_name.get(&entry.name).is_some_and(restarted) {
             // Its cache and its requests are gone, and statistics of the previous start don't apply.
@@ -106,15 +124,17 @@
         };
         self.servers[key] = entry.clone();
         let region = regions.get(&entry.domain).cloned().unwrap_or_default();
-        let terms = self.server_terms(entry, &region);
+        let terms = self.server_terms(entry, &region, evacuated);
         self.by_wire_key.insert(wire::key(&entry.name), key);
         scheduler.set_server(key, terms);
+        key
     }
 
     /// The scheduler's description of a server.
-    fn server_terms(&mut self, entry: &Entry, region: &str) -> policy::Server {
+    fn server_terms(&mut self, entry: &Entry, region: &str, evacuated: bool) -> policy::Server {
         let mut models = vec![self.model_key(&entry.service, "")];
         models.extend(entry.models.iter().map(|model| self.model_key(&entry.service, model)));
+        let service = self.service_terms(&entry.service);
         policy::Server {
             region: self.region_key(region),
             domain: key_or_insert(&mut self.domains, &mut self.by_domain, &entry.domain),
@@ -122,16 +142,16 @@
             slots: entry.slots,
             models,
             leaving: entry.leaving,
+            evacuated,
             resumes: true,
             prefill_rate: entry.engine.then_some(PREFILL_TOKENS_PER_SECOND),
-            fetch: self.fetch_terms(&entry.service),
+            fetch: service.fetch,
+            cold_time: service.cold_time,
         }
     }
 
-    /// How an engine of a service copies cached prompts from others; none if it can't.
-    fn fetch_terms(&self, service: &str) -> Option<policy::Fetch> {
-        let tokens_per_second = *self.fetch_rates.get(service)?;
-        Some(policy::Fetch { tokens_per_second, setup: FETCH_SETUP })
+    fn service_terms(&self, service: &str) -> ServiceTerms {
+        self.services.get(service).copied().unwrap_or_default()
     }
 
     /// Removes a server from the scheduler.
@@ -177,7 +197,7 @@
     /// Applies a new revision of the settings: updates the classes, and removes those whose route is
     /// gone.
     pub(crate) fn apply_settings(&mut self, scheduler: &mut Scheduler, settings: &Settings) {
-        self.apply_fetch_rates(scheduler, settings);
+        self.apply_services(scheduler, settings);
         let routes: HashMap<&str, &Rc<Route>> =
             settings.routes().map(|route| (route.name.as_str(), route)).collect();
         let mut removed = vec![];
@@ -197,18 +217,25 @@
 }
 
 impl Registry {
-    /// Updates how fast engines copy cached prompts from each other, if the settings changed it.
-    fn apply_fetch_rates(&mut self, scheduler: &mut Scheduler, settings: &Settings) {
-        let rate = |(name, service): (&String, &catalog::Service)| {
-            Some((name.clone(), service.fetch_tokens_per_second?))
+    /// Updates the terms of all servers whose services changed.
+    fn apply_services(&mut self, scheduler: &mut Scheduler, settings: &Settings) {
+        let terms = |(name, service): (&String, &catalog::Service)| {
+            let rate = service.fetch_tokens_per_second;
+            let fetch = rate
+                .map(|tokens_per_second| policy::Fetch { tokens_per_second, setup: FETCH_SETUP });
+            // Without gossip no node gets a permit, so servers count as warm.
+            let cold_time = service.cold.filter(|_| self.issues_permits).map(|cold| cold.time);
+            (name.clone(), ServiceTerms { fetch, cold_time })
         };
-        let fetch_rates: HashMap<_, _> = settings.services.iter().filter_map(rate).collect();
-        if fetch_rates == self.fetch_rates {
+        let services: HashMap<_, _> = settings.services.iter().map(terms).collect();
+        if services == self.services {
             return;
         }
-        self.fetch_rates = fetch_rates;
+        self.services = services;
         for (key, entry) in &self.servers {
-            scheduler.set_fetch(key, self.fetch_terms(&entry.service));
+            let terms = self.service_terms(&entry.service);
+            scheduler.set_fetch(key, terms.fetch);
+            scheduler.set_cold_time(key, terms.cold_time);
         }
     }
 }
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -166,6 +166,10 @@
             }
             let server = self.state.registry.borrow().server(key).cloned();
             match server {
+                Some(server) if !self.may_serve(&server) => {
+                    self.submission.end_attempt(Ending::Cancelled);
+                    return Err(Refused::NO_SERVER);
+                }
                 Some(server) => {
                     self.server = Some(server.clone());
                     self.stats.sent = Some(self.state.elapsed_since(self.received.arrived));
@@ -180,6 +184,31 @@
         }
     }
 
+    /// Whether a server is in a region in which the settings that are now in force allow the request. They may
+    /// have changed while it waited.
+    fn may_serve(&self, server: &Entry) -> bool {
+        let settings = self.state.settings.borrow();
+        let Some(settings) = settings.as_ref() else { return false };
+        if settings.revision == self.received.revision {
+            return true;
+        }
+        let call = &self.received.call;
+        let found = settings.match_request(&call.host, &call.path, call.key.as_deref());
+        let residency =
+            found.map_or_else(|_| self.received.found.residency(), |found| found.residency());
+        let node = self.state.node();
+        let region = node.domains.get(&server.domain).map_or("", String::as_str);
+        let allowed = residency.allows(region);
+        if !allowed {
+            log::info!(
+                request = call.id.as_str(), server = server.name.as_str(), region = region,
+                revision = settings.revision;
+                "the settings no longer allow the request in the server's region"
+            );
+        }
+        allowed
+    }
+
     /// Sends attempt `number` and waits for the start of its answer until the request's time is over.
     /// An attempt that another one may follow is abandoned earlier, after [`STALL_TARGETS`].
     pub(crate) async fn send_attempt(
@@ -195,7 +224,9 @@
         let timeout = if early { time_left.min(stalled) } else { time_left };
         let fetch = self.stats.expected.and_then(|expected| expected.fetch);
         let fetch_from = fetch.and_then(|key| self.state.registry.borrow().server(key).cloned());
-        let sending = attempt::send(&self.state, &self.received, server, last_event_id, fetch_from);
+        let send_by = self.submission.send_by();
+        let sending =
+            attempt::send(&self.state, &self.received, server, last_event_id, fetch_from, send_by);
         tokio::time::timeout(timeout, sending).await.unwrap_or(Err(AttemptError::TimedOut))
     }
 
@@ -276,6 +307,9 @@
             Refusal::Full => "no room",
             Refusal::Displaced => "given up for a higher tier",
             Refusal::Late => "it can't be served in time",
+            Refusal::NoServer if self.received.request.regions.is_some() => {
+                "no backend server in its regions may take it"
+            }
             Refusal::NoServer => "no backend server may take it",
             Refusal::Quarantined => "servers ended under it",
         };
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -16,7 +16,9 @@
 use wire::updates::Work;
 
 use crate::adapter::{Adapter, Protocols};
+use crate::cold;
 use crate::crossing::Crossing;
+use crate::evacuation::Evacuations;
 use crate::gossip::Gossip;
 use crate::limits::{self, Limits};
 use crate::mechanism::{Mechanism as Own, Switches};
@@ -103,6 +105,10 @@
     pub(crate) crossing: Crossing,
     /// Rate limits that servers have stated.
     pub(crate) rate_limits: Limits,
+    /// Permits for requests to cold servers.
+    pub(crate) cold_permits: cold::Permits,
+    /// Failure domains that operators have evacuated.
+    pub(crate) evacuations: Evacuations,
     /// Limits of the callers' listener.
     pub(crate) listener_limits: watch::Sender<listen::Limits>,
     /// Bytes of the bodies of open requests.
@@ -128,6 +134,7 @@
         }
         let mut registry = Registry::default();
         let region = registry.region_key(node.region());
+        registry.issues_permits = switches.is_on(Own::LoadGossip);
         let listener_limits = listen::Limits {
             max_connections: (node.room.descriptors / 2) as usize,
             ..listen::Limits::default()
@@ -167,6 +174,8 @@
             gossip,
             crossing: Crossing::new(clock.now()),
             rate_limits: Limits::default(),
+            cold_permits: cold::Permits::new(clock.now()),
+            evacuations: Evacuations::default(),
             listener_limits: watch::channel(listener_limits).0,
             body_bytes: Cell::new(0),
             open_requests: RefCell::default(),
@@ -331,6 +340,7 @@
         let membership = self.membership.borrow();
         let mut registry = self.registry.borrow_mut();
         let mut scheduler = self.driver.scheduler.borrow_mut();
+        let mut listed = vec![];
         for name in servers {
             match membership.get(&name) {
                 Some(entry) => {
@@ -339,7 +349,10 @@
                         address = entry.address.as_str(), leaving = entry.leaving;
                         "server listed"
                     );
-                    registry.set_server(&mut scheduler, entry, &self.node().domains);
+                    let evacuated = self.evacuations.contains(&entry.domain);
+                    let domains = &self.node().domains;
+                    let key = registry.set_server(&mut scheduler, entry, domains, evacuated);
+                    listed.push((key, entry.clone()));
                 }
                 None => {
                     log::info!(server = name.as_str(); "server gone");
@@ -349,11 +362,45 @@
             }
         }
         drop((membership, registry, scheduler));
+        for (key, entry) in listed {
+            cold::apply_entry(self, key, &entry);
+        }
         limits::apply_to_scheduler(self);
         self.driver.run_actions();
     }
 }
 
+impl<A: Adapter> State<A> {
+    /// Starts or ends the evacuation of a failure domain. Its servers may be cold when it ends.
+    pub(crate) fn apply_evacuation(&self, domain: &str, in_force: bool) {
+        if !self.evacuations.set(domain, in_force, self.clock.now()) {
+            return;
+        }
+        self.metrics.set_evacuated_domains(self.evacuations.all().len());
+        let membership = self.membership.borrow();
+        let entries: Vec<_> =
+            membership.iter().filter(|entry| entry.domain == domain).cloned().collect();
+        drop(membership);
+        log::info!(domain = domain, in_force = in_force, servers = entries.len(); "evacuation");
+        let mut registry = self.registry.borrow_mut();
+        let mut scheduler = self.driver.scheduler.borrow_mut();
+        for entry in &entries {
+            let domains = &self.node().domains;
+            let key = registry.set_server(&mut scheduler, entry, domains, in_force);
+            if !in_force {
+                scheduler.set_cold(key, None, self.clock.now());
+            }
+        }
+        drop((registry, scheduler));
+        self.driver.run_actions();
+    }
+
+    /// Whether a failure domain is evacuated.
+    pub(crate) fn is_evacuated(&self, domain: &str) -> bool {
+        self.evacuations.contains(domain)
+    }
+}
+
 /// Guard that counts one request as open while it lives.
 pub(crate) struct OpenRequest<A: Adapter> {
     state: Rc<State<A>>,
--- a/components/http_client/src/pool.rs
+++ b/components/http_client/src/pool.rs
@@ -64,14 +64,21 @@
 
     /// Keeps the connection of a body that has ended, for `idle_timeout` if its server stated one.
     pub fn put(&self, address: &str, body: Body, idle_timeout: Option<Duration>) {
-        let now = Instant::now();
-        self.close_expired(now);
+        self.close_expired(Instant::now());
         let Some(connection) = body.into_connection() else { return };
-        let expires = now + idle_timeout.unwrap_or(self.limits.idle_timeout);
+        self.keep(address, connection, idle_timeout.unwrap_or(self.limits.idle_timeout));
+    }
+
+    /// Keeps a connection on which nothing was sent.
+    pub fn put_unused(&self, address: &str, connection: Connection) {
+        self.keep(address, connection, self.limits.idle_timeout);
+    }
+
+    fn keep(&self, address: &str, connection: Connection, idle_timeout: Duration) {
         let mut all = self.idle.borrow_mut();
         let kept = all.entry(address.to_string()).or_default();
         if kept.len() < self.limits.max_idle {
-            kept.push((connection, expires));
+            kept.push((connection, Instant::now() + idle_timeout));
         }
     }
 
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -29,6 +29,9 @@
     mismatched_answers: IntCounter,
     connections: IntCounter,
     failed_attempts: IntCounterVec,
+    cold_permits: IntCounterVec,
+    bound_requests: IntCounter,
+    evacuated_domains: IntGauge,
     wasted_tokens: IntCounterVec,
     answer_times: HistogramVec,
     workspace_answer_times: HistogramVec,
@@ -98,6 +101,17 @@
             "Attempts at backend servers that brought no answer",
             &["class"],
         );
+        let cold_permits = counter(
+            "godwitlever_cold_permits_total",
+            "Permits for requests to cold servers, by what became of them",
+            &["event"],
+        );
+        let bound_requests = IntCounter::new(
+            "godwitlever_bound_requests_total",
+            "Requests that may be served in some regions only",
+        )
+        .expect("the metric's name is valid");
+        registry.register(Box::new(bound_requests.clone())).expect("the metric is registered once");
         let wasted_tokens = counter(
             "godwitlever_wasted_tokens_total",
             "Tokens passed on in answers that didn't come to their end",
@@ -111,6 +125,12 @@
         registry.register(Box::new(request_counts.clone())).expect("the metric is registered once");
         Metrics {
             failed_attempts,
+            cold_permits,
+            bound_requests,
+            evacuated_domains: gauge(
+                "godwitlever_evacuated_domains",
+                "Failure domains that operators have evacuated",
+            ),
             wasted_tokens,
             request_counts,
             answer_times: class_histogram(
@@ -162,6 +182,21 @@
         self.connections.inc();
     }
 
+    /// Adds permits for cold servers that were `issued` to nodes, `received` from seeds, or `used`.
+    pub fn add_cold_permits(&self, event: &str, count: u64) {
+        self.cold_permits.with_label_values(&[event]).inc_by(count);
+    }
+
+    /// Counts a request that may be served in some regions only.
+    pub fn count_bound_request(&self) {
+        self.bound_requests.inc();
+    }
+
+    /// Sets how many failure domains are evacuated.
+    pub fn set_evacuated_domains(&self, count: usize) {
+        self.evacuated_domains.set(count as i64);
+    }
+
     /// Counts an attempt that got no answer.
     pub fn count_failed_attempt(&self, class: &str) {
         self.failed_attempts.with_label_values(&[class]).inc();
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -49,6 +49,12 @@
         /// Version up to which the node knows the seed's rate limits.
         #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
         pub limits_known: u64,
+        /// Servers that the node takes for cold because its connections to them failed: the keys of their names.
+        #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+        pub cold: Vec<u32>,
+        /// Permits for cold servers that the node could use at once; none if it knows no cold server.
+        #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+        pub permits_wanted: Option<u32>,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -92,6 +98,9 @@
         /// of requests that the node may send.
         #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
         pub permits: Vec<(u32, u32)>,
+        /// Permits for requests to cold servers, in the same form.
+        #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+        pub cold_permits: Vec<(u32, u32)>,
     }
 
     /// A request during which servers crashed. An array on the wire.
