forward: a starting node asks all seeds at once

Cause: after a loss of power of all nodes, a node asked one seed after the other, 60 ms for each without power, and stayed with one that accepted and had nothing yet; nodes had settings 225 to 303 ms after their own start although the first seed was up earlier. Change: until its first answer, for 300 ms at most, a node asks all seeds at the same time and goes on with the one that answers first. No call to the store is added.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -1,10 +1,13 @@
 //! Keeps this node's copy of the published settings and backend servers up to date, from the store or a peer.
 
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use clock::Clock;
+use futures_util::future::select_all;
 use rand::Rng;
+use wire::updates::Update;
 
 use crate::adapter::{Adapter, Item, Record, Store, StoreError, Versioned, WatchReply};
 use crate::mechanism::Mechanism;
@@ -29,6 +32,9 @@
 const MAX_PEER_PROOF_AGE: Duration = Duration::from_millis(2_600);
 /// Interval at which seeds report work to each other. Work is averaged over seconds.
 const WORK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a starting node asks all seeds at once, before it tries one source after the other. VMs that
+/// start together do so within it.
+const RACE_TIME: Duration = Duration::from_millis(300);
 /// Pause of a starting node after no source has answered.
 const STARTUP_PAUSE: Duration = Duration::from_millis(40);
 /// First pause after all sources have failed; doubled each time.
@@ -49,6 +55,13 @@
 async fn follow_sources<A: Adapter>(weak: Weak<State<A>>) {
     let Some(mut sources) = weak.upgrade().map(|state| state.sources()) else { return };
     let mut failed_rounds = 0;
+    if let Some(state) = weak.upgrade()
+        && !state.is_seed()
+        && let Some(peer) = race_peers(&state, &sources.peers()).await
+    {
+        record_answer(&state, Source::Peer(peer));
+        sources.record_first_answer(peer, state.clock.now());
+    }
     loop {
         let Some(state) = weak.upgrade() else { return };
         let context = source_context(&state);
@@ -217,7 +230,7 @@
 /// from when the answer was made, which is no earlier than the question plus the time for which the peer held it.
 async fn ask_peer<A: Adapter>(
     state: &Rc<State<A>>,
-    peer: std::net::SocketAddr,
+    peer: SocketAddr,
 ) -> Result<Duration, StoreError> {
     let asked = state.clock.boot_time();
     let wait = match state.replica.borrow().position() {
@@ -228,6 +241,47 @@
         Some(_) => WAIT,
     };
     let update = updates::request_update(state, peer, wait).await?;
+    apply_update(state, peer, asked, update)
+}
+
+/// Asks all peers at once, each again and again, for the first answer that this node gets; returns who gave it.
+/// Peers that lost power together with this node come back at different times, and one without power doesn't
+/// even refuse a connection.
+async fn race_peers<A: Adapter>(state: &Rc<State<A>>, peers: &[SocketAddr]) -> Option<SocketAddr> {
+    let ask = |peer: SocketAddr| async move {
+        loop {
+            let asked = state.clock.boot_time();
+            match updates::request_update(state, peer, FIRST_WAIT).await {
+                Ok(update) if !update.store_lost && !update.history_lost => {
+                    return (peer, asked, update);
+                }
+                Ok(_) => {}
+                Err(cause) => log::debug!(peer:% = peer, cause:% = cause; "no first answer yet"),
+            }
+            tokio::time::sleep(jittered(STARTUP_PAUSE)).await;
+        }
+    };
+    if peers.is_empty() {
+        return None;
+    }
+    let race = select_all(peers.iter().map(|peer| Box::pin(ask(*peer))));
+    let ((peer, asked, update), ..) = tokio::time::timeout(RACE_TIME, race).await.ok()?;
+    match apply_update(state, peer, asked, update) {
+        Ok(_) => Some(peer),
+        Err(cause) => {
+            log::debug!(peer:% = peer, cause:% = cause; "a first answer can't be used");
+            None
+        }
+    }
+}
+
+/// Applies a peer's answer to a question that was asked at `asked`; returns the pause before the next call.
+fn apply_update<A: Adapter>(
+    state: &State<A>,
+    peer: SocketAddr,
+    asked: Duration,
+    update: Update,
+) -> Result<Duration, StoreError> {
     let now = state.clock.now();
     if update.store_lost {
         // Only this peer may be cut off from the store; the next source shows whether others are as well.
@@ -317,7 +371,7 @@
 
 /// Reports to another seed the work that nodes have reported to this one, again and again. A failed report is
 /// only logged: the next one replaces it.
-async fn exchange_work<A: Adapter>(weak: Weak<State<A>>, seed: std::net::SocketAddr) {
+async fn exchange_work<A: Adapter>(weak: Weak<State<A>>, seed: SocketAddr) {
     while let Some(state) = weak.upgrade() {
         if let Err(cause) = updates::report_work(&state, seed).await {
             log::debug!(cause:% = cause; "failed to report work to a seed");
--- a/components/forward/src/source.rs
+++ b/components/forward/src/source.rs
@@ -169,6 +169,24 @@
         (self.list_is_long, self.current, self.left_first) = (true, 0, None);
     }
 
+    /// The peers in the order in which they are tried.
+    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+        let peer = |source: &Source| match source {
+            Source::Peer(peer) => Some(*peer),
+            Source::Store => None,
+        };
+        self.order.iter().filter_map(peer).collect()
+    }
+
+    /// Records that a peer gave this node its first answer. The node goes on with that peer, and tries its first
+    /// source later.
+    pub(crate) fn record_first_answer(&mut self, peer: SocketAddr, now: Instant) {
+        let found = self.order.iter().position(|source| *source == Source::Peer(peer));
+        self.current = found.unwrap_or_default();
+        self.left_first = (self.current != 0).then_some(now);
+        self.record_success();
+    }
+
     /// Records that the selected source answered.
     pub(crate) fn record_success(&mut self) {
         (self.has_read, self.peer_without_store) = (true, false);
