forward: engine work of all nodes travels with gossip

Cause: isolation groups are sized by the work of all nodes, which came with updates of the settings, 1.2 s apart, and between seeds each second. Change: reports and summaries carry the sums, each 150 to 300 ms.

--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -111,6 +111,7 @@
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = cold::add_to_report(&state, report);
+        let report = Report { work: Some(state.own_work()), ..report };
         let answer = post_report(&state, seed, NODE_PATH, report).await;
         let now = state.clock.now();
         let latency = answer.as_ref().ok().map(|_| now.saturating_duration_since(asked));
@@ -122,6 +123,9 @@
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
                 limits::apply_summary(&state, &mut limit_cursor, &summary);
                 cold::apply_permits(&state, &summary.cold_permits, asked);
+                if let Some(work) = summary.work {
+                    state.set_fleet_work(work);
+                }
                 state.rate_limits.record_seed_answer(now);
                 view.apply(summary, now);
                 let (loads, sends) = sent.subtract_own(&view, now);
@@ -149,6 +153,7 @@
         let report = own_report(&state, &mut sent, None);
         state.gossip.aggregate.borrow_mut().add_report(report, now);
         refresh_sums(&state);
+        state.set_fleet_work(state.fleet_work());
         let summary = state.gossip.aggregate.borrow().fleet_summary(&name, view.position(), now);
         apply_cached_parts(&state, &summary.parts);
         view.apply(summary, now);
@@ -168,7 +173,9 @@
         (seed.to_string(), Cursor::default(), Cursor::default());
     while let Some(state) = weak.upgrade() {
         let known = state.gossip.aggregate.borrow().seed_position(&name);
-        let report = Report { from: state.node().name.clone(), known, ..Report::default() };
+        let work = state.own_work().plus(state.work_reports.sum(state.clock.now()));
+        let from = state.node().name.clone();
+        let report = Report { from, known, work: Some(work), ..Report::default() };
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let answer = post_report(&state, seed, SEED_PATH, report).await;
@@ -223,6 +230,10 @@
     let (from, known) = (report.from.clone(), report.known);
     let (suspects, suspects_known) = (std::mem::take(&mut report.suspects), report.suspects_known);
     let (limits, limits_known) = (std::mem::take(&mut report.limits), report.limits_known);
+    if let Some(work) = report.work {
+        let reports = if from_seed { &state.seed_work_reports } else { &state.work_reports };
+        reports.record(&report.from, work, now);
+    }
     let (cold, permits_wanted) = (std::mem::take(&mut report.cold), report.permits_wanted);
     if !from_seed {
         state.gossip.aggregate.borrow_mut().add_report(report, now);
@@ -246,6 +257,7 @@
         limits::merge_and_add_to_summary(state, (&limits, limits_known), known, summary, permits);
     if !from_seed {
         summary = cold::add_to_summary(state, (&cold, permits_wanted), summary);
+        summary.work = Some(state.fleet_work());
     }
     summary.pause_ms = state.gossip.pace.borrow().pause(aggregate.node_count()).as_millis() as u32;
     let body = summary.encode();
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -45,7 +45,7 @@
 }
 
 impl WorkReports {
-    fn record(&self, name: &str, work: Work, now: Instant) {
+    pub(crate) fn record(&self, name: &str, work: Work, now: Instant) {
         let mut nodes = self.nodes.borrow_mut();
         nodes.retain(|_, (at, _)| now < *at + WORK_LIFETIME);
         if nodes.len() < MAX_NODES || nodes.contains_key(name) {
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::updates::Work;
+
 derives::data! {
     /// A position in the history of one seed's table.
     #[derive(Copy, Default, Eq, Serialize, Deserialize)]
@@ -55,6 +57,9 @@
         /// Permits for cold servers that the node could use at once; none if it knows no cold server.
         #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
         pub permits_wanted: Option<u32>,
+        /// Recent work at engines: of the node, or of a seed and all nodes that report to it.
+        #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+        pub work: Option<Work>,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -101,6 +106,9 @@
         /// Permits for requests to cold servers, in the same form.
         #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
         pub cold_permits: Vec<(u32, u32)>,
+        /// Recent work of all nodes at engines.
+        #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+        pub work: Option<Work>,
     }
 
     /// A request during which servers crashed. An array on the wire.
