router: classes and workspaces name the regions in which they may be served

The setting `regions` stands on deployment, tier, class and workspace; where class and workspace both name some, only regions of both are allowed. Waiting requests are checked again before each attempt by the settings then in force. The body of a keyed call isn't passed on to an owner in another region: it is refused as not run.

--- a/components/router/src/callers.rs
+++ b/components/router/src/callers.rs
@@ -120,7 +120,7 @@
                 deadline: arrived + time_limit,
                 idempotent: class.idempotent,
                 region: settings.region_names.key(&state.node.region).unwrap_or_default(),
-                regions: None,
+                regions: settings.allowed_regions(class_key, workspace_key),
             },
             body,
         },
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -45,11 +45,26 @@
     };
     match owner {
         _ if is_self => serve_as_owner(state, job, key, open).await,
+        Some(owner) if !may_receive(&state, &job, &owner) => {
+            refuse(&state, &job.payload, job.lifecycle, Error::NoOwner)
+        }
         Some(owner) => forward_to_owner(state, job, key, owner, open).await,
         None => refuse(&state, &job.payload, job.lifecycle, Error::NoOwner),
     }
 }
 
+/// Whether the owner of a key is in a region in which the call's body may be.
+fn may_receive(state: &State, job: &Job, owner: &Member) -> bool {
+    let Some(regions) = &job.payload.request.regions else { return true };
+    let view = state.view.borrow();
+    let domain = view.members().find(|(name, _)| **name == owner.name);
+    let settings = state.settings();
+    let region = domain
+        .zip(settings.as_ref())
+        .and_then(|((_, member), settings)| settings.region_of(&member.domain));
+    region.is_some_and(|region| regions.contains(&region))
+}
+
 /// Serves a call whose key this node owns: runs it, or answers that it ran before or mustn't run.
 async fn serve_as_owner(
     state: Rc<State>,
@@ -346,7 +361,7 @@
         deadline: arrived + time_limit,
         idempotent: false,
         region: settings.region_names.key(&state.node.region).unwrap_or_default(),
-        regions: None,
+        regions: settings.allowed_regions(class_key, workspace),
     };
     Some(Job {
         lifecycle: lifecycle::Request::new(id).admit(),
--- a/components/router/src/submission.rs
+++ b/components/router/src/submission.rs
@@ -19,6 +19,8 @@
     inner: driver::Submission,
     /// Hash of the request's content.
     content: u64,
+    class: ids::Class,
+    workspace: ids::Workspace,
     /// When the last attempt was sent.
     sent: Instant,
 }
@@ -27,7 +29,9 @@
     pub(crate) fn new(state: &Rc<State>, payload: &Payload) -> Self {
         let inner = driver::Submission::new(&state.driver, payload.request.clone());
         let sent = state.clock.now();
-        Submission { state: state.clone(), inner, content: payload.content_hash(), sent }
+        let (class, workspace) = (payload.request.class, payload.request.workspace);
+        let content = payload.content_hash();
+        Submission { state: state.clone(), inner, content, class, workspace, sent }
     }
 
     /// Waits until the scheduler selects a server for the request.
@@ -36,8 +40,14 @@
         loop {
             let server = self.inner.wait_for_server().await?;
             let settings = self.state.settings();
-            let listed = settings.and_then(|settings| settings.servers.get(server).cloned());
+            let listed = settings.as_ref().and_then(|all| all.servers.get(server).cloned());
+            let regions = settings.and_then(|all| all.allowed_regions(self.class, self.workspace));
             match listed {
+                // The settings may have become stricter while the request waited.
+                Some(server) if regions.is_some_and(|all| !all.contains(&server.region)) => {
+                    self.end_attempt(Ending::Cancelled);
+                    return Err(Refused::NO_SERVER);
+                }
                 Some(server) => return self.begin_attempt(server),
                 None if self.end_attempt(Ending::NotRun) => {}
                 None => return Err(Refused::NO_SERVER),
--- a/components/settings/src/build.rs
+++ b/components/settings/src/build.rs
@@ -8,6 +8,7 @@
 use crate::effective::{Class, Effective, KeyDigest, Limits, Role, Server, ServerKind, Workspace};
 use crate::fault::{Cause, Fault, Faults};
 use crate::leaf::{Kind, Leaf};
+use crate::names::Names;
 use crate::part::{self, Branch, Part};
 use crate::tree::{Chain, Tree};
 
@@ -87,7 +88,7 @@
             effective.servers.insert(key, share_if_equal(server, earlier));
         }
         for branch in tree.branches(Kind::Class) {
-            let class = resolve_class(&tree, branch, faults);
+            let class = resolve_class(&tree, branch, &mut effective.region_names, faults);
             let key = effective.class_names.intern(&branch.name);
             let earlier = previous.and_then(|previous| previous.classes.get(key));
             effective.classes.insert(key, share_if_equal(class, earlier));
@@ -220,6 +221,7 @@
             weight: chain.number(Leaf::Weight) as u32,
             in_flight: chain.number(Leaf::InFlight) as u32,
             servers: servers.map(|name| self.server_names.intern(name)).collect(),
+            regions: resolve_regions(&chain, &mut self.region_names),
         }
     }
 
@@ -325,7 +327,12 @@
     }
 }
 
-fn resolve_class(tree: &Tree, branch: &Branch, faults: &mut Vec<Fault>) -> Class {
+fn resolve_class(
+    tree: &Tree,
+    branch: &Branch,
+    region_names: &mut Names<ids::Region>,
+    faults: &mut Vec<Fault>,
+) -> Class {
     let chain = tree.chain(branch);
     let bounds = [
         (Leaf::FirstToken, Leaf::Deadline, "deadline"),
@@ -356,9 +363,14 @@
         queue: chain.number(Leaf::Queue) as usize,
         attempts: chain.number(Leaf::Attempts) as u8,
         idempotent: chain.flag(Leaf::Idempotent),
+        regions: resolve_regions(&chain, region_names),
     }
 }
 
+fn resolve_regions(chain: &Chain<'_>, names: &mut Names<ids::Region>) -> Vec<ids::Region> {
+    chain.texts(Leaf::Regions).iter().map(|name| names.intern(name)).collect()
+}
+
 fn resolve_limits(chain: &Chain<'_>) -> Limits {
     Limits {
         connections: chain.number(Leaf::Connections) as usize,
--- a/components/settings/src/effective.rs
+++ b/components/settings/src/effective.rs
@@ -7,6 +7,7 @@
 use slotmap::SecondaryMap;
 
 use crate::fault::{Fault, Faults};
+use crate::leaf::{Kind, Leaf};
 use crate::names::Names;
 use crate::part::{self, Part};
 use crate::tree::Tree;
@@ -38,6 +39,8 @@
         pub attempts: u8,
         /// Whether a request may be run more than once.
         pub idempotent: bool,
+        /// Regions in which its requests may be served; empty means all.
+        pub regions: Vec<ids::Region>,
     }
 
     /// A workspace with its inherited values.
@@ -54,6 +57,8 @@
         pub in_flight: u32,
         /// Backend servers it may use; empty means all.
         pub servers: Vec<ids::Server>,
+        /// Regions in which its requests may be served; empty means all.
+        pub regions: Vec<ids::Region>,
     }
 
     /// Kind of a backend server.
@@ -225,6 +230,38 @@
         self.parts.iter().find(|part| part.digest == digest)
     }
 
+    /// Returns the regions in which requests of a class and a workspace may be served: those that both allow,
+    /// or `None` if both allow all.
+    ///
+    /// ```
+    /// let effective = settings::Effective::build(1, &[], None).unwrap();
+    /// let (class, workspace) = (ids::Class::default(), ids::Workspace::default());
+    /// assert_eq!(effective.allowed_regions(class, workspace), None);
+    /// ```
+    pub fn allowed_regions(
+        &self,
+        class: ids::Class,
+        workspace: ids::Workspace,
+    ) -> Option<Vec<ids::Region>> {
+        let class = self.classes.get(class).map(|class| &class.regions[..]).unwrap_or_default();
+        let workspace = self.workspaces.get(workspace).map(|workspace| &workspace.regions[..]);
+        let workspace = workspace.unwrap_or_default();
+        match (class, workspace) {
+            ([], []) => None,
+            ([], only) | (only, []) => Some(only.to_vec()),
+            (class, workspace) => {
+                let both = class.iter().filter(|region| workspace.contains(region));
+                Some(both.copied().collect())
+            }
+        }
+    }
+
+    /// Returns the region of a failure domain; `None` if the tree doesn't name the domain.
+    pub fn region_of(&self, domain: &str) -> Option<ids::Region> {
+        let branch = self.tree.branch(Kind::Domain, domain)?;
+        self.region_names.key(self.tree.chain(branch).text(Leaf::Region)?)
+    }
+
     /// Returns the workspace whose callers use the bearer key with this digest.
     pub fn workspace_by_key(&self, digest: &KeyDigest) -> Option<(ids::Workspace, &Rc<Workspace>)> {
         let key = *self.workspaces_by_key.get(digest)?;
--- a/components/settings/src/leaf.rs
+++ b/components/settings/src/leaf.rs
@@ -134,6 +134,8 @@
         [Deployment Tier Class Workspace], "Requests in flight at once on a node.";
     Servers "servers" Type::Refs(Kind::Server), Some("[]"), [Deployment Tier Class Workspace],
         "Backend servers it may use; all where no branch says it.";
+    Regions "regions" Type::Refs(Kind::Region), Some("[]"), [Deployment Tier Class Workspace],
+        "Regions in which its requests may be served; all where no branch says it.";
     Region "region" Type::Ref(Kind::Region), None, [Domain], "Region of the failure domain.";
     Domain "domain" Type::Ref(Kind::Domain), None, [Server],
         "Failure domain of the backend server.";
