--- a/components/policy/src/throttle/tests.rs
+++ b/components/policy/src/throttle/tests.rs
@@ -61,12 +61,13 @@
 #[test]
 fn a_permit_is_valid_once_and_for_a_while() {
     let (mut permits, now) = (Permits::default(), Instant::now());
-    permits.add(2, now);
-    permits.take(now);
+    permits.add(2, now + PERMIT_LIFETIME);
+    assert_eq!(permits.take(now), Some(now + PERMIT_LIFETIME));
     assert!(permits.available(now));
     permits.take(now);
     assert!(!permits.available(now));
-    permits.add(1, now);
+    assert_eq!(permits.take(now), None);
+    permits.add(1, now + PERMIT_LIFETIME);
     assert!(!permits.available(now + PERMIT_LIFETIME));
 }
 
