policy: isolation groups follow the work of the last second

Since the work is that of all nodes and 150 to 300 ms old, it no longer has to outlast what one node sees by chance.

--- a/components/policy/src/isolation.rs
+++ b/components/policy/src/isolation.rs
@@ -17,8 +17,9 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Half-life of work: long against the fluctuations of ordinary traffic, short against a burst.
-const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Half-life of work: long against the fluctuations of ordinary traffic, which average out over all nodes, and
+/// short against a burst.
+const HALF_LIFE: Duration = Duration::from_secs(1);
 /// Half-lives after which work is forgotten.
 const FORGOTTEN_AFTER: u32 = 10;
 /// Seconds between tokens at an engine that prefills all the time. Classes that tolerate less are kept apart
