Cold servers: what a node saw itself isn't ended by an older entry

Cause, read and not run: an entry that said 'warm' ended the coldness of a server whose connections had just failed or whose domain had just come back into use, and a reload of a node's settings applied old statements again. Statements, returns and failed connections are kept apart now; statements apply once, when they come. Lints of the new tests.

--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -193,7 +193,8 @@
         self.freshness.borrow_mut().set_max_age(node.max_proof_age());
         *self.node.borrow_mut() = Rc::new(node);
         let all = self.membership.borrow().iter().map(|entry| entry.name.clone()).collect();
-        self.apply_servers(all);
+        self.register_servers(all);
+        self.driver.run_actions();
     }
 
     /// The sources that this node asks for settings and servers.
@@ -334,13 +335,22 @@
 
     /// Updates the scheduler after these servers were listed, changed or removed.
     pub(crate) fn apply_servers(&self, servers: Vec<String>) {
+        for (key, entry) in self.register_servers(servers) {
+            cold::apply_entry(self, key, &entry);
+        }
+        self.driver.run_actions();
+    }
+
+    /// Registers servers that are listed with the scheduler and removes the others; returns those that are
+    /// listed. What their entries say of cold servers was true when they came, so it is applied only then.
+    fn register_servers(&self, servers: Vec<String>) -> Vec<(ids::Server, Rc<catalog::Entry>)> {
+        let mut listed = vec![];
         if servers.is_empty() {
-            return;
+            return listed;
         }
         let membership = self.membership.borrow();
         let mut registry = self.registry.borrow_mut();
         let mut scheduler = self.driver.scheduler.borrow_mut();
-        let mut listed = vec![];
         for name in servers {
             match membership.get(&name) {
                 Some(entry) => {
@@ -362,11 +372,8 @@
             }
         }
         drop((membership, registry, scheduler));
-        for (key, entry) in listed {
-            cold::apply_entry(self, key, &entry);
-        }
         limits::apply_to_scheduler(self);
-        self.driver.run_actions();
+        listed
     }
 }
 
@@ -388,7 +395,7 @@
             let domains = &self.node().domains;
             let key = registry.set_server(&mut scheduler, entry, domains, in_force);
             if !in_force {
-                scheduler.set_cold(key, None, self.clock.now());
+                scheduler.record_return(key, self.clock.now());
             }
         }
         drop((registry, scheduler));
--- a/components/policy/src/cold.rs
+++ b/components/policy/src/cold.rs
@@ -146,7 +146,11 @@
 /// Whether one server is cold, as far as this node knows, and the permits to send to it.
 #[derive(Debug, Default)]
 pub(crate) struct Guard {
-    until: Option<Instant>,
+    /// Until when it is cold by its entry.
+    stated_until: Option<Instant>,
+    /// Until when it may be cold without having said so: it answered again after a failed connection, or came
+    /// back into use. An entry may be older than that, so none ends it.
+    recovering_until: Option<Instant>,
     /// A connection to it failed, and it hasn't answered since.
     silent: bool,
     permits: Permits,
@@ -155,7 +159,8 @@
 impl Guard {
     /// Whether it counts as cold.
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
-        self.silent || self.until.is_some_and(|until| now < until)
+        let until = self.stated_until.max(self.recovering_until);
+        self.silent || until.is_some_and(|until| now < until)
     }
 
     /// Whether a request may be sent to it.
@@ -171,9 +176,14 @@
     /// Records that it answers: it was started at the latest just now.
     pub(crate) fn record_answer(&mut self, cold_time: Duration, now: Instant) {
         if std::mem::take(&mut self.silent) {
-            self.until = self.until.max(Some(now + cold_time));
+            self.recover(cold_time, now);
         }
     }
+
+    /// Counts it as cold for its cold time from now on.
+    fn recover(&mut self, cold_time: Duration, now: Instant) {
+        self.recovering_until = self.recovering_until.max(Some(now + cold_time));
+    }
 }
 
 impl Scheduler {
@@ -191,14 +201,22 @@
         let Some(cold_time) = state.terms.cold_time else { return };
         let left = stated.unwrap_or(cold_time);
         let was_cold = state.guard.is_cold(now);
-        state.guard.silent = false;
-        state.guard.until = (!left.is_zero()).then_some(now + left);
+        state.guard.stated_until = (!left.is_zero()).then_some(now + left);
         if state.guard.is_cold(now) && !was_cold {
             self.prefixes.remove_server(key);
         }
         self.epoch += 1;
     }
 
+    /// Records that a server is back in use, and may have been restarted meanwhile.
+    pub fn record_return(&mut self, key: ids::Server, now: Instant) {
+        let Some(state) = self.servers.get_mut(key) else { return };
+        if let Some(cold_time) = state.terms.cold_time {
+            state.guard.recover(cold_time, now);
+            self.prefixes.remove_server(key);
+        }
+    }
+
     /// Whether a server counts as cold.
     pub fn is_cold(&self, key: ids::Server, now: Instant) -> bool {
         self.servers.get(key).is_some_and(|state| state.guard.is_cold(now))
--- a/components/policy/src/cold/tests.rs
+++ b/components/policy/src/cold/tests.rs
@@ -36,6 +36,16 @@
 /// Steps of virtual time that the search covers.
 const SEARCHED_STEPS: u32 = 14;
 
+/// A fleet without what no longer matters, for the set of those that the search has seen.
+#[derive(PartialEq, Eq, Hash)]
+struct Key {
+    step: u32,
+    /// Of each seed, for how many steps its grants still count, and after how many it issues permits.
+    seeds: Vec<(Vec<u32>, u32)>,
+    permits: Vec<Vec<u32>>,
+    arrivals: Vec<u32>,
+}
+
 /// Two seeds, three nodes with permits, and the requests that the server received.
 #[derive(Clone)]
 struct Fleet {
@@ -93,8 +103,8 @@
         recent.count() as u32
     }
 
-    /// What distinguishes it from other fleets; nodes are interchangeable.
-    fn key(&self, start: Instant) -> (u32, Vec<(Vec<u32>, u32)>, Vec<Vec<u32>>, Vec<u32>) {
+    /// What distinguishes it from other fleets; seeds and nodes are interchangeable.
+    fn key(&self, start: Instant) -> Key {
         let now = self.now(start);
         let steps = |until: Instant| {
             (until.saturating_duration_since(now).as_millis() / LIFETIME.as_millis()) as u32
@@ -108,7 +118,7 @@
             (left, steps(issuer.opens))
         };
         let mut seeds: Vec<_> = self.seeds.iter().map(seed).collect();
-        seeds[..].sort();
+        seeds.sort();
         let valid = |permits: &Vec<u32>| {
             let mut valid: Vec<_> =
                 permits.iter().copied().filter(|end| *end >= self.step).collect();
@@ -118,7 +128,7 @@
         let mut permits: Vec<_> = self.permits.iter().map(valid).collect();
         permits.sort();
         let recent = self.arrivals.iter().filter(|at| **at + STEPS_PER_WINDOW > self.step);
-        (self.step, seeds, permits, recent.copied().collect())
+        Key { step: self.step, seeds, permits, arrivals: recent.copied().collect() }
     }
 }
 
@@ -167,7 +177,7 @@
         let now = opens + STEP * step;
         for (node, permits) in permits.iter_mut().enumerate() {
             permits.retain(|(_, expires)| now < *expires);
-            if (step as usize + node) % pause_steps == 0 {
+            if (step as usize + node).is_multiple_of(pause_steps) {
                 let part = Part { index: (node % 3) as u32, issuers: 3 };
                 for (server, count) in seeds[node % 3].issue(&cold, part, wanted, now) {
                     permits.extend(std::iter::repeat_n((server, now + LIFETIME), count as usize));
