Cold permits count suspensions from the node's start; losses name requests without a region

The first permits that a node received were dropped, since the time of the whole VM counted as suspended. losses: a cause of its own for requests that no server in their regions could take.

--- a/components/forward/src/cold.rs
+++ b/components/forward/src/cold.rs
@@ -10,35 +10,34 @@
 use wire::gossip::{Report, Summary};
 
 use crate::adapter::Adapter;
-use crate::state::State;
+use crate::state::{State, Timestamp};
 
-/// Difference between two readings of two clocks that doesn't count as a suspension of the VM.
+/// Difference between readings of the two clocks that doesn't count as a suspension of the VM.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
 
 /// The permits that this node issues as a seed, and whether those that it received can be trusted.
 #[derive(Debug)]
 pub(crate) struct Permits {
     issuer: RefCell<Issuer>,
-    started: Instant,
-    /// Time of this process, suspensions included, by which the two clocks differed when permits were last
-    /// received.
+    started: Timestamp,
+    /// For how long the VM had been suspended since the start when permits were last received.
     suspended: Cell<Duration>,
 }
 
 impl Permits {
     /// The permits of a node that starts now.
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(now: Timestamp) -> Self {
         Permits {
-            issuer: RefCell::new(Issuer::new(now)),
+            issuer: RefCell::new(Issuer::new(now.at)),
             started: now,
             suspended: Cell::new(Duration::ZERO),
         }
     }
 
-    /// Total difference between the clock that counts suspensions and the one that doesn't.
+    /// For how long the VM has been suspended since the start: only one of its clocks counts that time.
     fn total_suspension<A: Adapter>(&self, state: &State<A>) -> Duration {
-        let steady = state.clock.now().saturating_duration_since(self.started);
-        state.clock.boot_time().saturating_sub(steady)
+        let running = state.clock.now().saturating_duration_since(self.started.at);
+        state.elapsed_since(self.started).saturating_sub(running)
     }
 
     /// Whether the VM was suspended since permits were last received. They expire by a clock that stood still.
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -174,7 +174,10 @@
             gossip,
             crossing: Crossing::new(clock.now()),
             rate_limits: Limits::default(),
-            cold_permits: cold::Permits::new(clock.now()),
+            cold_permits: cold::Permits::new(Timestamp {
+                at: clock.now(),
+                boot_time: clock.boot_time(),
+            }),
             evacuations: Evacuations::default(),
             listener_limits: watch::channel(listener_limits).0,
             body_bytes: Cell::new(0),
--- a/components/losses/src/cause.rs
+++ b/components/losses/src/cause.rs
@@ -10,6 +10,9 @@
 /// An answer that was cut at most this long before its limit counts as cut by the limit.
 const LIMIT_TOLERANCE_MS: u64 = 100;
 
+/// Outcome in logs of a request that no backend server in its regions could take.
+const NO_SERVER_IN_REGIONS: &str = "no backend server in its regions may take it";
+
 derives::named! {
     /// Why a request wasn't served in time.
     pub enum Cause {
@@ -31,6 +34,8 @@
         AnswerTooLong = "answer-longer-than-its-time",
         /// The backend server answered with a server error.
         ServerError = "server-failed",
+        /// No backend server in the regions where it may be served took new work.
+        NoRegion = "no-server-in-its-regions",
         /// The node refused it: the queue was full, no backend server was available, or the time
         /// left was too short.
         Refused = "refused",
@@ -54,6 +59,7 @@
             ("caller-gone" | "unknown", None) if at_limit => Some(Cause::SlowServer),
             ("broken-off" | "unknown", _) => Some(Cause::ServerLost),
             ("caller-gone", _) => Some(Cause::CallerLeft),
+            (NO_SERVER_IN_REGIONS, _) => Some(Cause::NoRegion),
             _ => Some(Cause::Refused),
         }
     }
--- a/components/losses/tests/report.rs
+++ b/components/losses/tests/report.rs
@@ -62,6 +62,11 @@
         (r#""took_ms":40,"#, r#""outcome":"complete","status":500"#, Some(Cause::ServerError)),
         (r#""took_ms":40,"#, r#""outcome":"complete","status":404"#, None),
         (r#""took_ms":40,"#, r#""outcome":"no room","status":503"#, Some(Cause::Refused)),
+        (
+            r#""took_ms":2,"#,
+            r#""outcome":"no backend server in its regions may take it","status":503"#,
+            Some(Cause::NoRegion),
+        ),
     ];
     for (times, rest, cause) in table {
         let text = ended_line(&format!("{times}{rest}"));
