Permits drop expired ones as they are added

Cause, by reading: with the time of expiry given by the caller, adding no longer dropped expired permits, so those for a server that a node never sends to piled up. Test: a thousand additions keep 50.

--- a/components/forward/src/cold.rs
+++ b/components/forward/src/cold.rs
@@ -126,10 +126,10 @@
         // The permits may have been under way during the suspension.
         return;
     }
-    let registry = state.registry.borrow();
+    let (registry, now) = (state.registry.borrow(), state.clock.now());
     for (server, count) in permits {
         if let Some(server) = registry.server_by_wire_key(*server) {
-            scheduler.add_cold_permits(server, *count, asked + LIFETIME);
+            scheduler.add_cold_permits(server, *count, asked + LIFETIME, now);
         }
     }
     let received: u32 = permits.iter().map(|(_, count)| count).sum();
--- a/components/policy/src/cold.rs
+++ b/components/policy/src/cold.rs
@@ -237,9 +237,15 @@
     }
 
     /// Permits `count` requests to a cold server until the permits expire.
-    pub fn add_cold_permits(&mut self, key: ids::Server, count: u32, expires: Instant) {
+    pub fn add_cold_permits(
+        &mut self,
+        key: ids::Server,
+        count: u32,
+        expires: Instant,
+        now: Instant,
+    ) {
         if let Some(state) = self.servers.get_mut(key) {
-            state.guard.permits.add(count, expires);
+            state.guard.permits.add(count, expires, now);
             self.epoch += 1;
         }
     }
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -1,7 +1,7 @@
 //! Groups interchangeable backend servers into pools, with the queues of requests that wait for them.
 //!
-//! All requests of a pool ask for the same model and may use the same servers, in the same regions. So when the first request of a
-//! class gets no slot, no request behind it would, and the dispatcher needn't look further.
+//! All requests of a pool ask for the same model and may use the same servers, in the same regions. So when the
+//! first request of a class gets no slot, no request behind it would, and the dispatcher needn't look further.
 
 use crate::forecast::Throughput;
 use crate::isolation::Isolation;
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -222,7 +222,7 @@
     pub fn add_permits(&mut self, key: ids::Server, count: u32, now: Instant) {
         let state = self.servers.get_mut(key);
         if let Some(permits) = state.and_then(|state| state.permits.as_mut()) {
-            permits.add(count, now + PERMIT_LIFETIME);
+            permits.add(count, now + PERMIT_LIFETIME, now);
             self.epoch += 1;
         }
     }
--- a/components/policy/src/throttle.rs
+++ b/components/policy/src/throttle.rs
@@ -187,13 +187,14 @@
 /// The permits of a node for one server.
 #[derive(Debug, Default)]
 pub(crate) struct Permits {
-    /// How many were issued together, and when they expire.
+    /// How many were issued together, and when they expire; those that expire first come first.
     batches: VecDeque<(u32, Instant)>,
 }
 
 impl Permits {
-    /// Adds permits that expire at the given time; those that expire first are used first.
-    pub(crate) fn add(&mut self, count: u32, expires: Instant) {
+    /// Adds permits that expire at the given time, and drops those that have expired.
+    pub(crate) fn add(&mut self, count: u32, expires: Instant, now: Instant) {
+        self.batches.retain(|(_, expires)| now < *expires);
         let index = self.batches.partition_point(|(_, other)| *other <= expires);
         self.batches.insert(index, (count, expires));
     }
--- a/components/policy/src/throttle/tests.rs
+++ b/components/policy/src/throttle/tests.rs
@@ -61,16 +61,27 @@
 #[test]
 fn a_permit_is_valid_once_and_for_a_while() {
     let (mut permits, now) = (Permits::default(), Instant::now());
-    permits.add(2, now + PERMIT_LIFETIME);
+    permits.add(2, now + PERMIT_LIFETIME, now);
     assert_eq!(permits.take(now), Some(now + PERMIT_LIFETIME));
     assert!(permits.available(now));
     permits.take(now);
     assert!(!permits.available(now));
     assert_eq!(permits.take(now), None);
-    permits.add(1, now + PERMIT_LIFETIME);
+    permits.add(1, now + PERMIT_LIFETIME, now);
     assert!(!permits.available(now + PERMIT_LIFETIME));
 }
 
+/// Guards against permits that nobody uses and that pile up for as long as a server has a limit.
+#[test]
+fn expired_permits_are_dropped() {
+    let (mut permits, start) = (Permits::default(), Instant::now());
+    for step in 0..1_000 {
+        let now = start + STEP * step;
+        permits.add(1, now + PERMIT_LIFETIME, now);
+    }
+    assert!(permits.batches.len() <= 50, "{}", permits.batches.len());
+}
+
 /// Guards against nodes that report the same limit to each other for ever, each with a slightly later time.
 #[test]
 fn the_same_limit_again_is_no_change() {
