Long answers that may run once continue from a copy when their engine ends

Cause: a stream that may run only once ended with its engine. Change: policy::backup names an engine in the region and another failure domain for answers that are long for their context; the attempt carries its address. When the connection breaks, driver::crashes checks that nothing listens at the engine's address, and only then the request goes to the copy, with the number of the last event, within the retry budget, permits and orders in force. lifecycle::Orphaned lets nothing else continue such a stream. A request that its copy declines isn't queued again.

--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -70,6 +70,8 @@
         /// Prompt tokens per second whose cached state one engine can fetch from another; `None` if its
         /// engines can't.
         pub fetch_tokens_per_second: Option<f64>,
+        /// Its engines can keep a copy of a request that another one runs, and continue it.
+        pub backups: bool,
         /// What its servers withstand while they are cold; `None` if they are never cold.
         pub cold: Option<Cold>,
     }
--- a/components/driver/src/crashes.rs
+++ b/components/driver/src/crashes.rs
@@ -13,6 +13,7 @@
 use clock::Clock;
 use http_client::Connection;
 use policy::{Crash, Quarantine, Refusal};
+use tokio::sync::oneshot;
 
 use crate::submission::Refused;
 
@@ -33,11 +34,13 @@
 }
 
 /// A request whose connection ended early.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct Interrupted {
     content: u64,
     sent: Instant,
     at: Instant,
+    /// Receives whether the server has crashed.
+    result: oneshot::Sender<bool>,
 }
 
 /// Server crashes, and the requests that are blocked because of them.
@@ -62,15 +65,22 @@
     }
 
     /// Records that the connection of a request, which was sent at `sent`, ended early. Starts a probe of
-    /// its server, unless one is in progress.
-    pub fn record_lost_connection(self: &Rc<Self>, server: Target, content: u64, sent: Instant) {
+    /// its server, unless one is in progress; the receiver gets whether the server has crashed.
+    pub fn record_lost_connection(
+        self: &Rc<Self>,
+        server: Target,
+        content: u64,
+        sent: Instant,
+    ) -> oneshot::Receiver<bool> {
         let mut probes = self.probes.borrow_mut();
         let first = !probes.contains_key(&server.address);
-        let interrupted = Interrupted { content, sent, at: self.clock.now() };
+        let (result, receiver) = oneshot::channel();
+        let interrupted = Interrupted { content, sent, at: self.clock.now(), result };
         probes.entry(server.address.clone()).or_default().push(interrupted);
         if first {
             actix_rt::spawn(self.clone().probe(server));
         }
+        receiver
     }
 
     /// Probes a server, and records a crash against all requests that it interrupted if it refuses the
@@ -80,13 +90,21 @@
         let result = Connection::connect(&server.address, PROBE_TIMEOUT).await;
         let refused = result.is_err_and(|cause| cause.kind() == ErrorKind::ConnectionRefused);
         let interrupted = self.probes.borrow_mut().remove(&server.address).unwrap_or_default();
-        if !refused {
-            return;
+        if refused {
+            self.record_crash(&server, &interrupted);
         }
+        for Interrupted { result, .. } in interrupted {
+            // The request may have ended meanwhile.
+            let _ = result.send(refused);
+        }
+    }
+
+    /// Records a crash against the requests that a server was running.
+    fn record_crash(&self, server: &Target, interrupted: &[Interrupted]) {
         // Without a key, each detected crash counts as one of another process.
         let instance = server.instance.unwrap_or_else(rand::random);
         let (mut quarantine, now) = (self.quarantine.borrow_mut(), self.clock.now());
-        for Interrupted { content, sent, at } in interrupted.iter().copied() {
+        for &Interrupted { content, sent, at, .. } in interrupted {
             let blocked_before = quarantine.blocked_for(content, now);
             quarantine.record_crash(content, Crash { instance, sent, at }, now);
             if let (None, Some(blocked)) = (blocked_before, quarantine.blocked_for(content, now)) {
--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -104,6 +104,13 @@
         self.driver.scheduler.borrow_mut().record_tokens(self.job, count, now);
     }
 
+    /// Moves the request to the engine that keeps a copy of its run, once its server has ended; returns that
+    /// engine. If there is none, the attempt has yet to be ended.
+    pub fn continue_at_backup(&mut self) -> Option<ids::Server> {
+        let now = self.driver.clock.now();
+        self.driver.scheduler.borrow_mut().continue_at_backup(self.job, now)
+    }
+
     /// Ends the attempt; returns whether the request is queued again. If it is, call
     /// [`Submission::wait_for_server`] before awaiting anything else: the driver cancels a request
     /// that gets a server while no task waits for it.
--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -1,7 +1,7 @@
 //! A server that does wrong on the level of bytes, after a script.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,6 +30,8 @@
         Reset,
         /// Keeps the connection and does nothing.
         Hang,
+        /// Plays these steps in place of those that follow, if the request's head holds this text.
+        IfHead(String, Vec<Step>),
         /// Ends the server, with all its connections, if the body that was run holds this text.
         CrashAt(String),
     }
@@ -193,8 +195,11 @@
         body: String::new(),
     });
     let at = state.seen.borrow().len() - 1;
-    for step in steps {
+    let mut steps = VecDeque::from(steps);
+    while let Some(step) = steps.pop_front() {
         match step {
+            Step::IfHead(text, others) if head.contains(&text) => steps = others.into(),
+            Step::IfHead(..) => {}
             Step::Run => {
                 let length = value(head, "content-length").parse().unwrap_or(0);
                 while read.len() < length {
--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -61,6 +61,10 @@
         pub last_event_id: Option<u64>,
         /// The server whose cached part of the prompt this one copies.
         pub fetch_from: Option<&'a Entry>,
+        /// The server that keeps a copy of this attempt's run.
+        pub backup: Option<&'a Entry>,
+        /// The attempt continues the request's earlier run from the copy that its server keeps.
+        pub from_copy: bool,
     }
 
     /// Result of checking the head of a response.
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -161,15 +161,28 @@
     }
 }
 
+/// What an attempt adds to the request of the caller.
+#[derive(Debug, Default)]
+pub(crate) struct Plan {
+    /// Id of the event after which a stream has to continue.
+    pub(crate) last_event_id: Option<u64>,
+    /// The server whose cached part of the prompt is copied.
+    pub(crate) fetch_from: Option<Rc<Entry>>,
+    /// The server that keeps a copy of the run.
+    pub(crate) backup: Option<Rc<Entry>>,
+    /// The run continues from the copy that the attempt's server keeps.
+    pub(crate) from_copy: bool,
+    /// Until when the request must be sent, if the server is cold.
+    pub(crate) send_by: Option<Instant>,
+}
+
 /// Sends a request to a server and waits for its answer, or the start of one that is passed on as it
 /// arrives. Until this returns, the caller has received nothing, and another attempt may follow.
 pub(crate) async fn send<A: Adapter>(
     state: &Rc<State<A>>,
     received: &Received,
     server: &Entry,
-    last_event_id: Option<u64>,
-    fetch_from: Option<Rc<Entry>>,
-    send_by: Option<Instant>,
+    plan: &Plan,
 ) -> Result<Reply, AttemptError> {
     let connection = match state.pool.take(&server.address) {
         Some(connection) => connection,
@@ -179,14 +192,14 @@
             connection.map_err(|cause| AttemptError::Unreached(cause.to_string()))?
         }
     };
-    if !cold::may_send(state, send_by) {
+    if !cold::may_send(state, plan.send_by) {
         state.pool.put_unused(&server.address, connection);
         return Err(AttemptError::PermitExpired);
     }
-    if send_by.is_some() {
+    if plan.send_by.is_some() {
         state.metrics.add_cold_permits("used", 1);
     }
-    let head = request_head(state, received, server, last_event_id, fetch_from);
+    let head = request_head(state, received, server, plan);
     let sent = state.clock.now();
     let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
     let (mut head, mut body) =
@@ -221,7 +234,7 @@
             }
         }
     }
-    receive_reply(state, received, server, head, body, last_event_id).await
+    receive_reply(state, received, server, head, body, plan.last_event_id).await
 }
 
 /// Receives an answer whose head was accepted: the first events of a stream, or the whole of any other
@@ -304,16 +317,17 @@
     state: &State<A>,
     received: &Received,
     server: &Entry,
-    last_event_id: Option<u64>,
-    fetch_from: Option<Rc<Entry>>,
+    plan: &Plan,
 ) -> RequestHead {
     let attempt = Attempt {
         server,
         time_left: received.time_left(state),
         workspace: received.found.workspace.as_ref().map(|workspace| workspace.name.as_str()),
         priority: received.found.priority(),
-        last_event_id,
-        fetch_from: fetch_from.as_deref(),
+        last_event_id: plan.last_event_id,
+        fetch_from: plan.fetch_from.as_deref(),
+        backup: plan.backup.as_deref(),
+        from_copy: plan.from_copy,
     };
     let mut head = RequestHead::default();
     head.method = received.head.method().clone();
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -30,6 +30,8 @@
 struct ServiceTerms {
     /// How an engine copies cached prompts from others; none if it can't.
     fetch: Option<policy::Fetch>,
+    /// Its engines keep copies of what others run.
+    backups: bool,
     /// Time after its start in which a server is cold; none if it never is.
     cold_time: Option<Duration>,
 }
@@ -146,6 +148,7 @@
             resumes: true,
             prefill_rate: entry.engine.then_some(PREFILL_TOKENS_PER_SECOND),
             fetch: service.fetch,
+            backups: service.backups,
             cold_time: service.cold_time,
         }
     }
@@ -225,7 +228,7 @@
                 .map(|tokens_per_second| policy::Fetch { tokens_per_second, setup: FETCH_SETUP });
             // Without gossip no node gets a permit, so servers count as warm.
             let cold_time = service.cold.filter(|_| self.issues_permits).map(|cold| cold.time);
-            (name.clone(), ServiceTerms { fetch, cold_time })
+            (name.clone(), ServiceTerms { fetch, backups: service.backups, cold_time })
         };
         let services: HashMap<_, _> = settings.services.iter().map(terms).collect();
         if services == self.services {
@@ -235,6 +238,7 @@
         for (key, entry) in &self.servers {
             let terms = self.service_terms(&entry.service);
             scheduler.set_fetch(key, terms.fetch);
+            scheduler.set_backups(key, terms.backups);
             scheduler.set_cold_time(key, terms.cold_time);
         }
     }
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -11,10 +11,11 @@
 use driver::{Refused, Submission, Target};
 use lifecycle::{Outcome, Reason, Sending, Waiting};
 use policy::{Ending, Expected, Refusal};
+use tokio::sync::oneshot;
 
 use crate::adapter::{Adapter, CallerProtocol};
 use crate::answer::{Answer, Error};
-use crate::attempt::{self, AttemptError, Reply, WholeReply};
+use crate::attempt::{self, AttemptError, Plan, Reply, WholeReply};
 use crate::intake::{self, Received};
 use crate::state::{OpenRequest, State};
 use crate::stream::{self, Relay};
@@ -133,7 +134,7 @@
             Ok(reply) => return active.relay(sending, reply),
             Err(error) => error,
         };
-        active.record_failure(sending.attempt(), &server, &error);
+        let _ = active.record_failure(sending.attempt(), &server, &error);
         let again = active.submission.end_attempt(error.ending());
         let timed_out = matches!(error, AttemptError::TimedOut);
         let unsent = error.not_run_proof();
@@ -222,16 +223,62 @@
         let early = may_retry && self.received.repeatable().is_some();
         let stalled = self.received.route().target_latency * STALL_TARGETS;
         let timeout = if early { time_left.min(stalled) } else { time_left };
-        let fetch = self.stats.expected.and_then(|expected| expected.fetch);
-        let fetch_from = fetch.and_then(|key| self.state.registry.borrow().server(key).cloned());
-        let send_by = self.submission.send_by();
-        let sending =
-            attempt::send(&self.state, &self.received, server, last_event_id, fetch_from, send_by);
+        let entry = |key: ids::Server| self.state.registry.borrow().server(key).cloned();
+        let expected = self.stats.expected;
+        let plan = Plan {
+            last_event_id,
+            fetch_from: expected.and_then(|expected| expected.fetch).and_then(entry),
+            backup: expected.and_then(|expected| expected.backup).and_then(entry),
+            from_copy: false,
+            send_by: self.submission.send_by(),
+        };
+        let sending = attempt::send(&self.state, &self.received, server, &plan);
         tokio::time::timeout(timeout, sending).await.unwrap_or(Err(AttemptError::TimedOut))
     }
 
-    /// Logs and counts a failed attempt, and lets [`driver::Crashes`] check whether the server crashed.
-    pub(crate) fn record_failure(&self, attempt: u32, server: &Entry, error: &AttemptError) {
+    /// Whether a server keeps a copy of the run.
+    pub(crate) fn has_backup(&self) -> bool {
+        self.stats.expected.is_some_and(|expected| expected.backup.is_some())
+    }
+
+    /// Moves the request to the server that keeps a copy of its run; none if that one may not be sent the
+    /// request. The server that ran it must have ended.
+    pub(crate) fn continue_at_backup(&mut self) -> Option<Rc<Entry>> {
+        self.state.crashes.begin_attempt(self.received.fingerprint).ok()?;
+        let backup = self.stats.expected?.backup?;
+        let server = self.state.registry.borrow().server(backup).cloned()?;
+        if !self.may_serve(&server) {
+            return None;
+        }
+        self.submission.continue_at_backup()?;
+        self.server = Some(server.clone());
+        self.stats.sends += 1;
+        self.stats.expected = None;
+        self.sent = self.state.clock.now();
+        Some(server)
+    }
+
+    /// Continues a stream after the event `last_event_id` from the copy of its run that `server` keeps.
+    pub(crate) async fn continue_from_copy(
+        &self,
+        server: &Entry,
+        last_event_id: Option<u64>,
+    ) -> Result<Reply, AttemptError> {
+        let send_by = self.submission.send_by();
+        let plan = Plan { last_event_id, from_copy: true, send_by, ..Plan::default() };
+        let time_left = self.received.time_left(&self.state);
+        let sending = attempt::send(&self.state, &self.received, server, &plan);
+        tokio::time::timeout(time_left, sending).await.unwrap_or(Err(AttemptError::TimedOut))
+    }
+
+    /// Logs and counts a failed attempt, and lets [`driver::Crashes`] check whether the server crashed. The
+    /// receiver gets the result of that check; there is none if the failure doesn't suggest a crash.
+    pub(crate) fn record_failure(
+        &self,
+        attempt: u32,
+        server: &Entry,
+        error: &AttemptError,
+    ) -> Option<oneshot::Receiver<bool>> {
         let (request, name) = (self.received.call.id.as_str(), server.name.as_str());
         let left_ms = self.received.time_left(&self.state).as_millis() as u64;
         self.state.metrics.count_failed_attempt(&self.received.route().name);
@@ -241,16 +288,14 @@
         );
         match error {
             AttemptError::ServerError(_) => {
-                self.state.crashes.record_completion(self.received.fingerprint)
+                self.state.crashes.record_completion(self.received.fingerprint);
+                None
             }
             AttemptError::Lost(_) if self.should_be_running(name) => {
-                self.state.crashes.record_lost_connection(
-                    crash_target(server),
-                    self.received.fingerprint,
-                    self.sent,
-                );
+                let (target, content) = (crash_target(server), self.received.fingerprint);
+                Some(self.state.crashes.record_lost_connection(target, content, self.sent))
             }
-            _ => {}
+            _ => None,
         }
     }
 
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use clock::Clock;
 use futures_util::stream;
-use lifecycle::Streaming;
+use lifecycle::{Ended, Orphaned, Streaming};
 use policy::Ending;
+use tokio::sync::oneshot;
 
 use crate::adapter::Adapter;
 use crate::attempt::{AttemptError, Chunk, PartialReply, Reply};
@@ -143,8 +144,15 @@
         let last = self.reply.take().and_then(|reply| reply.last_event_id());
         let last = last.max(self.active.received.call.last_event_id);
         loop {
-            if let Some(server) = self.active.server.clone() {
-                self.active.record_failure(life.attempt(), &server, &error);
+            let crash = match self.active.server.clone() {
+                Some(server) => self.active.record_failure(life.attempt(), &server, &error),
+                None => None,
+            };
+            if self.active.has_backup()
+                && let Some(crash) = crash
+                && let Some(ended) = confirm_crash(crash).await
+            {
+                return self.continue_from_copy(life.orphan(ended), last, error).await;
             }
             let ending = error.ending();
             let enabled = self.active.state.switches.is_on(Mechanism::Resumption);
@@ -175,6 +183,54 @@
     }
 }
 
+impl<A: Adapter> Relay<A> {
+    /// Continues an answer from the copy of its run, after its server has ended; returns whether that succeeds.
+    async fn continue_from_copy(
+        &mut self,
+        life: lifecycle::Request<Orphaned>,
+        last: Option<u64>,
+        error: AttemptError,
+    ) -> bool {
+        let ended = self.active.server.clone();
+        let Some(server) = self.active.continue_at_backup() else {
+            self.active.submission.end_attempt(error.ending());
+            self.active.record_outcome(life.truncated().as_str(), 0);
+            return false;
+        };
+        let life = life.continue_from_copy();
+        log::info!(
+            request = self.active.received.call.id.as_str(), server = server.name.as_str(),
+            ended = ended.map(|server| server.name.clone()), after_event = last;
+            "the server ended; a copy of its run continues the answer"
+        );
+        let error = match self.active.continue_from_copy(&server, last).await {
+            Ok(Reply::Partial(reply)) => {
+                self.active.state.metrics.count_continuation("continued");
+                self.reply = Some(reply);
+                self.life = Some(life);
+                return true;
+            }
+            Ok(Reply::Whole(whole)) => {
+                AttemptError::Lost(format!("status {} in place of a stream", whole.status))
+            }
+            Err(error) => error,
+        };
+        self.active.state.metrics.count_continuation("failed");
+        let _ = self.active.record_failure(life.attempt(), &server, &error);
+        // The request has run, so it must not be queued again even if this attempt ran nothing.
+        let ran = error.not_run_proof().is_none();
+        let ending = if ran { error.ending() } else { Ending::Cancelled };
+        self.active.submission.end_attempt(ending);
+        self.active.record_outcome(life.truncated().as_str(), 0);
+        false
+    }
+}
+
+/// Waits for the result of the check whether a server has crashed; none if it still runs, or that isn't known.
+async fn confirm_crash(crash: oneshot::Receiver<bool>) -> Option<Ended> {
+    crash.await.unwrap_or_default().then(Ended::assume)
+}
+
 impl<A: Adapter> Drop for Relay<A> {
     fn drop(&mut self) {
         if self.tokens > 0 {
--- a/components/lifecycle/src/lib.rs
+++ b/components/lifecycle/src/lib.rs
@@ -16,6 +16,14 @@
 //! requeued.end_not_run(Reason::Full);
 //! ```
 //!
+//! A stream that may run only once can't be sent again after its server ended, other than to a copy of its run:
+//!
+//! ```compile_fail
+//! use lifecycle::{Ended, Received, Request};
+//! let sent = Request::<Received>::new(ids::Request::new()).admit().queue().send();
+//! sent.stream().orphan(Ended::assume()).resume();
+//! ```
+//!
 //! Nor can a request be sent twice without a proof that this is allowed:
 //!
 //! ```compile_fail
@@ -47,6 +55,8 @@
     pub struct Streaming;
     /// The stream to the caller is interrupted; another backend server may resume it.
     pub struct Paused;
+    /// The backend server of the stream has ended; only a copy of its run may continue it.
+    pub struct Orphaned;
     /// Why a request wasn't run.
     pub enum Reason {
         /// Its caller, path or body isn't accepted.
@@ -203,6 +213,17 @@
     }
 }
 
+/// Proof that the backend server of an attempt has ended, and the attempt's run with it.
+#[derive(Debug)]
+pub struct Ended(());
+
+impl Ended {
+    /// Creates the proof. Its caller guarantees that the server's process no longer runs.
+    pub fn assume() -> Self {
+        Ended(())
+    }
+}
+
 impl Request<Sent> {
     /// The attempt provably ran nothing, so the request waits again.
     pub fn return_to_queue(self, _: Unsent) -> Request<Queued> {
@@ -264,12 +285,30 @@
         self.into_state()
     }
 
+    /// The server of the attempt has ended, so a copy of its run may continue the answer.
+    pub fn orphan(self, _: Ended) -> Request<Orphaned> {
+        self.into_state()
+    }
+
     /// Ends the request after an answer that ended early.
     pub fn truncated(self) -> Outcome {
         Outcome::Truncated
     }
 }
 
+impl Request<Orphaned> {
+    /// The copy of the run continues the answer. Call it before the first byte is sent to its server, with an
+    /// attempt that runs nothing if there is no copy.
+    pub fn continue_from_copy(self) -> Request<Streaming> {
+        self.into_next_attempt()
+    }
+
+    /// Ends the request after an answer that no copy continues.
+    pub fn truncated(self) -> Outcome {
+        Outcome::Truncated
+    }
+}
+
 impl Request<Paused> {
     /// Another attempt resumes the answer where the last one stopped.
     pub fn resume(self) -> Request<Streaming> {
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -188,6 +188,7 @@
             prefill_rate: None,
             fetch: None,
             cold_time: None,
+            backups: false,
         };
         scheduler.set_server(*key, server);
     }
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -73,6 +73,7 @@
             sent_at: now,
             send_by: None,
             last_token: None,
+            continued: false,
         };
         let job = self.jobs.insert(pending);
         self.last_tick.get_or_insert(now);
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -72,7 +72,13 @@
 
     /// Frees the slot of an ended attempt, updates the server's health, and corrects the charge to the
     /// tokens that were produced.
-    fn release_slot(&mut self, job: ids::Job, server: ids::Server, ending: Ending, now: Instant) {
+    pub(crate) fn release_slot(
+        &mut self,
+        job: ids::Job,
+        server: ids::Server,
+        ending: Ending,
+        now: Instant,
+    ) {
         let jitter = self.rng.random();
         let stalled = ending == Ending::Cancelled && self.stalled(&self.jobs[job], server, now);
         let pending = &mut self.jobs[job];
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -363,7 +363,7 @@
     }
 
     /// Records that a request is sent to a server, and charges its estimated cost.
-    fn send_to(&mut self, job: ids::Job, server: ids::Server, now: Instant) {
+    pub(crate) fn send_to(&mut self, job: ids::Job, server: ids::Server, now: Instant) {
         self.dequeue(job);
         let pending = &mut self.jobs[job];
         pending.stage = Stage::Sent(server);
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -271,6 +271,7 @@
     /// takes counts for the sizes of the isolation groups.
     pub(crate) fn record_engine_send(&mut self, job: ids::Job, estimate: Estimate, now: Instant) {
         let Estimate { server, prefill, backlog, overdue, preferred, fetch, .. } = estimate;
+        let backup = self.choose_backup(job, server, now);
         let pending = &mut self.jobs[job];
         let state = &mut self.servers[server];
         pending.prefill = prefill;
@@ -283,6 +284,7 @@
             ahead: Duration::from_secs_f64(pending.ahead),
             overdue: Duration::from_secs_f64(overdue),
             fetch,
+            backup,
         });
         state.prefill.prompt_sent(pending.priority, prefill);
         self.send_rate.record_send(pending.priority, now);
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod attempt;
 mod backlog;
+mod backup;
 mod bucket;
 mod cache;
 pub mod cold;
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -50,6 +50,8 @@
         PrefixIndex = "holdings",
         /// An engine fetches a cached prefix from another one.
         PrefixFetch = "fetching",
+        /// Long answers that may run only once have a copy at another engine, which continues them.
+        Backup = "backups",
         /// Servers that fail some of their requests are chosen less often.
         FailureRate = "faults",
     }
--- a/components/policy/src/pending.rs
+++ b/components/policy/src/pending.rs
@@ -38,6 +38,8 @@
         pub overdue: Duration,
         /// The engine from which it fetches the cached prefix of the prompt.
         pub fetch: Option<ids::Server>,
+        /// The engine that keeps a copy of the run.
+        pub backup: Option<ids::Server>,
     }
 }
 
@@ -79,6 +81,8 @@
     /// Until when it must be sent, if its server is cold.
     pub(crate) send_by: Option<Instant>,
     pub(crate) last_token: Option<Instant>,
+    /// It continues from a copy of its earlier run, without a prefill of its own.
+    pub(crate) continued: bool,
 }
 
 impl Pending {
--- a/components/policy/src/sampling.rs
+++ b/components/policy/src/sampling.rs
@@ -55,5 +55,10 @@
     -uniform.ln() / free.max(FULL_WEIGHT)
 }
 
+/// The same for the engine that keeps a copy of a request's run, independent of the choice for the run itself.
+pub(crate) fn backup_key(jitter: u64, salt: u64, free: f64) -> f64 {
+    sampling_key(mix64(jitter), salt, free)
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -208,6 +208,13 @@
         }
     }
 
+    /// Sets whether a backend server can keep copies of what others run, and continue it.
+    pub fn set_backups(&mut self, key: ids::Server, backups: bool) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.terms.backups = backups;
+        }
+    }
+
     /// Sets whether a backend server has announced a rate limit. If so, it is sent requests only on permits
     /// from [`Scheduler::add_permits`].
     pub fn set_rate_limited(&mut self, key: ids::Server, limited: bool) {
@@ -471,12 +478,14 @@
         pending.charged = pending.charged.max(used);
         let (class, workspace, sent) =
             (pending.request.class, pending.request.workspace, pending.sent_at);
+        let continued = pending.continued;
         if let Some(state) = self.servers.get_mut(server) {
             state.health.record_response();
             if let Some(cold_time) = state.terms.cold_time {
                 state.guard.record_answer(cold_time, now);
             }
             match last {
+                None if continued => {}
                 None => {
                     let took = now.saturating_duration_since(sent);
                     self.prefixes.record_prefill(&pending.request, server, now);
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -57,6 +57,8 @@
         pub prefill_rate: Option<u32>,
         /// How fast it fetches a cached prefix from another engine; none if it can't.
         pub fetch: Option<Fetch>,
+        /// It can keep copies of what other engines run, and continue it.
+        pub backups: bool,
         /// Time after a start for which it is cold and tolerates few requests; none if it is never cold.
         pub cold_time: Option<Duration>,
     }
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -54,6 +54,7 @@
         prefill_rate: None,
         fetch: None,
         cold_time: None,
+        backups: false,
     }
 }
 
--- a/components/policy/tests/residency.rs
+++ b/components/policy/tests/residency.rs
@@ -4,12 +4,11 @@
 
 use std::time::Duration;
 
-use common::prompts::{DRAFT, PREFILL_RATE, enable_fetch, fixture_with_engines, request};
-use common::{Fixture, server};
+use common::prompts::{DRAFT, PREFILL_RATE, STEADY, enable_fetch, fixture_with_engines, request};
+use common::{Fixture, new_keys, server};
 use policy::{Action, Ending, Policy, Refusal, Request, Server};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use slotmap::SlotMap;
 
 const ENGINES: usize = 6;
 const REGIONS: usize = 3;
@@ -18,29 +17,47 @@
 struct Site {
     fixture: Fixture,
     regions: Vec<ids::Region>,
+    domains: Vec<ids::Domain>,
 }
 
 impl Site {
     fn new(slots: u32) -> Self {
-        let mut fixture = fixture_with_engines(ENGINES, slots);
-        let mut names: SlotMap<ids::Region, ()> = SlotMap::with_key();
-        let regions: Vec<_> = (0..REGIONS).map(|_| names.insert(())).collect();
-        for (index, key) in fixture.servers.iter().enumerate() {
-            let terms = Server {
-                prefill_rate: Some(PREFILL_RATE),
-                region: regions[index % REGIONS],
-                ..server(index as u64 + 1, slots, fixture.model)
-            };
-            fixture.scheduler.set_server(*key, terms);
+        let fixture = fixture_with_engines(ENGINES, slots);
+        let (regions, domains) = (new_keys(REGIONS), new_keys(ENGINES / REGIONS));
+        let mut site = Site { fixture, regions, domains };
+        for index in 0..ENGINES {
+            site.set_engine(index, slots, false);
         }
-        enable_fetch(&mut fixture);
-        Site { fixture, regions }
+        enable_fetch(&mut site.fixture);
+        site
+    }
+
+    fn set_engine(&mut self, index: usize, slots: u32, leaving: bool) {
+        let terms = Server {
+            leaving,
+            prefill_rate: Some(PREFILL_RATE),
+            backups: true,
+            region: self.regions[index % REGIONS],
+            domain: self.domains[index / REGIONS],
+            ..server(index as u64 + 1, slots, self.fixture.model)
+        };
+        self.fixture.scheduler.set_server(self.fixture.servers[index], terms);
     }
 
     /// A draft of a session, from a caller in the first region, bound to the regions of these numbers.
     fn draft(&self, session: u64, bound: Option<&[usize]>) -> Request {
+        self.bind(request(&self.fixture, DRAFT, session), bound)
+    }
+
+    /// The same for a stream that may run once, of whose run a copy is kept.
+    fn stream(&self, session: u64, bound: Option<&[usize]>) -> Request {
+        let stream = request(&self.fixture, STEADY, session);
+        self.bind(Request { idempotent: false, ..stream }, bound)
+    }
+
+    fn bind(&self, request: Request, bound: Option<&[usize]>) -> Request {
         let regions = bound.map(|bound| bound.iter().map(|index| self.regions[*index]).collect());
-        Request { region: self.regions[0], regions, ..request(&self.fixture, DRAFT, session) }
+        Request { region: self.regions[0], regions, ..request }
     }
 
     fn region_of(&self, server: ids::Server) -> usize {
@@ -114,6 +131,15 @@
         session: u64,
         mask: usize,
     },
+    /// A stream that may run once arrives, bound likewise.
+    Stream {
+        session: u64,
+        mask: usize,
+    },
+    /// The engine of a stream ends.
+    Continue {
+        index: usize,
+    },
     /// An attempt ends.
     End {
         index: usize,
@@ -131,6 +157,8 @@
     let endings = [Ending::Completed, Ending::Unreached, Ending::NotRun, Ending::Broken];
     prop_oneof![
         5 => (0..6_u64, 0..8_usize).prop_map(|(session, mask)| Event::Arrive { session, mask }),
+        3 => (0..6_u64, 0..8_usize).prop_map(|(session, mask)| Event::Stream { session, mask }),
+        1 => (0..64_usize).prop_map(|index| Event::Continue { index }),
         4 => (0..64_usize, proptest::sample::select(endings.to_vec()))
             .prop_map(|(index, ending)| Event::End { index, ending }),
         1 => (0..ENGINES, any::<bool>())
@@ -139,6 +167,11 @@
     ]
 }
 
+/// The regions that a mask stands for; none if it is 0.
+fn regions_in(mask: usize) -> Option<Vec<usize>> {
+    (mask != 0).then(|| (0..REGIONS).filter(|region| mask & (1 << region) != 0).collect())
+}
+
 fn check_residency(events: Vec<Event>) -> Result<(), TestCaseError> {
     let mut site = Site::new(2);
     let mut bounds = std::collections::HashMap::new();
@@ -146,13 +179,25 @@
     for event in events {
         match event {
             Event::Arrive { session, mask } => {
-                let bound: Vec<_> =
-                    (0..REGIONS).filter(|region| mask & (1 << region) != 0).collect();
-                let bound = (mask != 0).then_some(bound);
+                let bound = regions_in(mask);
                 let request = Request { idempotent: true, ..site.draft(session, bound.as_deref()) };
                 let job = site.fixture.scheduler.submit(request, site.fixture.now);
                 bounds.insert(job, bound);
             }
+            Event::Stream { session, mask } => {
+                let bound = regions_in(mask);
+                let request = site.stream(session, bound.as_deref());
+                let job = site.fixture.scheduler.submit(request, site.fixture.now);
+                bounds.insert(job, bound);
+            }
+            Event::Continue { index } if !sent.is_empty() => {
+                let job = sent[index % sent.len()];
+                let server = site.fixture.scheduler.continue_at_backup(job, site.fixture.now);
+                let region = server.map(|server| site.region_of(server));
+                let may = |region| bounds[&job].as_ref().is_none_or(|all| all.contains(&region));
+                prop_assert!(region.is_none_or(may), "{region:?}");
+            }
+            Event::Continue { .. } => {}
             Event::End { index, ending } => {
                 if !sent.is_empty() {
                     let job = sent.swap_remove(index % sent.len());
@@ -161,13 +206,7 @@
                 }
             }
             Event::Leave { index, leaving } => {
-                let terms = Server {
-                    leaving,
-                    prefill_rate: Some(PREFILL_RATE),
-                    region: site.regions[index % REGIONS],
-                    ..server(index as u64 + 1, 2, site.fixture.model)
-                };
-                site.fixture.scheduler.set_server(site.fixture.servers[index], terms);
+                site.set_engine(index, 2, leaving);
             }
             Event::Wait => site.fixture.now += Duration::from_millis(70),
         }
@@ -179,6 +218,9 @@
             let source = site.fixture.scheduler.estimates(job).and_then(|all| all.fetch);
             let source = source.map(|source| site.region_of(source));
             prop_assert!(source.is_none_or(|source| bound.contains(&source)), "{source:?}");
+            let backup = site.fixture.scheduler.estimates(job).and_then(|all| all.backup);
+            let backup = backup.map(|backup| site.region_of(backup));
+            prop_assert!(backup.is_none_or(|backup| bound.contains(&backup)), "{backup:?}");
         }
     }
     Ok(())
--- a/components/router/src/scheduler.rs
+++ b/components/router/src/scheduler.rs
@@ -96,5 +96,6 @@
         prefill_rate: None,
         fetch: None,
         cold_time: None,
+        backups: false,
     }
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -30,6 +30,7 @@
     connections: IntCounter,
     failed_attempts: IntCounterVec,
     cold_permits: IntCounterVec,
+    continuations: IntCounterVec,
     bound_requests: IntCounter,
     evacuated_domains: IntGauge,
     wasted_tokens: IntCounterVec,
@@ -106,6 +107,11 @@
             "Permits for requests to cold servers, by what became of them",
             &["event"],
         );
+        let continuations = counter(
+            "godwitlever_continuations_total",
+            "Streams whose server ended and that were sent to the copy of their run, by result",
+            &["result"],
+        );
         let bound_requests = IntCounter::new(
             "godwitlever_bound_requests_total",
             "Requests that may be served in some regions only",
@@ -126,6 +132,7 @@
         Metrics {
             failed_attempts,
             cold_permits,
+            continuations,
             bound_requests,
             evacuated_domains: gauge(
                 "godwitlever_evacuated_domains",
@@ -187,6 +194,11 @@
         self.cold_permits.with_label_values(&[event]).inc_by(count);
     }
 
+    /// Counts a stream whose server ended and whose copy `continued` it, or `failed` to.
+    pub fn count_continuation(&self, result: &str) {
+        self.continuations.with_label_values(&[result]).inc();
+    }
+
     /// Counts a request that may be served in some regions only.
     pub fn count_bound_request(&self) {
         self.bound_requests.inc();
