Weigh prompts against the streams that run at an engine

A prompt's cost counted only the group of an engine, not the streams that still ran there. Change: policy::disturbance counts the streams that tolerate less than the prompt's class, of all nodes; each costs 0.3 times the prompt's prefill.

--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -11,6 +11,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::disturbance::Stricter;
 use crate::isolation::Group;
 use crate::mechanism::Mechanism;
 use crate::pending::{Expected, Pending};
@@ -42,6 +43,8 @@
 const SHORT_PREFILL_SECONDS: f64 = 0.06;
 /// Replaces [`DISTURBANCE_FACTOR`] for such a prompt.
 const SHORT_DISTURBANCE_FACTOR: f64 = 4.0;
+/// Cost of a prompt for each stream that it disturbs, as a multiple of its prefill time.
+const STREAM_DISTURBANCE: f64 = 0.3;
 /// Cost of an engine other than the preferred one where the shared prefix is short, in seconds: callers
 /// don't notice a smaller gain, and each engine that prefills the prefix again spends time on it.
 const NON_PREFERRED_SECONDS: f64 = 0.02;
@@ -67,6 +70,8 @@
     group: Option<Group>,
     copies: &'a Copies,
     unreported: Unreported,
+    /// Priorities of the streams that the request would disturb.
+    stricter: Stricter,
 }
 
 /// What a request is expected to cost at an engine.
@@ -108,7 +113,8 @@
         let preferred = self.preferred_engines(pending, group, now);
         let copies = self.prefix_copies(pending, preferred, now);
         let unreported = self.unreported_requests(pending, group, now);
-        let context = Context { group, copies: &copies, unreported };
+        let stricter = self.stricter_priorities(pool, group);
+        let context = Context { group, copies: &copies, unreported, stricter };
         let all_excluded = pool.members.iter().all(|member| self.is_excluded(member.server, now));
         let usable = pool.members.iter().filter(|member| {
             (all_excluded || !self.is_excluded(member.server, now))
@@ -204,7 +210,7 @@
         context: Context<'_>,
         now: Instant,
     ) -> Option<Estimate> {
-        let Context { group, copies, unreported } = context;
+        let Context { group, copies, unreported, stricter } = context;
         let state = &self.servers[member.server];
         let request = &pending.request;
         let preferred = copies.preferred[0] == Some(member.server);
@@ -226,7 +232,9 @@
         let cross_region = self.cross_region_cost(pending, state, whole_prefix);
         let engine_group =
             self.pools[pending.pool].isolation.engine_group(member.region, member.rank);
-        let isolation = isolation_cost(group, engine_group, prefill, backlog);
+        let streams = self.streams_at(state, stricter, now);
+        let isolation = isolation_cost(group, engine_group, prefill, backlog)
+            .max(prefill * streams * STREAM_DISTURBANCE);
         let steady = group.is_some_and(|group| group < Group::Bulk);
         let stutter = if steady { backlog } else { 0.0 };
         let concurrency = f64::from(state.sent) * CONCURRENCY_SECONDS;
--- a/components/policy/src/isolation.rs
+++ b/components/policy/src/isolation.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    fn group_for(&self, tolerance: Duration) -> Group {
+    pub(crate) fn group_for(&self, tolerance: Duration) -> Group {
         let tolerance = tolerance.as_secs_f64();
         if tolerance >= PREFILLING_INTERVAL_SECONDS {
             return Group::Bulk;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cold;
 mod demand;
 mod dispatch;
+mod disturbance;
 mod engines;
 mod fair;
 mod forecast;
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -52,6 +52,8 @@
         PrefixFetch = "fetching",
         /// Long answers that may run only once have a copy at another engine, which continues them.
         Backup = "backups",
+        /// A prompt is weighed against the streams that run at an engine now.
+        StreamWeight = "stream-weight",
         /// Servers that fail some of their requests are chosen less often.
         FailureRate = "faults",
     }
--- a/components/policy/src/prefill.rs
+++ b/components/policy/src/prefill.rs
@@ -121,6 +121,11 @@
         self.current_peers(now).map_or(0.0, |peers| peers.occupied.sum_up_to(priority))
     }
 
+    /// Slots that other nodes' requests of the marked priorities occupy or wait for.
+    pub(crate) fn peer_occupied_by(&self, marked: [bool; PRIORITIES], now: Instant) -> f64 {
+        self.current_peers(now).map_or(0.0, |peers| peers.occupied.sum_of(marked))
+    }
+
     /// When the engine last sent a first token, as far as any node reported.
     pub(crate) fn last_first_token(&self) -> Option<Instant> {
         self.last_own_first_token.max(self.last_peer_first_token)
--- a/components/policy/src/priority.rs
+++ b/components/policy/src/priority.rs
@@ -4,13 +4,18 @@
 /// Priorities that are told apart, 0 being the highest; later ones count as the last.
 pub(crate) const PRIORITIES: usize = 10;
 
+/// Index of a priority in such a list.
+pub(crate) fn index(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITIES - 1)
+}
+
 /// An amount for each priority.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct PerPriority([f64; PRIORITIES]);
 
 impl PerPriority {
     fn amount_mut(&mut self, priority: u8) -> &mut f64 {
-        &mut self.0[usize::from(priority).min(PRIORITIES - 1)]
+        &mut self.0[index(priority)]
     }
 
     /// Adds to the amount of a priority, which never falls below zero where `change` is negative.
@@ -30,6 +35,11 @@
         self.0.iter().take(usize::from(priority) + 1).sum()
     }
 
+    /// Sum over the priorities that are marked.
+    pub(crate) fn sum_of(&self, marked: [bool; PRIORITIES]) -> f64 {
+        self.0.iter().zip(marked).filter(|(_, marked)| *marked).map(|(amount, _)| amount).sum()
+    }
+
     /// Maximum over a priority and all higher ones; zero where none is positive.
     pub(crate) fn max_up_to(&self, priority: u8) -> f64 {
         self.0.iter().take(usize::from(priority) + 1).copied().fold(0.0, f64::max)
