Run the longest streams at the engines that leave their group last

Change: the caller's hint of the answer's length reaches the scheduler; within its group a stream that is longer than most goes to the engines away from the moving border, a shorter one towards it.

--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -195,6 +195,7 @@
         prompt_tokens: call.prompt.tokens,
         shared: call.prompt.shared_parts().to_vec(),
         max_tokens: call.prompt.max_tokens,
+        length_hint: call.prompt.length_hint,
         arrived: arrived.at,
         deadline: state.clock.now() + time_left,
         idempotent: found.route.kind.is_repeatable(),
--- a/components/policy/examples/patterns/driver/simulation.rs
+++ b/components/policy/examples/patterns/driver/simulation.rs
@@ -283,6 +283,7 @@
             prompt_tokens: call.prompt,
             shared: vec![],
             max_tokens: None,
+            length_hint: None,
             arrived: self.instant(call.at),
             deadline: self.instant(call.at + class.deadline),
             idempotent: class.idempotent,
--- a/components/policy/src/backup.rs
+++ b/components/policy/src/backup.rs
@@ -52,9 +52,8 @@
             let free = self.free_slots(pending, state, now);
             (other_group, sampling::backup_key(pending.jitter, state.terms.salt, free), member)
         });
-        let order =
-            |(a, b): (&(bool, f64, _), &(bool, f64, _))| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
-        keyed.min_by(|a, b| order((a, b))).map(|(.., member)| member.server)
+        let best = keyed.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(.., member)| member.server)
     }
 
     /// Whether an engine may be sent a request that runs elsewhere now.
--- a/components/policy/src/cache/tests.rs
+++ b/components/policy/src/cache/tests.rs
@@ -16,6 +16,7 @@
         prompt_tokens: 9_000,
         shared: vec![Part { id: 1, tokens: 400 }, Part { id: LONG, tokens: 6_000 }],
         max_tokens: None,
+        length_hint: None,
         arrived: now,
         deadline: now,
         idempotent: true,
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -43,6 +43,11 @@
 const SHORT_PREFILL_SECONDS: f64 = 0.06;
 /// Replaces [`DISTURBANCE_FACTOR`] for such a prompt.
 const SHORT_DISTURBANCE_FACTOR: f64 = 4.0;
+/// Cost of a stream that is twice as long as most at the border of its group, in seconds.
+const BORDER_SECONDS: f64 = 0.1;
+/// Bounds of the part by which a stream is longer than most, as far as that affects its engine: hints are often off.
+const MIN_LENGTH_EXCESS: f64 = -0.5;
+const MAX_LENGTH_EXCESS: f64 = 2.0;
 /// Cost of a prompt for each stream that it disturbs, as a multiple of its prefill time.
 const STREAM_DISTURBANCE: f64 = 0.3;
 /// Cost of an engine other than the preferred one where the shared prefix is short, in seconds: callers
@@ -251,6 +256,7 @@
             + lateness
             + cross_region
             + isolation
+            + self.border_cost(pending, member, group)
             + stutter
             + concurrency
             + failures
@@ -259,6 +265,26 @@
         Some(Estimate { server: member.server, prefill, backlog, overdue, preferred, fetch, cost })
     }
 
+    /// Cost of a stream at the border of its group, which engines leave as the group shrinks, or beyond it; negative
+    /// at the border for a stream that is shorter than most. So the longest streams run at the engines that
+    /// leave last.
+    fn border_cost(&self, pending: &Pending, member: &Member, group: Option<Group>) -> f64 {
+        let steady = group.filter(|group| *group < Group::Bulk);
+        let enabled = self.switches.is_on(Mechanism::LongStreams);
+        let (Some(group), Some(hint)) = (steady.filter(|_| enabled), pending.request.length_hint)
+        else {
+            return 0.0;
+        };
+        let isolation = &self.pools[pending.pool].isolation;
+        let relative = f64::from(hint) / f64::from(pending.tokens.max(1));
+        let excess = (relative - 1.0).clamp(MIN_LENGTH_EXCESS, MAX_LENGTH_EXCESS);
+        if isolation.engine_group(member.region, member.rank) == group {
+            excess * isolation.position(member.region, member.rank) * BORDER_SECONDS
+        } else {
+            excess.max(0.0) * BORDER_SECONDS
+        }
+    }
+
     /// Cost of an engine for being in another region, in seconds; `whole_prefix` is the prefill time of the
     /// shared prefix.
     fn cross_region_cost(
--- a/components/policy/src/isolation.rs
+++ b/components/policy/src/isolation.rs
@@ -215,6 +215,14 @@
         self.mixed.then(|| self.group_for(tolerance))
     }
 
+    /// Where the engine with a rank is in its group: 0 at the end that is in the group as long as the group has an
+    /// engine, 1 at the border that moves when the group shrinks.
+    pub(crate) fn position(&self, region: ids::Region, rank: usize) -> f64 {
+        let [strict, steady] = self.borders.get(&region).copied().unwrap_or_default();
+        let (first, end) = if rank < strict { (0, strict) } else { (strict, steady) };
+        if rank >= end { 0.0 } else { (rank - first) as f64 / (end - first) as f64 }
+    }
+
     /// The group of the engine with a rank among those of its region.
     pub(crate) fn engine_group(&self, region: ids::Region, rank: usize) -> Group {
         let [strict, steady] = self.borders.get(&region).copied().unwrap_or_default();
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -54,6 +54,8 @@
         Backup = "backups",
         /// A prompt is weighed against the streams that run at an engine now.
         StreamWeight = "stream-weight",
+        /// The longest streams run at the engines that are the last to leave their group.
+        LongStreams = "long-streams",
         /// Servers that fail some of their requests are chosen less often.
         FailureRate = "faults",
     }
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -173,6 +173,8 @@
         pub shared: Vec<Part>,
         /// Limit on the answer in tokens that the caller set.
         pub max_tokens: Option<u32>,
+        /// The caller's estimate of the answer's length in tokens: right at the median, often far off.
+        pub length_hint: Option<u32>,
         /// When it was received.
         pub arrived: Instant,
         /// An answer that ends later than this is useless to the caller.
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -93,6 +93,7 @@
             prompt_tokens: 100,
             shared: vec![],
             max_tokens: Some(100),
+            length_hint: None,
             arrived: self.now,
             deadline: self.now + timeout,
             idempotent: class != 1,
--- a/components/policy/tests/common/prompts.rs
+++ b/components/policy/tests/common/prompts.rs
@@ -52,6 +52,7 @@
         // Drafts and streams of one session have different prefixes.
         shared: vec![Part { id: session * 3 + class as u64, tokens: shared }],
         max_tokens: None,
+        length_hint: None,
         ..fixture.request(class, 0, Duration::from_secs(6))
     }
 }
--- a/components/router/src/callers.rs
+++ b/components/router/src/callers.rs
@@ -116,6 +116,7 @@
                 prompt_tokens: relay::estimate_tokens(&body),
                 shared: vec![],
                 max_tokens,
+                length_hint: None,
                 arrived,
                 deadline: arrived + time_limit,
                 idempotent: class.idempotent,
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -357,6 +357,7 @@
         prompt_tokens: relay::estimate_tokens(&keyed.body),
         shared: vec![],
         max_tokens: keyed.max_tokens,
+        length_hint: None,
         arrived,
         deadline: arrived + time_limit,
         idempotent: false,
