--- a/components/router/src/submission.rs
+++ b/components/router/src/submission.rs
@@ -74,7 +74,7 @@
         }
         let server = Target { instance: None, address: address.to_string() };
         // No copy of the run exists that could continue it, so the result of the check isn't used.
-        let _ = self.state.crashes.record_lost_connection(server, self.content, self.sent);
+        drop(self.state.crashes.record_lost_connection(server, self.content, self.sent));
     }
 
     /// Waits until the scheduler wants the attempt stopped.
