--- a/components/policy/tests/long_streams.rs
+++ b/components/policy/tests/long_streams.rs
@@ -12,7 +12,7 @@
 const SLOTS: u32 = 32;
 const STEP: Duration = Duration::from_millis(5);
 const STEPS: u64 = 4_000;
-/// Bursts of streams: steps between the beginnings of two, and length of one.
+/// Bursts of streams: steps between the starts of two, and length of one.
 const PERIOD: u64 = 800;
 const BURST: u64 = 400;
 /// Steps between two streams, in a burst and outside.
