Work per tick, per change of servers and per decision no longer grows with the servers squared

Cause: a tick compared each server of a pool with all servers of it (17 ms at 6,000 servers, twenty times a second while a request runs: more than the 0.12 core of a small VM). Each of hundreds of servers that left together had every pool ranked anew, and every part of the prefix index searched. A part that all sessions share was looked up in a list of all its holders, for each engine. A decision weighed all engines, and sessions spread over all of them, though the work takes some dozens.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -349,6 +349,7 @@
         Record::Settings(_) | Record::InvalidSettings(_) => 1,
         Record::Server(_) => 2,
     });
+    let mut servers = vec![];
     for record in records {
         match record {
             Record::Evacuation { domain, in_force } => state.apply_evacuation(&domain, in_force),
@@ -363,10 +364,11 @@
             }
             Record::Server(change) => {
                 let changed = state.membership.borrow_mut().apply(change, state.clock.now());
-                state.apply_servers(changed);
+                servers.extend(changed);
             }
         }
     }
+    state.apply_servers(servers);
 }
 
 /// Reports to another seed the work that nodes have reported to this one, again and again. A failed report is
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -7,6 +7,7 @@
 
 use catalog::{Entry, Match, Residency, Route, Settings};
 use policy::Scheduler;
+use policy::membership::Batch;
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -106,7 +107,7 @@
     /// Registers a new or changed server with the scheduler.
     pub(crate) fn set_server(
         &mut self,
-        scheduler: &mut Scheduler,
+        batch: &mut Batch<'_>,
         entry: &Rc<Entry>,
         regions: &BTreeMap<String, String>,
         evacuated: bool,
@@ -114,7 +115,7 @@
         let restarted = |key: &ids::Server| self.servers[*key].started != entry.started;
         if self.by_name.get(&entry.name).is_some_and(restarted) {
             // Its cache and its requests are gone, and statistics of the previous start don't apply.
-            self.remove_server(scheduler, &entry.name);
+            self.remove_server(batch, &entry.name);
         }
         let key = match self.by_name.get(&entry.name) {
             Some(key) => *key,
@@ -128,7 +129,7 @@
         let region = regions.get(&entry.domain).cloned().unwrap_or_default();
         let terms = self.server_terms(entry, &region, evacuated);
         self.by_wire_key.insert(wire::key(&entry.name), key);
-        scheduler.set_server(key, terms);
+        batch.set(key, terms);
         key
     }
 
@@ -158,11 +159,11 @@
     }
 
     /// Removes a server from the scheduler.
-    pub(crate) fn remove_server(&mut self, scheduler: &mut Scheduler, name: &str) {
+    pub(crate) fn remove_server(&mut self, batch: &mut Batch<'_>, name: &str) {
         let Some(key) = self.by_name.remove(name) else { return };
         self.servers.remove(key);
         self.by_wire_key.remove(&wire::key(name));
-        scheduler.remove_server(key);
+        batch.remove(key);
     }
 
     /// Keys of a request's class and workspace, which are registered with the scheduler if they are new.
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -354,6 +354,7 @@
         let membership = self.membership.borrow();
         let mut registry = self.registry.borrow_mut();
         let mut scheduler = self.driver.scheduler.borrow_mut();
+        let mut batch = scheduler.change_servers();
         for name in servers {
             match membership.get(&name) {
                 Some(entry) => {
@@ -364,16 +365,17 @@
                     );
                     let evacuated = self.evacuations.contains(&entry.domain);
                     let domains = &self.node().domains;
-                    let key = registry.set_server(&mut scheduler, entry, domains, evacuated);
+                    let key = registry.set_server(&mut batch, entry, domains, evacuated);
                     listed.push((key, entry.clone()));
                 }
                 None => {
                     log::info!(server = name.as_str(); "server gone");
-                    registry.remove_server(&mut scheduler, &name);
+                    registry.remove_server(&mut batch, &name);
                     self.rate_limits.throttle.borrow_mut().forget(wire::key(&name));
                 }
             }
         }
+        drop(batch);
         drop((membership, registry, scheduler));
         limits::apply_to_scheduler(self);
         listed
@@ -394,12 +396,14 @@
         log::info!(domain = domain, in_force = in_force, servers = entries.len(); "evacuation");
         let mut registry = self.registry.borrow_mut();
         let mut scheduler = self.driver.scheduler.borrow_mut();
-        for entry in &entries {
-            let domains = &self.node().domains;
-            let key = registry.set_server(&mut scheduler, entry, domains, in_force);
-            if !in_force {
-                scheduler.record_return(key, self.clock.now());
-            }
+        let domains = &self.node().domains;
+        let mut batch = scheduler.change_servers();
+        let set = |entry| registry.set_server(&mut batch, entry, domains, in_force);
+        let changed: Vec<_> = entries.iter().map(set).collect();
+        drop(batch);
+        let returned = if in_force { vec![] } else { changed };
+        for key in returned {
+            scheduler.record_return(key, self.clock.now());
         }
         drop((registry, scheduler));
         self.driver.run_actions();
--- a/components/policy/benches/decision.rs
+++ b/components/policy/benches/decision.rs
@@ -1,5 +1,6 @@
 //! Measures the cost of a decision: an answer ends, a request arrives, and the next one in the queue is sent,
-//! with all slots occupied and a full queue.
+//! with all slots occupied and a full queue. Engines are measured with few requests beside thousands of
+//! idle ones, and so is a tick there.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -9,6 +10,7 @@
 use std::time::Duration;
 
 use common::Fixture;
+use common::prompts::{self, DRAFT};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use policy::{Action, Ending, Policy};
 
@@ -94,5 +96,39 @@
     group.finish();
 }
 
-criterion_group!(benches, decisions);
+/// Sessions whose requests take turns.
+const SESSIONS: u64 = 4_000;
+const ENGINE_SLOTS: u32 = 16;
+/// Interval between two ticks, in which the scheduler does its periodic work.
+const TICK: Duration = Duration::from_millis(50);
+
+fn engine_decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("engines");
+    group.sample_size(20).measurement_time(Duration::from_secs(1));
+    group.warm_up_time(Duration::from_millis(300));
+    for engines in [200, 6_000] {
+        let mut fixture = prompts::fixture_with_engines(engines, ENGINE_SLOTS);
+        let mut session = 0;
+        let mut decide = |fixture: &mut Fixture| {
+            session = (session + 1) % SESSIONS;
+            fixture.now += DECISION_INTERVAL;
+            let (job, _) = prompts::send(fixture, DRAFT, session);
+            prompts::complete(fixture, job, DECISION_INTERVAL);
+        };
+        (0..SESSIONS).for_each(|_| decide(&mut fixture));
+        let name = format!("decision, {engines} engines");
+        group.bench_function(name, |b| b.iter(|| decide(&mut fixture)));
+        prompts::send(&mut fixture, DRAFT, 0);
+        let (name, mut actions) = (format!("tick, {engines} engines"), vec![]);
+        group.bench_function(name, |b| {
+            b.iter(|| {
+                fixture.now += TICK;
+                fixture.scheduler.poll(fixture.now, &mut actions);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions, engine_decisions);
 criterion_main!(benches);
--- a/components/policy/src/backup.rs
+++ b/components/policy/src/backup.rs
@@ -38,7 +38,8 @@
             let terms = &self.servers[member.server].terms;
             terms.region == source.region && terms.domain != source.domain
         };
-        let able = pool.members.iter().filter(apart).filter(|member| {
+        let candidates = self.candidates(pool, pending, [None; 2]);
+        let able = candidates.members.iter().copied().filter(apart).filter(|member| {
             let state = &self.servers[member.server];
             state.terms.backups && self.can_take_over(pending, member, now)
         });
@@ -47,8 +48,8 @@
         let group = pool.isolation.class_group(tolerance);
         let keyed = able.map(|member| {
             let state = &self.servers[member.server];
-            let engine_group = pool.isolation.engine_group(member.region, member.rank);
-            let other_group = group.is_some_and(|group| group != engine_group);
+            let engine_group = pool.engine_group(member);
+            let other_group = group.is_some_and(|group| engine_group != Some(group));
             let free = self.free_slots(pending, state, now);
             (other_group, sampling::backup_key(pending.jitter, state.terms.salt, free), member)
         });
@@ -73,8 +74,7 @@
         let pending = self.jobs.get(job)?;
         let Stage::Sent(ended) = pending.stage else { return None };
         let backup = pending.expected?.backup?;
-        let members = &self.pools[pending.pool].members;
-        let member = members.iter().find(|member| member.server == backup)?;
+        let member = self.pools[pending.pool].member(backup)?;
         let in_time = now < pending.request.deadline;
         if !in_time || !self.can_take_over(pending, member, now) {
             return None;
--- a/components/policy/src/cache.rs
+++ b/components/policy/src/cache.rs
@@ -12,6 +12,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
+
 use crate::terms::{Cached, Part, Request};
 
 /// Time after its last use for which a part counts as cached.
@@ -28,7 +30,8 @@
 /// A part at an engine.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    server: ids::Server,
+    /// How often the engine had lost its cache when the entry was added, see [`Index::losses`].
+    losses: u32,
     /// Whether it was prefilled; else it was only sent there.
     prefilled: bool,
     used: Instant,
@@ -39,8 +42,11 @@
 /// The parts of prompts that engines cache.
 #[derive(Debug, Default)]
 pub(crate) struct Index {
-    /// By the part's identifier.
-    parts: HashMap<u64, Vec<Entry>>,
+    /// By the part's identifier, and by engine in the order in which they were added. Thousands of engines cache
+    /// a part that all sessions share.
+    parts: HashMap<u64, IndexMap<ids::Server, Entry>>,
+    /// How often engines have lost their caches since entries were last dropped.
+    losses: HashMap<ids::Server, u32>,
     /// Parts to report, and since when, in that order.
     updates: VecDeque<(Instant, Cached)>,
     swept: Option<Instant>,
@@ -73,6 +79,7 @@
 
     /// Takes in that another node reported a part as cached.
     pub(crate) fn apply_update(&mut self, cached: Cached, now: Instant) {
+        self.sweep(now);
         let entry = self.entry(cached.part, cached.server, now);
         (entry.prefilled, entry.used, entry.reported) = (true, now, Some(now));
     }
@@ -91,50 +98,64 @@
         }
     }
 
-    /// Removes all entries of an engine that is gone or has lost its cache.
-    pub(crate) fn remove_server(&mut self, server: ids::Server) {
-        for entries in self.parts.values_mut() {
-            entries.retain(|entry| entry.server != server);
-        }
+    /// Voids all entries of an engine that has lost its cache. They are dropped later: a failure domain of a
+    /// thousand engines may lose power at once.
+    pub(crate) fn void_server(&mut self, server: ids::Server) {
+        *self.losses.entry(server).or_insert(0) += 1;
     }
 
-    /// The entry of a part at an engine, added if there is none or it is older than [`RETENTION`].
+    /// How often an engine has lost its cache since entries were last dropped.
+    fn losses_of(&self, server: ids::Server) -> u32 {
+        self.losses.get(&server).copied().unwrap_or(0)
+    }
+
+    /// The entry of a part at an engine, added if there is none that counts.
     fn entry(&mut self, part: u64, server: ids::Server, now: Instant) -> &mut Entry {
-        let entries = self.parts.entry(part).or_default();
-        let found = entries.iter().position(|entry| entry.server == server);
-        let index = found.unwrap_or_else(|| {
-            entries.push(Entry { server, prefilled: false, used: now, reported: None });
-            entries.len() - 1
-        });
-        let entry = &mut entries[index];
-        if now >= entry.used + RETENTION {
-            *entry = Entry { server, prefilled: false, used: now, reported: None };
+        let losses = self.losses_of(server);
+        let new = Entry { losses, prefilled: false, used: now, reported: None };
+        let entry = self.parts.entry(part).or_default().entry(server).or_insert(new);
+        if now >= entry.used + RETENTION || entry.losses != losses {
+            *entry = new;
         }
         entry
     }
 
-    /// Drops old entries, at intervals or if there are too many parts; drops all of them if that isn't
-    /// enough.
+    /// Drops old entries, at intervals or if there are too many parts. If dropping those that don't count isn't
+    /// enough, drops the least recently used ones.
     fn sweep(&mut self, now: Instant) {
         let due = self.swept.is_none_or(|swept| now >= swept + RETENTION);
         if !due && self.parts.len() < MAX_PARTS {
             return;
         }
         self.swept = Some(now);
-        for entries in self.parts.values_mut() {
-            entries.retain(|entry| now < entry.used + RETENTION);
-        }
-        self.parts.retain(|_, entries| !entries.is_empty());
-        if self.parts.len() >= MAX_PARTS {
-            self.parts.clear();
+        let mut retention = RETENTION;
+        self.drop_unused(retention, now);
+        while self.parts.len() >= MAX_PARTS {
+            retention /= 2;
+            self.drop_unused(retention, now);
         }
     }
 
-    /// The entry of a part at an engine, if it isn't older than [`RETENTION`].
+    /// Drops entries that weren't used for `retention`, and those that are void.
+    fn drop_unused(&mut self, retention: Duration, now: Instant) {
+        let losses = std::mem::take(&mut self.losses);
+        let valid = |server: &ids::Server, entry: &mut Entry| {
+            let void = entry.losses != losses.get(server).copied().unwrap_or(0);
+            now < entry.used + retention && !void
+        };
+        self.parts.retain(|_, entries| {
+            entries.retain(valid);
+            entries.values_mut().for_each(|entry| entry.losses = 0);
+            !entries.is_empty()
+        });
+    }
+
+    /// The entry of a part at an engine, if it isn't older than [`RETENTION`] and the engine hasn't lost its
+    /// cache since.
     fn current_entry(&self, part: u64, server: ids::Server, now: Instant) -> Option<&Entry> {
-        let entries = self.parts.get(&part)?;
-        let found = entries.iter().find(|entry| entry.server == server);
-        found.filter(|entry| now < entry.used + RETENTION)
+        let entry = self.parts.get(&part)?.get(&server)?;
+        let current = now < entry.used + RETENTION && entry.losses == self.losses_of(server);
+        current.then_some(entry)
     }
 
     /// Tokens at the start of a prompt that an engine caches, or will once it has prefilled what it was
@@ -151,7 +172,7 @@
         shared: &'a [Part],
     ) -> impl Iterator<Item = ids::Server> + 'a {
         let last = shared.last().and_then(|part| self.parts.get(&part.id));
-        last.into_iter().flatten().map(|entry| entry.server)
+        last.into_iter().flat_map(|entries| entries.keys().copied())
     }
 
     /// The engines that have prefilled all parts that a request shares with others, from which another one can
@@ -164,9 +185,8 @@
         let prefilled = move |part: &Part, server| {
             self.current_entry(part.id, server, now).is_some_and(|entry| entry.prefilled)
         };
-        let last = shared.last().and_then(|part| self.parts.get(&part.id));
-        let holders = last.into_iter().flatten().map(|entry| entry.server);
-        holders.filter(move |server| shared.iter().all(|part| prefilled(part, *server)))
+        self.holders(shared)
+            .filter(move |server| shared.iter().all(|part| prefilled(part, *server)))
     }
 }
 
--- a/components/policy/src/cache/tests.rs
+++ b/components/policy/src/cache/tests.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{Index, REPORT_AGAIN_AFTER, REPORTED_FOR, RETENTION};
+use super::{Index, MAX_PARTS, REPORT_AGAIN_AFTER, REPORTED_FOR, RETENTION};
 use crate::terms::{Cached, Part, Request};
 
 /// Identifier of a part that is long enough to be reported.
@@ -65,7 +65,7 @@
     for server in [one, two] {
         index.record_prefill(&request, server, now);
     }
-    index.remove_server(one);
+    index.void_server(one);
     assert_eq!(index.cached_tokens(&request.shared, one, now), 0);
     assert_eq!(index.fetch_sources(&request.shared, now).collect::<Vec<_>>(), [two]);
 }
@@ -96,3 +96,36 @@
     }
     assert_eq!(index.updates.len(), 1);
 }
+
+/// A fleet caches more parts within the retention than the index holds. The least recently used ones go; if all went
+/// at once, every session would be prefilled again.
+#[test]
+fn the_least_recently_used_parts_make_room() {
+    let (mut index, start, [one, _]) = (Index::default(), Instant::now(), servers());
+    let spacing = RETENTION / (2 * MAX_PARTS as u32);
+    let at = |part: u64| start + spacing * part as u32;
+    let parts = 2 * MAX_PARTS as u64;
+    for part in 0..parts {
+        index.apply_update(Cached { server: one, part }, at(part));
+        assert!(index.parts.len() <= MAX_PARTS, "{} parts", index.parts.len());
+    }
+    let last = at(parts - 1);
+    let recent = (parts - MAX_PARTS as u64 / 4..parts).map(|id| [Part { id, tokens: 1 }]);
+    let known = recent.filter(|part| index.cached_tokens(part, one, last) > 0);
+    assert_eq!(known.count(), MAX_PARTS / 4);
+}
+
+/// An engine that lost its cache and has prefilled a part again caches that part, also once old entries were dropped.
+#[test]
+fn a_part_that_was_prefilled_again_counts() {
+    let (mut index, now, [one, _]) = (Index::default(), Instant::now(), servers());
+    let request = request();
+    index.record_send(&request, one, now);
+    index.void_server(one);
+    index.record_prefill(&request, one, now);
+    assert_eq!(index.cached_tokens(&request.shared, one, now), 6_400);
+    let later = now + RETENTION - Duration::from_millis(1);
+    index.record_prefill(&request, one, later);
+    index.record_send(&request, one, later + Duration::from_millis(2));
+    assert_eq!(index.cached_tokens(&request.shared, one, later), 6_400);
+}
--- a/components/policy/src/cold.rs
+++ b/components/policy/src/cold.rs
@@ -203,7 +203,7 @@
         let was_cold = state.guard.is_cold(now);
         state.guard.stated_until = (!left.is_zero()).then_some(now + left);
         if state.guard.is_cold(now) && !was_cold {
-            self.prefixes.remove_server(key);
+            self.prefixes.void_server(key);
         }
         self.epoch += 1;
     }
@@ -213,7 +213,7 @@
         let Some(state) = self.servers.get_mut(key) else { return };
         if let Some(cold_time) = state.terms.cold_time {
             state.guard.recover(cold_time, now);
-            self.prefixes.remove_server(key);
+            self.prefixes.void_server(key);
         }
     }
 
@@ -246,6 +246,7 @@
     ) {
         if let Some(state) = self.servers.get_mut(key) {
             state.guard.permits.add(count, expires, now);
+            self.permitted.insert(key);
             self.epoch += 1;
         }
     }
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -5,7 +5,6 @@
 //! served first, with one request, so each class takes at most one slot per longest wait and node from
 //! the classes above it.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::action::{Action, Refusal};
@@ -75,8 +74,10 @@
         self.epoch += 1;
         self.link_budget.refill(self.limits.link_bytes as f64, now);
         for key in self.pools.keys().collect::<Vec<_>>() {
-            self.update_isolation(key, now);
-            self.update_pool_statistics(key);
+            self.pools[key].update_groups(now);
+            if self.pools[key].is_statistics_tick() {
+                self.update_pool_statistics(key);
+            }
             if self.switches.is_on(Mechanism::EarlyRefusal) {
                 self.refuse_late(key, now);
             }
@@ -84,29 +85,20 @@
         true
     }
 
-    /// Updates the isolation groups of a pool's engines.
-    pub(crate) fn update_isolation(&mut self, key: Key, now: Instant) {
-        let pool = &mut self.pools[key];
-        let mut engines = HashMap::new();
-        for member in &pool.members {
-            *engines.entry(member.region).or_insert(0) += 1;
-        }
-        pool.isolation.update_borders(&engines, now);
-    }
-
     /// Updates a pool's token rate, and its median times between tokens and to the first token.
     pub(crate) fn update_pool_statistics(&mut self, key: Key) {
-        let waiting = |pool: Key| pool == key || self.pools[pool].waiting() > 0;
-        let users: Vec<_> = self.pools.keys().filter(|pool| waiting(*pool)).collect();
+        let others = self.pools.iter().filter(|(other, pool)| *other != key && pool.waiting() > 0);
+        let others: Vec<_> = others.map(|(_, pool)| pool).collect();
+        self.servers_examined += self.pools[key].servers.len() as u64;
         let (mut rate, mut intervals, mut firsts) = (0.0, vec![], vec![]);
         for server in &self.pools[key].servers {
             let state = &self.servers[*server];
             if state.leaving() {
                 continue;
             }
-            let shared = users.iter().filter(|user| self.pools[**user].servers.contains(server));
+            let users = 1 + others.iter().filter(|pool| pool.has_server(*server)).count();
             let node_slots = f64::from(state.node_slots(self.switches));
-            rate += node_slots / state.token_interval() / shared.count() as f64;
+            rate += node_slots / state.token_interval() / users as f64;
             intervals.push(state.token_interval());
             firsts.extend(state.first_token_time());
         }
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -11,12 +11,13 @@
 
 use std::time::{Duration, Instant};
 
+use crate::candidates::Candidates;
 use crate::disturbance::Stricter;
 use crate::isolation::Group;
 use crate::mechanism::Mechanism;
 use crate::pending::{Expected, Pending};
 use crate::pick::mix64;
-use crate::pool::Member;
+use crate::pool::{Member, Pool};
 use crate::prefix::{Copies, Cost};
 use crate::scheduler::Scheduler;
 use crate::server;
@@ -25,7 +26,7 @@
 /// Fraction of the first-token target that a request may wait at its preferred engine.
 pub(crate) const TARGET_FRACTION: f64 = 0.5;
 /// The same for a request whose prefix takes longer to prefill again than a round trip to another
-/// region.
+/// region, unless there are engines in reserve, which can spare the time.
 const LONG_PREFIX_TARGET_FRACTION: f64 = 1.1;
 /// Cost of each second beyond that fraction of the target, in seconds of engine time.
 const LATENESS_COST: f64 = 1.0;
@@ -53,6 +54,9 @@
 /// Cost of an engine other than the preferred one where the shared prefix is short, in seconds: callers
 /// don't notice a smaller gain, and each engine that prefills the prefix again spends time on it.
 const NON_PREFERRED_SECONDS: f64 = 0.02;
+/// Cost of an engine in reserve, in seconds: it is used where a request would wait for about as long, or have about
+/// as much prefilled, at an active one.
+const RESERVE_SECONDS: f64 = 0.1;
 /// Cost of a request that an engine fails, in seconds: about the time to serve two others from the
 /// start.
 const FAILURE_SECONDS: f64 = 1.0;
@@ -117,15 +121,15 @@
         let group = pool.isolation.class_group(self.pause_tolerance(pending)).filter(|_| grouped);
         let preferred = self.preferred_engines(pending, group, now);
         let copies = self.prefix_copies(pending, preferred, now);
-        let unreported = self.unreported_requests(pending, group, now);
+        let candidates = self.candidates(pool, pending, preferred);
+        let unreported = self.unreported_requests(pending, &candidates, group, now);
         let stricter = self.stricter_priorities(pool, group);
         let context = Context { group, copies: &copies, unreported, stricter };
-        let all_excluded = pool.members.iter().all(|member| self.is_excluded(member.server, now));
-        let usable = pool.members.iter().filter(|member| {
-            (all_excluded || !self.is_excluded(member.server, now))
-                && self.is_usable(pending, member, now)
-        });
-        let usable: Vec<_> = usable.collect();
+        let partial = candidates.members.len() < pool.members.len();
+        let mut usable = self.usable_members(pending, candidates, now);
+        if usable.is_empty() && partial {
+            usable = self.usable_members(pending, Candidates::all(pool), now);
+        }
         let free = !usable.is_empty();
         let slots = |member: &Member| self.free_slots(pending, &self.servers[member.server], now);
         let with_slots = usable.iter().map(|member| (*member, slots(member)));
@@ -146,6 +150,29 @@
         (best, free)
     }
 
+    /// The candidates that may take a request now. Excluded engines count if all engines are excluded: then the
+    /// fault is more likely at this node.
+    fn usable_members<'a>(
+        &self,
+        pending: &Pending,
+        candidates: Candidates<'a>,
+        now: Instant,
+    ) -> Vec<&'a Member> {
+        let members = candidates.members;
+        let all_excluded = members.iter().all(|member| self.is_excluded(member.server, now))
+            && self.all_excluded(&self.pools[pending.pool], now);
+        let usable = members.into_iter().filter(|member| {
+            (all_excluded || !self.is_excluded(member.server, now))
+                && self.is_usable(pending, member, now)
+        });
+        usable.collect()
+    }
+
+    /// Whether all engines of a pool are excluded.
+    fn all_excluded(&self, pool: &Pool, now: Instant) -> bool {
+        pool.members.iter().all(|member| self.is_excluded(member.server, now))
+    }
+
     /// Longest time between tokens that the callers of a request's class tolerate.
     fn pause_tolerance(&self, pending: &Pending) -> Duration {
         let class = self.classes.get(pending.request.class);
@@ -175,36 +202,43 @@
             return [None; 2];
         }
         let pool = &self.pools[pending.pool];
-        let weight = |member: &&Member| {
-            let state = &self.servers[member.server];
-            let shared = f64::from(pending.request.shared_tokens());
-            let long_prefix = state
-                .terms
-                .prefill_rate
-                .is_some_and(|rate| shared / f64::from(rate) > CROSS_REGION_SECONDS);
-            let may_cross = long_prefix && self.cross_region;
-            let in_reach = may_cross || state.terms.region == pending.request.region;
-            let in_group = group.is_none_or(|group| {
-                pool.isolation.engine_group(member.region, member.rank) == group
-            });
-            (in_reach, in_group, mix64(pending.request.prefix ^ state.terms.salt))
+        let weight = |member: &Member| {
+            let may_cross = self.cross_region && self.has_long_prefix(pending, member);
+            let in_reach = member.region == pending.request.region || may_cross;
+            let engine_group = pool.engine_group(member);
+            let in_group = engine_group.is_some_and(|own| group.is_none_or(|group| own == group));
+            (in_reach, in_group, mix64(pending.request.prefix ^ member.salt))
         };
-        let members = pool.members.iter();
-        let open = members.filter(|member| {
+        let is_open = |member: &Member| {
             let state = &self.servers[member.server];
             let unlimited = !state.leaving() && !state.needs_permit(now);
             unlimited && !self.is_excluded(member.server, now)
-        });
-        let mut preferred: [Option<(_, ids::Server)>; 2] = [None, None];
-        for member in open {
-            let found = Some((weight(&member), member.server));
-            if found > preferred[0] {
-                preferred = [found, preferred[0]];
-            } else if found > preferred[1] {
-                preferred[1] = found;
+        };
+        let search = |members: &mut dyn Iterator<Item = &Member>| {
+            let mut preferred: [Option<(_, ids::Server)>; 2] = [None, None];
+            for member in members {
+                let found = Some((weight(member), member.server));
+                if found <= preferred[1] || !is_open(member) {
+                    continue;
+                }
+                preferred = if found > preferred[0] {
+                    [found, preferred[0]]
+                } else {
+                    [preferred[0], found]
+                };
             }
-        }
-        preferred.map(|found| found.map(|(_, server)| server))
+            preferred.map(|found| found.map(|(_, server)| server))
+        };
+        let found = search(&mut pool.active_members());
+        if found.contains(&None) { search(&mut pool.members.iter()) } else { found }
+    }
+
+    /// Whether prefilling a request's shared prefix again takes an engine longer than a round trip to another
+    /// region.
+    fn has_long_prefix(&self, pending: &Pending, member: &Member) -> bool {
+        let shared = f64::from(pending.request.shared_tokens());
+        let rate = self.servers[member.server].terms.prefill_rate;
+        rate.is_some_and(|rate| shared / f64::from(rate) > CROSS_REGION_SECONDS)
     }
 
     /// What a request is expected to cost at an engine; none if the engine's prefill rate isn't known.
@@ -228,15 +262,15 @@
         let waited = now.saturating_duration_since(request.arrived).as_secs_f64();
         let first_token =
             waited + backlog + prefill + uncertain_prefill + state.prefill.base_latency();
-        let fraction = if whole_prefix > CROSS_REGION_SECONDS {
+        let pool = &self.pools[pending.pool];
+        let fraction = if whole_prefix > CROSS_REGION_SECONDS && !pool.has_reserve() {
             LONG_PREFIX_TARGET_FRACTION
         } else {
             TARGET_FRACTION
         };
         let lateness = (first_token - target * fraction).max(0.0) * LATENESS_COST;
         let cross_region = self.cross_region_cost(pending, state, whole_prefix);
-        let engine_group =
-            self.pools[pending.pool].isolation.engine_group(member.region, member.rank);
+        let engine_group = pool.engine_group(member);
         let streams = self.streams_at(state, stricter, now);
         let isolation = isolation_cost(group, engine_group, prefill, backlog)
             .max(prefill * streams * STREAM_DISTURBANCE);
@@ -250,6 +284,7 @@
             NON_PREFERRED_SECONDS
         };
         let queue = state.prefill.queued_ahead(u8::MAX, now) * QUEUE_WEIGHT;
+        let reserve = if engine_group.is_none() { RESERVE_SECONDS } else { 0.0 };
         let cost = prefill
             + duplication
             + queue
@@ -257,6 +292,7 @@
             + cross_region
             + isolation
             + self.border_cost(pending, member, group)
+            + reserve
             + stutter
             + concurrency
             + failures
@@ -275,11 +311,12 @@
         else {
             return 0.0;
         };
-        let isolation = &self.pools[pending.pool].isolation;
+        let pool = &self.pools[pending.pool];
+        let Some(engine_group) = pool.engine_group(member) else { return 0.0 };
         let relative = f64::from(hint) / f64::from(pending.tokens.max(1));
         let excess = (relative - 1.0).clamp(MIN_LENGTH_EXCESS, MAX_LENGTH_EXCESS);
-        if isolation.engine_group(member.region, member.rank) == group {
-            excess * isolation.position(member.region, member.rank) * BORDER_SECONDS
+        if engine_group == group {
+            excess * pool.isolation.position(member.region, member.rank) * BORDER_SECONDS
         } else {
             excess.max(0.0) * BORDER_SECONDS
         }
@@ -332,9 +369,9 @@
 }
 
 /// Cost of sending a request of one isolation group to an engine of another, in seconds of engine
-/// time.
-fn isolation_cost(group: Option<Group>, engine: Group, prefill: f64, backlog: f64) -> f64 {
-    let Some(group) = group else { return 0.0 };
+/// time. An engine in reserve is of none.
+fn isolation_cost(group: Option<Group>, engine: Option<Group>, prefill: f64, backlog: f64) -> f64 {
+    let (Some(group), Some(engine)) = (group, engine) else { return 0.0 };
     let distance = group.distance(engine);
     if group <= engine {
         return TOLERANT_GROUP_SECONDS * distance;
--- a/components/policy/src/isolation.rs
+++ b/components/policy/src/isolation.rs
@@ -38,6 +38,9 @@
 const GROW_AT: f64 = 0.6;
 /// Engines that they must have in excess before the border moves back.
 const SHRINK_AT: f64 = 1.25;
+/// Engines of a region up to which these limits hold. Beyond it they grow in proportion, because the work of all
+/// nodes varies by the same part however many engines there are.
+const FEW_ENGINES: f64 = 96.0;
 
 /// Age up to which the work of all nodes counts; after that a node goes by its own.
 const MAX_FLEET_AGE: Duration = Duration::from_secs(5);
@@ -161,6 +164,13 @@
         self.work
     }
 
+    /// Engine time in seconds that all nodes use in a second, as far as known.
+    pub(crate) fn work_per_second(&self, now: Instant) -> f64 {
+        let fleet = self.fleet.filter(|(_, received)| now < *received + MAX_FLEET_AGE);
+        let work = fleet.map_or_else(|| self.recent_seconds(), |(seconds, _)| seconds);
+        work.iter().sum::<f64>() * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+    }
+
     /// Whether there was work within the time after which it is forgotten.
     pub(crate) fn recently_active(&self, now: Instant) -> bool {
         self.decayed.is_some_and(|last| now < last + HALF_LIFE * FORGOTTEN_AFTER)
@@ -200,9 +210,13 @@
                 (wanted[border].round() as usize).clamp(smallest, largest)
             });
             let borders = self.borders.entry(*region).or_insert(rounded);
+            let scale = (*count as f64 / FEW_ENGINES).max(1.0);
             for border in 0..borders.len() {
                 let lack = wanted[border] - borders[border] as f64;
-                if lack > GROW_AT || -lack > SHRINK_AT || borders[border] > largest[border] {
+                if lack > GROW_AT * scale
+                    || -lack > SHRINK_AT * scale
+                    || borders[border] > largest[border]
+                {
                     borders[border] = rounded[border];
                 }
             }
@@ -218,14 +232,19 @@
     /// Where the engine with a rank is in its group: 0 at the end that is in the group as long as the group has an
     /// engine, 1 at the border that moves when the group shrinks.
     pub(crate) fn position(&self, region: ids::Region, rank: usize) -> f64 {
-        let [strict, steady] = self.borders.get(&region).copied().unwrap_or_default();
+        let [strict, steady] = self.borders(region);
         let (first, end) = if rank < strict { (0, strict) } else { (strict, steady) };
         if rank >= end { 0.0 } else { (rank - first) as f64 / (end - first) as f64 }
     }
 
+    /// Ranks at which the strict and the steady group of a region end.
+    pub(crate) fn borders(&self, region: ids::Region) -> [usize; GROUPS - 1] {
+        self.borders.get(&region).copied().unwrap_or_default()
+    }
+
     /// The group of the engine with a rank among those of its region.
     pub(crate) fn engine_group(&self, region: ids::Region, rank: usize) -> Group {
-        let [strict, steady] = self.borders.get(&region).copied().unwrap_or_default();
+        let [strict, steady] = self.borders(region);
         if rank < strict {
             return Group::Strict;
         }
--- a/components/policy/src/isolation/tests.rs
+++ b/components/policy/src/isolation/tests.rs
@@ -57,6 +57,21 @@
     assert_eq!(isolation.engine_group(Default::default(), 3), Group::Bulk);
 }
 
+/// Hundreds of engines in a region: the same fluctuation of the work is worth several engines, and still moves no
+/// border.
+#[test]
+fn small_fluctuations_move_no_border_among_many_engines() {
+    let now = Instant::now();
+    let mut isolation = Isolation::default();
+    isolation.add_work(MS(60), 50.0, now);
+    isolation.add_work(MS(250), 50.0, now);
+    isolation.update_borders(&engine_counts(256), now);
+    let before = isolation.borders(Default::default());
+    isolation.add_work(MS(250), 2.0, now);
+    isolation.update_borders(&engine_counts(256), now);
+    assert_eq!(isolation.borders(Default::default()), before);
+}
+
 /// Classes that are all steady share all engines, as there is nothing to keep apart.
 #[test]
 fn similar_classes_share_all_engines() {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -4,12 +4,14 @@
 //! router, the tests and the pattern experiment all drive [`Scheduler`] through [`Policy`].
 
 mod action;
+mod active;
 mod admit;
 mod attempt;
 mod backlog;
 mod backup;
 mod bucket;
 mod cache;
+mod candidates;
 pub mod cold;
 mod demand;
 mod dispatch;
@@ -22,6 +24,7 @@
 mod length;
 mod limit;
 mod mechanism;
+pub mod membership;
 mod pending;
 mod pick;
 mod pool;
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -3,11 +3,23 @@
 //! All requests of a pool ask for the same model and may use the same servers, in the same regions. So when the
 //! first request of a class gets no slot, no request behind it would, and the dispatcher needn't look further.
 
+use std::ops::Range;
+use std::time::Instant;
+
+use slotmap::SecondaryMap;
+
+use crate::active::Active;
 use crate::forecast::Throughput;
 use crate::isolation::Isolation;
+use crate::pick::mix64;
 use crate::queue::Lanes;
+use crate::server;
 use crate::terms::Server;
 
+/// Servers of a pool for which its statistics are computed in each tick. Those of a larger pool are computed in
+/// every so many ticks, so that the work per second doesn't grow with the servers.
+const SERVERS_PER_TICK: usize = 256;
+
 slotmap::new_key_type! {
     /// Key of a pool.
     pub(crate) struct Key;
@@ -79,7 +91,9 @@
 pub(crate) struct Member {
     pub(crate) server: ids::Server,
     pub(crate) region: ids::Region,
-    /// Its position among the members of its region, by a hash of its name that is the same on all nodes.
+    /// Hash of its name, the same on all nodes.
+    pub(crate) salt: u64,
+    /// Its position among the members of its region, in an order by that hash.
     pub(crate) rank: usize,
 }
 
@@ -87,9 +101,18 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     pub(crate) scope: Scope,
+    /// Sorted.
     pub(crate) servers: Vec<ids::Server>,
-    /// The servers that take new work.
+    /// The servers that take new work, by region and rank.
     pub(crate) members: Vec<Member>,
+    /// Members of each region, as a range of their indices.
+    pub(crate) region_ranges: Vec<(ids::Region, Range<usize>)>,
+    /// Index of each member.
+    positions: SecondaryMap<ids::Server, usize>,
+    /// How many of the members requests are concentrated on.
+    pub(crate) active: Active,
+    /// Ticks left until the statistics below are computed again.
+    ticks_left: usize,
     pub(crate) isolation: Isolation,
     /// Sorted by tier, then class.
     pub(crate) queues: Vec<Queue>,
@@ -111,6 +134,10 @@
             scope,
             servers: vec![],
             members: vec![],
+            region_ranges: vec![],
+            positions: SecondaryMap::new(),
+            active: Active::default(),
+            ticks_left: 0,
             isolation: Isolation::default(),
             queues: vec![],
             full_epoch: 0,
@@ -121,6 +148,71 @@
         }
     }
 
+    /// Updates which servers belong to it.
+    pub(crate) fn update_servers(&mut self, all: &SecondaryMap<ids::Server, server::State>) {
+        let in_scope = all.iter().filter(|(key, state)| self.scope.contains(*key, &state.terms));
+        self.servers = in_scope.map(|(key, _)| key).collect();
+        self.servers.sort_unstable();
+        self.members = rank_members(all, &self.servers);
+        self.positions.clear();
+        self.region_ranges.clear();
+        for (index, member) in self.members.iter().enumerate() {
+            self.positions.insert(member.server, index);
+            match self.region_ranges.last_mut().filter(|(region, _)| *region == member.region) {
+                Some((_, range)) => range.end = index + 1,
+                None => self.region_ranges.push((member.region, index..index + 1)),
+            }
+        }
+        self.ticks_left = 0;
+    }
+
+    /// Whether the pool's servers include this one.
+    pub(crate) fn has_server(&self, server: ids::Server) -> bool {
+        self.servers.binary_search(&server).is_ok()
+    }
+
+    /// The member that is this server; none if it takes no new work.
+    pub(crate) fn member(&self, server: ids::Server) -> Option<&Member> {
+        self.positions.get(server).map(|index| &self.members[*index])
+    }
+
+    /// The members on which requests are concentrated.
+    pub(crate) fn active_members(&self) -> impl Iterator<Item = &Member> {
+        let ranges = self.region_ranges.iter().map(|(_, range)| range);
+        let active = ranges.map(|range| range.start..range.start + self.active.of(range.len()));
+        active.flat_map(|range| &self.members[range])
+    }
+
+    /// Whether any member is in reserve.
+    pub(crate) fn has_reserve(&self) -> bool {
+        let mut sizes = self.region_ranges.iter().map(|(_, range)| range.len());
+        sizes.any(|members| self.active.of(members) < members)
+    }
+
+    /// Whether a member is one of those on which requests are concentrated.
+    pub(crate) fn is_active(&self, member: &Member) -> bool {
+        let range = self.region_ranges.iter().find(|(region, _)| *region == member.region);
+        range.is_some_and(|(_, range)| member.rank < self.active.of(range.len()))
+    }
+
+    /// Updates how many members are active, and their isolation groups.
+    pub(crate) fn update_groups(&mut self, now: Instant) {
+        self.active.update(self.isolation.work_per_second(now), now);
+        let sizes = self.region_ranges.iter().map(|(region, range)| (*region, range.len()));
+        let active = sizes.map(|(region, members)| (region, self.active.of(members)));
+        self.isolation.update_borders(&active.collect(), now);
+    }
+
+    /// Counts a tick; returns whether the statistics are to be computed in it.
+    pub(crate) fn is_statistics_tick(&mut self) -> bool {
+        if let Some(left) = self.ticks_left.checked_sub(1) {
+            self.ticks_left = left;
+            return false;
+        }
+        self.ticks_left = self.servers.len() / SERVERS_PER_TICK;
+        true
+    }
+
     /// The queue of a class, created if it doesn't exist.
     pub(crate) fn queue_mut(&mut self, tier: u8, class: ids::Class) -> &mut Queue {
         let found =
@@ -146,3 +238,20 @@
         self.first_token_time + self.token_interval * f64::from(tokens)
     }
 }
+
+/// The servers of a pool that take new work, each with its rank within its region.
+fn rank_members(
+    all: &SecondaryMap<ids::Server, server::State>,
+    servers: &[ids::Server],
+) -> Vec<Member> {
+    let open = servers.iter().filter(|key| !all[**key].leaving());
+    let mut open: Vec<_> = open.map(|key| (&all[*key].terms, *key)).collect();
+    open.sort_by_cached_key(|(terms, _)| (terms.region, mix64(terms.salt)));
+    let mut ranked: Vec<Member> = vec![];
+    for (terms, server) in open {
+        let last = ranked.last().filter(|last| last.region == terms.region);
+        let rank = last.map_or(0, |last| last.rank + 1);
+        ranked.push(Member { server, region: terms.region, salt: terms.salt, rank });
+    }
+    ranked
+}
--- a/components/policy/src/preemption.rs
+++ b/components/policy/src/preemption.rs
@@ -100,8 +100,7 @@
         let mut stopping = 0;
         for (job, other) in &self.jobs {
             let Stage::Sent(server) = other.stage else { continue };
-            let is_here =
-                at.map_or_else(|| self.pools[key].servers.contains(&server), |s| s == server);
+            let is_here = at.map_or_else(|| self.pools[key].has_server(server), |s| s == server);
             if !is_here {
                 continue;
             }
--- a/components/policy/src/prefix.rs
+++ b/components/policy/src/prefix.rs
@@ -10,7 +10,6 @@
 
 use crate::mechanism::Mechanism;
 use crate::pending::Pending;
-use crate::pool::Member;
 use crate::scheduler::Scheduler;
 
 /// An engine fetches a prefix only where that takes less than this fraction of prefilling it.
@@ -67,10 +66,16 @@
         now: Instant,
     ) -> Copies {
         let shared = pending.request.shared_tokens();
-        let in_reach =
-            |member: &&Member| self.cross_region || member.region == pending.request.region;
-        let mut members = self.pools[pending.pool].members.iter().filter(in_reach);
-        let known = members.any(|member| self.cached_tokens(pending, member.server, now) >= shared);
+        let in_reach = |server: &ids::Server| {
+            let region = self.servers.get(*server).map(|state| state.terms.region);
+            self.cross_region || region == Some(pending.request.region)
+        };
+        let pool = &self.pools[pending.pool];
+        let mut holders = self.prefixes.holders(&pending.request.shared).filter(in_reach);
+        let known = shared == 0
+            || holders.any(|server| {
+                pool.member(server).is_some() && self.cached_tokens(pending, server, now) >= shared
+            });
         let scope = &self.pools[pending.pool].scope;
         let sources = self.prefixes.fetch_sources(&pending.request.shared, now);
         let usable = sources.filter(|source| {
--- a/components/policy/src/sampling.rs
+++ b/components/policy/src/sampling.rs
@@ -3,8 +3,8 @@
 //! Load pattern: hundreds of nodes that know the same of engines, some tenths of a second old. Each that
 //! takes the best of all engines takes the same one: an engine whose slots came free is filled twice over
 //! before any node learns of it, while most others stay idle. So only the engines that cache the prompt's
-//! prefix are considered, and a few others of each isolation group, sampled with probabilities in proportion
-//! to their free slots.
+//! prefix are considered, and a few others of each isolation group and of the reserve, sampled with
+//! probabilities in proportion to their free slots.
 
 use crate::isolation::Group;
 use crate::pending::Pending;
@@ -33,14 +33,17 @@
     ) -> Vec<ids::Server> {
         let pool = &self.pools[pending.pool];
         let mut groups: [Vec<Keyed>; Group::COUNT] = Default::default();
+        let mut reserve: Vec<Keyed> = vec![];
         let mut considered: Vec<_> = preferred.into_iter().flatten().collect();
         considered.extend(self.prefixes.holders(&pending.request.shared));
         for (member, free) in members {
-            let group = pool.isolation.engine_group(member.region, member.rank);
-            let salt = self.servers[member.server].terms.salt;
-            groups[group as usize].push((sampling_key(pending.jitter, salt, free), member.server));
+            let keyed = (sampling_key(pending.jitter, member.salt, free), member.server);
+            match pool.engine_group(member) {
+                Some(group) => groups[group as usize].push(keyed),
+                None => reserve.push(keyed),
+            }
         }
-        for group in &mut groups {
+        for group in groups.iter_mut().chain([&mut reserve]) {
             group.sort_by(|a, b| a.0.total_cmp(&b.0));
             considered.extend(group.iter().take(SAMPLES_PER_GROUP).map(|(_, server)| *server));
         }
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -17,11 +17,11 @@
 use crate::mechanism::{Mechanism, Switches};
 use crate::pending::{Expected, Pending, Stage};
 use crate::pick::Candidate;
-use crate::pool::{Key, Member, Pool, Scope};
+use crate::pool::{Key, Pool, Scope};
 use crate::prefill::FirstToken;
 use crate::server;
 use crate::slots;
-use crate::terms::{Class, Demand, Fetch, Limits, Report, Request, Server, Share, Workspace};
+use crate::terms::{Class, Demand, Fetch, Limits, Report, Request, Share, Workspace};
 use crate::throttle::{PERMIT_LIFETIME, Permits};
 
 /// Retries allowed at once beyond the percentage of first attempts: as many as one server loses that
@@ -79,6 +79,9 @@
     pub(crate) switches: Switches,
     /// A session's preferred engine may be in another region.
     pub(crate) cross_region: bool,
+    pub(crate) servers_examined: u64,
+    /// Servers that may have a permit.
+    pub(crate) permitted: BTreeSet<ids::Server>,
 }
 
 impl Default for Scheduler {
@@ -137,6 +140,8 @@
             jitter: slots::Jitter::new(seed),
             switches: Switches::default(),
             cross_region: true,
+            servers_examined: 0,
+            permitted: BTreeSet::new(),
         }
         .with_limits()
     }
@@ -190,17 +195,6 @@
         self.epoch += 1;
     }
 
-    /// Adds or updates a backend server; its load state is kept.
-    pub fn set_server(&mut self, key: ids::Server, terms: Server) {
-        match self.servers.get_mut(key) {
-            Some(state) => state.terms = terms,
-            None => {
-                self.servers.insert(key, server::State::new(terms));
-            }
-        }
-        self.rebuild_pools();
-    }
-
     /// Sets how fast a backend server fetches cached prefixes from others; none if it can't.
     pub fn set_fetch(&mut self, key: ids::Server, fetch: Option<Fetch>) {
         if let Some(state) = self.servers.get_mut(key) {
@@ -230,6 +224,7 @@
         let state = self.servers.get_mut(key);
         if let Some(permits) = state.and_then(|state| state.permits.as_mut()) {
             permits.add(count, now + PERMIT_LIFETIME, now);
+            self.permitted.insert(key);
             self.epoch += 1;
         }
     }
@@ -251,13 +246,6 @@
         self.lengths.remove_workspace(key);
     }
 
-    /// Removes a backend server that the settings no longer name; it gets no new work.
-    pub fn remove_server(&mut self, key: ids::Server) {
-        self.servers.remove(key);
-        self.prefixes.remove_server(key);
-        self.rebuild_pools();
-    }
-
     /// Retry budget of the requests for a model; starts full.
     pub(crate) fn retry_budget(&mut self, model: ids::Model) -> &mut Bucket {
         let burst = f64::from(self.limits.retry_burst);
@@ -321,10 +309,10 @@
     }
 
     /// Updates which servers belong to which pool, and drops unused pools.
-    fn rebuild_pools(&mut self) {
+    pub(crate) fn rebuild_pools(&mut self) {
         for pool in self.pools.values_mut() {
-            pool.servers = servers_for(&self.servers, &pool.scope);
-            pool.members = rank_members(&self.servers, &pool.servers);
+            pool.update_servers(&self.servers);
+            self.servers_examined += self.servers.len() as u64;
         }
         self.epoch += 1;
         let Scheduler { pools, pool_index, last_tick, .. } = self;
@@ -347,11 +335,10 @@
             return *key;
         }
         let mut pool = Pool::new(scope.clone());
-        pool.servers = servers_for(&self.servers, &scope);
-        pool.members = rank_members(&self.servers, &pool.servers);
+        pool.update_servers(&self.servers);
         let key = self.pools.insert(pool);
         self.pool_index.insert(scope, key);
-        self.update_isolation(key, now);
+        self.pools[key].update_groups(now);
         self.update_pool_statistics(key);
         key
     }
@@ -412,32 +399,6 @@
     }
 }
 
-/// The servers that the requests of a pool may be sent to. Each choice of a server is made among them.
-fn servers_for(
-    servers: &SecondaryMap<ids::Server, server::State>,
-    scope: &Scope,
-) -> Vec<ids::Server> {
-    let in_scope = servers.iter().filter(|(key, state)| scope.contains(*key, &state.terms));
-    in_scope.map(|(key, _)| key).collect()
-}
-
-/// The servers of a pool that take new work, each with its rank within its region.
-fn rank_members(
-    servers: &SecondaryMap<ids::Server, server::State>,
-    pool: &[ids::Server],
-) -> Vec<Member> {
-    let open = pool.iter().filter(|key| !servers[**key].leaving());
-    let mut open: Vec<_> = open.map(|key| (&servers[*key].terms, *key)).collect();
-    open.sort_by_key(|(terms, _)| (terms.region, crate::pick::mix64(terms.salt)));
-    let mut ranked: Vec<Member> = vec![];
-    for (terms, server) in open {
-        let last = ranked.last().filter(|last| last.region == terms.region);
-        let rank = last.map_or(0, |last| last.rank + 1);
-        ranked.push(Member { server, region: terms.region, rank });
-    }
-    ranked
-}
-
 impl Policy for Scheduler {
     fn submit(&mut self, request: Request, now: Instant) -> ids::Job {
         self.admit(request, now)
--- a/components/policy/src/slots.rs
+++ b/components/policy/src/slots.rs
@@ -10,10 +10,12 @@
 
 use std::time::{Duration, Instant};
 
+use crate::candidates::Candidates;
 use crate::isolation::Group;
 use crate::mechanism::Mechanism;
 use crate::pending::Pending;
 use crate::pick::mix64;
+use crate::pool::Member;
 use crate::priority::PerPriority;
 use crate::scheduler::Scheduler;
 use crate::server;
@@ -141,6 +143,7 @@
     pub(crate) fn unreported_requests(
         &self,
         pending: &Pending,
+        candidates: &Candidates<'_>,
         group: Option<Group>,
         now: Instant,
     ) -> Unreported {
@@ -149,12 +152,14 @@
             return Unreported::default();
         }
         let pool = &self.pools[pending.pool];
-        let in_group =
-            |region, rank| group.is_none_or(|own| pool.isolation.engine_group(region, rank) == own);
-        let members = pool.members.iter().filter(|member| in_group(member.region, member.rank));
-        let free =
-            members.map(|member| self.free_slots(pending, &self.servers[member.server], now));
-        let (free, engines) = free.fold((0.0, 0.0), |(sum, count), free| (sum + free, count + 1.0));
+        let in_group = |member: &&Member| {
+            pool.engine_group(member).is_some_and(|engine| group.is_none_or(|own| engine == own))
+        };
+        let drawn = candidates.drawn().filter(in_group);
+        let free = drawn.map(|member| self.free_slots(pending, &self.servers[member.server], now));
+        let (free, drawn) = free.fold((0.0, 0.0), |(sum, count), free| (sum + free, count + 1.0));
+        let engines = pool.group_size(group) as f64;
+        let free = free * engines / f64::max(drawn, 1.0);
         let part = pending.jitter as f64 / u64::MAX as f64;
         Unreported { before: unreported * part, free, engines }
     }
--- a/components/policy/src/status.rs
+++ b/components/policy/src/status.rs
@@ -66,7 +66,7 @@
     /// ```
     pub fn status(&self, server: ids::Server, now: Instant) -> Option<Status> {
         let state = self.servers.get(server)?;
-        let pools = self.pools.values().filter(|pool| pool.servers.contains(&server));
+        let pools = self.pools.values().filter(|pool| pool.has_server(server));
         let usual = pools.map(|pool| pool.token_interval).reduce(f64::max);
         let unused = if state.leaving() {
             Some(Unused::Leaving)
--- a/components/policy/tests/common/prompts.rs
+++ b/components/policy/tests/common/prompts.rs
@@ -26,13 +26,15 @@
         .with_disabled(Mechanism::DeadlineFit)
         .with_disabled(Mechanism::EarlyRefusal)
         .with_disabled(Mechanism::Preemption);
+    let mut batch = fixture.scheduler.change_servers();
     for (index, key) in fixture.servers.iter().enumerate() {
         let terms = Server {
             prefill_rate: Some(PREFILL_RATE),
             ..server(index as u64 + 1, slots, fixture.model)
         };
-        fixture.scheduler.set_server(*key, terms);
+        batch.set(*key, terms);
     }
+    drop(batch);
     for (index, interval_ms) in [(STEADY, 60), (1, 100), (DRAFT, 250)] {
         let target = Duration::from_millis(if index == DRAFT { 1_500 } else { 400 });
         let interval = Duration::from_millis(interval_ms);
--- a/components/router/src/scheduler.rs
+++ b/components/router/src/scheduler.rs
@@ -29,9 +29,15 @@
         let (weight, in_flight) = (workspace.weight, workspace.in_flight);
         scheduler.set_workspace(key, policy::Workspace { weight, in_flight, servers });
     }
+    let mut batch = scheduler.change_servers();
     for (key, server) in changed(&effective.servers, last.map(|last| &last.servers)) {
-        scheduler.set_server(key, policy_server(server));
+        batch.set(key, policy_server(server));
     }
+    let gone = last.into_iter().flat_map(|last| last.servers.keys());
+    for key in gone.filter(|key| !effective.servers.contains_key(*key)) {
+        batch.remove(key);
+    }
+    drop(batch);
     let Some(last) = last else { return };
     for key in last.classes.keys().filter(|key| !effective.classes.contains_key(*key)) {
         scheduler.remove_class(key);
@@ -39,9 +45,6 @@
     for key in last.workspaces.keys().filter(|key| !effective.workspaces.contains_key(*key)) {
         scheduler.remove_workspace(key);
     }
-    for key in last.servers.keys().filter(|key| !effective.servers.contains_key(*key)) {
-        scheduler.remove_server(key);
-    }
 }
 
 /// The values of `now` that are new or differ from those of `last`.
@@ -77,9 +80,10 @@
     now: &BTreeSet<String>,
 ) {
     let affected = |address: &String| before.contains(address) || now.contains(address);
+    let mut batch = scheduler.change_servers();
     for (key, server) in effective.servers.iter().filter(|(_, server)| affected(&server.address)) {
         let leaving = server.leaving || now.contains(&server.address);
-        scheduler.set_server(key, policy::Server { leaving, ..policy_server(server) });
+        batch.set(key, policy::Server { leaving, ..policy_server(server) });
     }
 }
 
