Remember deletions in proportion to the servers; compare lists by key

Cause: a thousand deletions were remembered, whatever the number of servers. A node that missed more was told that its history was lost. Replacing all items compared each known item with each listed one: 36 million comparisons at 6,000 servers whenever the store drops its history.

Evidence: replica test with a third of 6,000 servers replaced, which failed with the fixed number. Change: as many deletions as items, at least a thousand; a set of the listed keys.

--- a/components/forward/src/replica.rs
+++ b/components/forward/src/replica.rs
@@ -1,14 +1,14 @@
 //! Keeps a copy of the store's items, as far as this node has received them, for itself and for peers.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use wire::updates::{Base, Items};
 
 use crate::adapter::Item;
 
-/// Number of deletions that are remembered. A peer whose position is older than these can't be sent changes,
-/// and has to ask another source.
-const MAX_DELETIONS: usize = 1_000;
+/// Least number of deletions that are remembered; as many as there are items if these are more. A peer whose
+/// position is older than these can't be sent changes, and has to ask for all items.
+const MIN_DELETIONS: usize = 1_000;
 
 /// Number of items that may have changed since the base was packed before it is packed again.
 const MAX_CHANGES_SINCE_BASE: usize = 100;
@@ -57,10 +57,11 @@
     /// Applies the complete list of items at a position: items that aren't in it were deleted. Returns the
     /// changes that were new.
     pub(crate) fn replace(&mut self, items: Vec<Item>, position: u64) -> Vec<Item> {
+        let listed: HashSet<_> = items.iter().map(|item| item.key.as_str()).collect();
         let missing = |current: &&Item| {
             current.value.is_some()
                 && current.revision < position
-                && !items.iter().any(|item| item.key == current.key)
+                && !listed.contains(current.key.as_str())
         };
         let deletion =
             |current: &Item| Item { key: current.key.clone(), revision: position, value: None };
@@ -110,11 +111,12 @@
         (base, Items::default())
     }
 
-    /// Forgets the oldest deletions beyond [`MAX_DELETIONS`].
+    /// Forgets the oldest deletions beyond those that are remembered.
     fn forget_oldest_deletions(&mut self) {
         let deletions = self.items.values().filter(|item| item.value.is_none());
         let mut revisions: Vec<_> = deletions.map(|item| item.revision).collect();
-        let Some(excess) = revisions.len().checked_sub(MAX_DELETIONS).filter(|excess| *excess > 0)
+        let remembered = MIN_DELETIONS.max(self.items.len() - revisions.len());
+        let Some(excess) = revisions.len().checked_sub(remembered).filter(|excess| *excess > 0)
         else {
             return;
         };
--- a/components/forward/src/replica/tests.rs
+++ b/components/forward/src/replica/tests.rs
@@ -1,4 +1,4 @@
-use super::{MAX_CHANGES_SINCE_BASE, MAX_DELETIONS, Replica};
+use super::{MAX_CHANGES_SINCE_BASE, MIN_DELETIONS, Replica};
 use crate::adapter::Item;
 
 fn item(key: &str, revision: u64) -> Item {
@@ -86,7 +86,7 @@
 fn the_oldest_deletions_are_forgotten() {
     let mut replica = Replica::default();
     replica.replace(vec![], 0);
-    let last = MAX_DELETIONS as u64 + 10;
+    let last = MIN_DELETIONS as u64 + 10;
     for revision in 1..=last {
         replica.apply(vec![deleted(&format!("k{revision}"), revision)], revision);
     }
@@ -94,3 +94,17 @@
     assert!(replica.changes_since(10).is_some());
     assert_eq!(replica.changes_since(9), None);
 }
+
+/// Guards against peers that all read a long list again: of thousands of servers, a third are replaced while a peer is
+/// cut off. The deletions are remembered, since they are fewer than the items that are left.
+#[test]
+fn deletions_are_remembered_in_proportion_to_the_items() {
+    let mut replica = Replica::default();
+    let servers = 6 * MIN_DELETIONS as u64;
+    replica.replace((0..servers).map(|n| item(&format!("s{n}"), 1)).collect(), 1);
+    let gone = servers / 3;
+    for n in 0..gone {
+        replica.apply(vec![deleted(&format!("s{n}"), n + 2)], n + 2);
+    }
+    assert_eq!(changes_since(&mut replica, 1).len(), gone as usize);
+}
