Receive a peer's answer for as long as it goes on arriving

Cause: the answer with all servers had to arrive within 1.5 s. 195 nodes of a seed with 200 Mbit/s share 25 MB/s; 240 KB for 6,000 servers take each of them 1.9 s, so all give up together and ask again. Starting nodes also asked all three seeds for the whole list at once, and took the first that was complete. Where a peer had forgotten deletions, a node went on to the store for the whole list.

Change: the pause between two chunks is bounded, not the whole; the race of a start is won by the first head; a node that lost its history asks the same peer for everything.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -240,22 +240,19 @@
         Some(_) if state.store_failures.get() > 0 => PROBE_WAIT,
         Some(_) => WAIT,
     };
-    let update = updates::request_update(state, peer, wait).await?;
+    let update = updates::request_update(state, peer, wait).await?.receive().await?;
     apply_update(state, peer, asked, update)
 }
 
-/// Asks all peers at once, each again and again, for the first answer that this node gets; returns who gave it.
-/// Peers that lost power together with this node come back at different times, and one without power doesn't
-/// even refuse a connection.
+/// Asks all peers at once, each again and again, and takes the first answer that begins to arrive; returns who gave
+/// it. Peers that lost power together with this node come back at different times, and one without power doesn't
+/// even refuse a connection. The other peers needn't send theirs: an answer with everything fills their links.
 async fn race_peers<A: Adapter>(state: &Rc<State<A>>, peers: &[SocketAddr]) -> Option<SocketAddr> {
     let ask = |peer: SocketAddr| async move {
         loop {
             let asked = state.clock.boot_time();
             match updates::request_update(state, peer, FIRST_WAIT).await {
-                Ok(update) if !update.store_lost && !update.history_lost => {
-                    return (peer, asked, update);
-                }
-                Ok(_) => {}
+                Ok(incoming) => return (peer, asked, incoming),
                 Err(cause) => log::debug!(peer:% = peer, cause:% = cause; "no first answer yet"),
             }
             tokio::time::sleep(jittered(STARTUP_PAUSE)).await;
@@ -265,8 +262,9 @@
         return None;
     }
     let race = select_all(peers.iter().map(|peer| Box::pin(ask(*peer))));
-    let ((peer, asked, update), ..) = tokio::time::timeout(RACE_TIME, race).await.ok()?;
-    match apply_update(state, peer, asked, update) {
+    let ((peer, asked, incoming), ..) = tokio::time::timeout(RACE_TIME, race).await.ok()?;
+    let update = incoming.receive().await;
+    match update.and_then(|update| apply_update(state, peer, asked, update)) {
         Ok(_) => Some(peer),
         Err(cause) => {
             log::debug!(peer:% = peer, cause:% = cause; "a first answer can't be used");
@@ -288,9 +286,9 @@
         return Err(StoreError::LostByPeer(peer));
     }
     if update.history_lost {
-        return Err(StoreError::Unavailable(format!(
-            "peer {peer} no longer knows all changes after this node's position"
-        )));
+        log::info!(peer:% = peer; "the peer no longer knows all changes after this node's position; asking for everything");
+        state.history_lost.set(true);
+        return Ok(Duration::ZERO);
     }
     match update.store_returned_ms.map(|ago| Duration::from_millis(ago.into())) {
         Some(ago) if state.switches.is_on(Mechanism::OutageGrace) => {
@@ -306,6 +304,7 @@
     let changes = update.items.unpack().map_err(garbled)?;
     if let Some(base) = update.base {
         let all = base.items.unpack().map_err(garbled)?;
+        state.history_lost.set(false);
         let items = state.replica.borrow_mut().replace(all, base.position);
         apply_items(state, items);
     }
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -8,8 +8,10 @@
 use std::time::{Duration, Instant};
 
 use actix_http::{Method, Request, Response, StatusCode};
+use awc::ClientResponse;
 use awc::error::{ConnectError, SendRequestError};
 use clock::Clock;
+use futures_util::StreamExt;
 use wire::updates::{Update, UpdateRequest, Work};
 
 use crate::adapter::{Adapter, StoreError};
@@ -27,9 +29,10 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Time beyond its wait within which a peer must have answered.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
-/// The same for an answer with everything: some 400 KB for ten thousand servers, which a peer sends to all
-/// nodes of its region at once when all of them start.
-const FULL_ANSWER_GRACE: Duration = Duration::from_millis(900);
+/// Longest pause between two chunks of an answer. An answer with everything, some 400 KB for ten thousand
+/// servers, may take longer as a whole: when all nodes start, a peer sends it to hundreds at once. If they gave up
+/// after a fixed time, all would ask again together, and none would ever get it.
+const CHUNK_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time to connect to a peer. One that runs takes a round trip, at most some 20 ms between regions. One
 /// without power doesn't answer at all, and would keep a starting node waiting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
@@ -67,40 +70,64 @@
     awc::Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
-/// Asks a peer for the changes after this node's position; the peer may wait up to `wait` for one.
+/// The answer of a peer that has begun to arrive.
+pub(crate) struct Incoming {
+    peer: SocketAddr,
+    response: ClientResponse,
+}
+
+/// Asks a peer for the changes after this node's position, or for everything; the peer may wait up to `wait` for a
+/// change. Returns as soon as its answer begins to arrive.
 pub(crate) async fn request_update<A: Adapter>(
     state: &State<A>,
     peer: SocketAddr,
     wait: Duration,
-) -> Result<Update, StoreError> {
+) -> Result<Incoming, StoreError> {
+    let known = state.replica.borrow().position();
     let ask = UpdateRequest {
         from: state.node().name.clone(),
         address: Some(state.node().peers),
-        position: state.replica.borrow().position(),
+        position: known.filter(|_| !state.history_lost.get()),
         wait_ms: wait.as_millis() as u32,
         work: state.own_work(),
     };
-    let down =
-        |cause: &dyn std::fmt::Display| StoreError::Unavailable(format!("peer {peer}: {cause}"));
-    let call = async {
-        let request = state.peer_client.post(format!("http://{peer}{UPDATES_PATH}"));
-        let mut response = request.send_body(ask.encode()).await.map_err(|cause| match cause {
-            SendRequestError::Connect(ConnectError::Io(cause))
-                if cause.kind() == io::ErrorKind::ConnectionRefused =>
-            {
-                StoreError::ConnectionRefused(peer)
+    let request = state.peer_client.post(format!("http://{peer}{UPDATES_PATH}"));
+    let answer = tokio::time::timeout(wait + ANSWER_GRACE, request.send_body(ask.encode())).await;
+    let response = answer.map_err(|_| down(peer, &"no answer in time"))?;
+    let response = response.map_err(|cause| match cause {
+        SendRequestError::Connect(ConnectError::Io(cause))
+            if cause.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            StoreError::ConnectionRefused(peer)
+        }
+        cause => down(peer, &cause),
+    })?;
+    match response.status() {
+        StatusCode::OK => Ok(Incoming { peer, response }),
+        status => Err(down(peer, &status)),
+    }
+}
+
+impl Incoming {
+    /// Receives the whole answer, for as long as it goes on arriving.
+    pub(crate) async fn receive(mut self) -> Result<Update, StoreError> {
+        let mut body = vec![];
+        loop {
+            let chunk = tokio::time::timeout(CHUNK_TIMEOUT, self.response.next()).await;
+            let chunk = chunk.map_err(|_| down(self.peer, &"its answer stopped arriving"))?;
+            let Some(chunk) = chunk else { break };
+            body.extend_from_slice(&chunk.map_err(|cause| down(self.peer, &cause))?);
+            if body.len() > MAX_ANSWER_BYTES {
+                return Err(down(self.peer, &"its answer is too long"));
             }
-            cause => down(&cause),
-        })?;
-        let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(|cause| down(&cause))?;
-        match response.status() {
-            StatusCode::OK => Update::decode(&body).map_err(|cause| down(&cause)),
-            status => Err(down(&status)),
         }
-    };
-    let grace = if ask.position.is_none() { FULL_ANSWER_GRACE } else { ANSWER_GRACE };
-    let answer = tokio::time::timeout(wait + grace, call).await;
-    answer.unwrap_or_else(|_| Err(down(&"no answer in time")))
+        Update::decode(&body).map_err(|cause| down(self.peer, &cause))
+    }
+}
+
+/// The error of a peer that gave no usable answer.
+fn down(peer: SocketAddr, cause: &dyn std::fmt::Display) -> StoreError {
+    StoreError::Unavailable(format!("peer {peer}: {cause}"))
 }
 
 /// Reports to another seed the work of this node and of the nodes that ask it.
