Report backlogs of engines with own work only; log many changed servers in one line

Cause: each report of a node built three lists for each of 6,000 engines, and each answer reset what peers had at all of them. A node that starts wrote a line for each server. Change: engines with requests of this node or a recent first token; engines that were reported before; one line for more than 256 servers. Behaviour is the same; the policy's tests pass. Not measured by itself.

--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -33,6 +33,9 @@
 /// Time that an idle connection is kept if the server doesn't state its own limit.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Servers that are logged one by one when they change together; a node that starts learns of thousands at once.
+const MAX_LOGGED_SERVERS: usize = 256;
+
 /// A point in time, by the runtime's clock and by one that also counts while the VM is suspended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Timestamp {
@@ -355,21 +358,29 @@
         let mut registry = self.registry.borrow_mut();
         let mut scheduler = self.driver.scheduler.borrow_mut();
         let mut batch = scheduler.change_servers();
+        let each = servers.len() <= MAX_LOGGED_SERVERS;
+        if !each {
+            log::info!(servers = servers.len(); "servers listed or gone");
+        }
         for name in servers {
             match membership.get(&name) {
                 Some(entry) => {
-                    log::info!(
-                        server = name.as_str(), service = entry.service.as_str(),
-                        address = entry.address.as_str(), leaving = entry.leaving;
-                        "server listed"
-                    );
+                    if each {
+                        log::info!(
+                            server = name.as_str(), service = entry.service.as_str(),
+                            address = entry.address.as_str(), leaving = entry.leaving;
+                            "server listed"
+                        );
+                    }
                     let evacuated = self.evacuations.contains(&entry.domain);
                     let domains = &self.node().domains;
                     let key = registry.set_server(&mut batch, entry, domains, evacuated);
                     listed.push((key, entry.clone()));
                 }
                 None => {
-                    log::info!(server = name.as_str(); "server gone");
+                    if each {
+                        log::info!(server = name.as_str(); "server gone");
+                    }
                     registry.remove_server(&mut batch, &name);
                     self.rate_limits.throttle.borrow_mut().forget(wire::key(&name));
                 }
--- a/components/policy/src/backlog.rs
+++ b/components/policy/src/backlog.rs
@@ -8,6 +8,7 @@
 
 use crate::prefill::Peers;
 use crate::scheduler::Scheduler;
+use crate::server;
 use crate::terms::{Backlog, Cached};
 
 /// Shortest backlog that is reported, in seconds.
@@ -16,6 +17,12 @@
 /// stalled, which a node whose request waits there may not know.
 const RECENT: Duration = Duration::from_secs(1);
 
+/// Whether anything of an engine may be worth reporting; it isn't for most of thousands of engines.
+fn has_own_work(state: &server::State, now: Instant) -> bool {
+    let last = state.prefill.last_own_first_token();
+    state.sent > 0 || last.is_some_and(|last| now < last + RECENT)
+}
+
 fn worth_reporting(backlog: &Backlog) -> bool {
     let seconds: f64 = backlog.prefill.iter().chain(&backlog.overdue).sum();
     let occupied: f64 = backlog.occupied.iter().sum();
@@ -31,7 +38,9 @@
     /// assert!(policy::Scheduler::new().backlogs(std::time::Instant::now()).is_empty());
     /// ```
     pub fn backlogs(&self, now: Instant) -> Vec<Backlog> {
-        let engines = self.servers.iter().filter(|(_, state)| state.terms.prefill_rate.is_some());
+        let engines = self.servers.iter().filter(|(_, state)| {
+            state.terms.prefill_rate.is_some() && has_own_work(state, now)
+        });
         let backlogs = engines.map(|(server, state)| Backlog {
             server,
             prefill: state.prefill.own_queued().to_vec(),
@@ -48,11 +57,14 @@
     /// Sets the backlogs of engines by the requests of all other nodes; engines that aren't named have
     /// none.
     pub fn set_backlogs(&mut self, others: &[Backlog], now: Instant) {
-        for state in self.servers.values_mut().filter(|state| state.terms.prefill_rate.is_some()) {
-            state.prefill.set_peers(Peers::default(), now);
+        for server in std::mem::take(&mut self.peer_loaded) {
+            if let Some(state) = self.servers.get_mut(server) {
+                state.prefill.set_peers(Peers::default(), now);
+            }
         }
         for backlog in others {
             let Some(state) = self.servers.get_mut(backlog.server) else { continue };
+            self.peer_loaded.push(backlog.server);
             let peers = Peers {
                 queued: backlog.prefill.as_slice().into(),
                 overdue: backlog.overdue.as_slice().into(),
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -82,6 +82,8 @@
     pub(crate) servers_examined: u64,
     /// Servers that may have a permit.
     pub(crate) permitted: BTreeSet<ids::Server>,
+    /// Engines at which other nodes last reported a backlog.
+    pub(crate) peer_loaded: Vec<ids::Server>,
 }
 
 impl Default for Scheduler {
@@ -142,6 +144,7 @@
             cross_region: true,
             servers_examined: 0,
             permitted: BTreeSet::new(),
+            peer_loaded: vec![],
         }
         .with_limits()
     }
