Prefer servers with an idle connection among those that are as good

Cause: each of 584 nodes sends about one request a second to 354 plain servers, picked by a hash of the request, and keeps a connection for some seconds only. Change: the pool of connections tells the scheduler how long an idle one may be used; a server with one is taken in place of the picked one if its score is nearly as good. Mechanism `reuse` can be switched off.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -106,7 +106,7 @@
 pub(crate) struct PartialReply {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    address: String,
+    server: Rc<Entry>,
     /// How long the server keeps the connection open while idle, if it stated that.
     keep_alive: Option<Duration>,
     body: Body,
@@ -156,7 +156,7 @@
     /// Returns the connection to the pool if the answer has ended regularly.
     pub(crate) fn release_connection<A: Adapter>(self, state: &State<A>) {
         if self.ended {
-            state.pool.put(&self.address, self.body, self.keep_alive);
+            state.keep_connection(&self.server, self.body, self.keep_alive);
         }
     }
 }
@@ -181,7 +181,7 @@
 pub(crate) async fn send<A: Adapter>(
     state: &Rc<State<A>>,
     received: &Received,
-    server: &Entry,
+    server: &Rc<Entry>,
     plan: &Plan,
 ) -> Result<Reply, AttemptError> {
     let connection = match state.pool.take(&server.address) {
@@ -242,7 +242,7 @@
 async fn receive_reply<A: Adapter>(
     state: &Rc<State<A>>,
     received: &Received,
-    server: &Entry,
+    server: &Rc<Entry>,
     head: ResponseHead,
     body: Body,
     last_event_id: Option<u64>,
@@ -255,7 +255,7 @@
     let mut reply = PartialReply {
         status: head.status,
         headers: end_to_end_headers(&head.headers),
-        address: server.address.clone(),
+        server: server.clone(),
         keep_alive,
         body,
         splitter: (success && events).then(|| Splitter::resuming_after(last_event_id)),
@@ -309,7 +309,7 @@
             }
         }
     }
-    state.pool.put(&server.address, body, keep_alive);
+    state.keep_connection(server, body, keep_alive);
 }
 
 /// The request head of an attempt: the caller's method and target, and the adapter's headers.
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -215,7 +215,7 @@
     pub(crate) async fn send_attempt(
         &mut self,
         number: u32,
-        server: &Entry,
+        server: &Rc<Entry>,
         last_event_id: Option<u64>,
     ) -> Result<Reply, AttemptError> {
         let time_left = self.received.time_left(&self.state);
@@ -261,7 +261,7 @@
     /// Continues a stream after the event `last_event_id` from the copy of its run that `server` keeps.
     pub(crate) async fn continue_from_copy(
         &self,
-        server: &Entry,
+        server: &Rc<Entry>,
         last_event_id: Option<u64>,
     ) -> Result<Reply, AttemptError> {
         let send_by = self.submission.send_by();
@@ -276,7 +276,7 @@
     pub(crate) fn record_failure(
         &self,
         attempt: u32,
-        server: &Entry,
+        server: &Rc<Entry>,
         error: &AttemptError,
     ) -> Option<oneshot::Receiver<bool>> {
         let (request, name) = (self.received.call.id.as_str(), server.name.as_str());
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -339,6 +339,21 @@
         self.driver.run_actions();
     }
 
+    /// Keeps the connection of an answer that has ended for further requests to its server, for `keep_alive` if the
+    /// server stated that.
+    pub(crate) fn keep_connection(
+        &self,
+        server: &catalog::Entry,
+        body: http_client::Body,
+        keep_alive: Option<Duration>,
+    ) {
+        let expires = self.pool.put(&server.address, body, keep_alive);
+        let key = self.registry.borrow().server_by_wire_key(wire::key(&server.name));
+        if let (Some(key), Some(expires)) = (key, expires) {
+            self.driver.scheduler.borrow_mut().record_idle_connection(key, expires.into_std());
+        }
+    }
+
     /// Updates the scheduler after these servers were listed, changed or removed.
     pub(crate) fn apply_servers(&self, servers: Vec<String>) {
         for (key, entry) in self.register_servers(servers) {
--- a/components/http_client/src/pool.rs
+++ b/components/http_client/src/pool.rs
@@ -62,11 +62,17 @@
         idle.pop().map(|(connection, _)| connection)
     }
 
-    /// Keeps the connection of a body that has ended, for `idle_timeout` if its server stated one.
-    pub fn put(&self, address: &str, body: Body, idle_timeout: Option<Duration>) {
+    /// Keeps the connection of a body that has ended, for `idle_timeout` if its server stated one. Returns when it
+    /// expires; none if it can't be kept.
+    pub fn put(
+        &self,
+        address: &str,
+        body: Body,
+        idle_timeout: Option<Duration>,
+    ) -> Option<Instant> {
         self.close_expired(Instant::now());
-        let Some(connection) = body.into_connection() else { return };
-        self.keep(address, connection, idle_timeout.unwrap_or(self.limits.idle_timeout));
+        let idle_timeout = idle_timeout.unwrap_or(self.limits.idle_timeout);
+        self.keep(address, body.into_connection()?, idle_timeout)
     }
 
     /// Keeps a connection on which nothing was sent.
@@ -74,12 +80,20 @@
         self.keep(address, connection, self.limits.idle_timeout);
     }
 
-    fn keep(&self, address: &str, connection: Connection, idle_timeout: Duration) {
+    fn keep(
+        &self,
+        address: &str,
+        connection: Connection,
+        idle_timeout: Duration,
+    ) -> Option<Instant> {
         let mut all = self.idle.borrow_mut();
         let kept = all.entry(address.to_string()).or_default();
-        if kept.len() < self.limits.max_idle {
-            kept.push((connection, Instant::now() + idle_timeout));
+        let expires = Instant::now() + idle_timeout;
+        let has_room = kept.len() < self.limits.max_idle;
+        if has_room {
+            kept.push((connection, expires));
         }
+        has_room.then_some(expires)
     }
 
     /// Closes expired connections, at most once per [`SWEEP_INTERVAL`].
--- a/components/policy/src/backlog.rs
+++ b/components/policy/src/backlog.rs
@@ -38,9 +38,10 @@
     /// assert!(policy::Scheduler::new().backlogs(std::time::Instant::now()).is_empty());
     /// ```
     pub fn backlogs(&self, now: Instant) -> Vec<Backlog> {
-        let engines = self.servers.iter().filter(|(_, state)| {
-            state.terms.prefill_rate.is_some() && has_own_work(state, now)
-        });
+        let engines = self
+            .servers
+            .iter()
+            .filter(|(_, state)| state.terms.prefill_rate.is_some() && has_own_work(state, now));
         let backlogs = engines.map(|(server, state)| Backlog {
             server,
             prefill: state.prefill.own_queued().to_vec(),
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -283,7 +283,9 @@
                 self.longest_own_overdue(state, now)
             };
             let time = time * (1.0 + self.failure_rate(state, now) * FAILURE_PENALTY) + stall;
-            let candidate = Candidate { server: *key, salt: state.terms.salt, load, time };
+            let connected = state.is_connected(now);
+            let candidate =
+                Candidate { server: *key, salt: state.terms.salt, load, time, connected };
             if here || !link {
                 into.insert(into.len() - far, candidate);
             } else {
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -20,6 +20,8 @@
         TwoChoices = "two-choices",
         /// Prompts with the same prefix go to the same backend server.
         Affinity = "affinity",
+        /// Among servers that are as good, one to which the node has an idle connection is taken.
+        Reuse = "reuse",
         /// Backend servers that fail are ejected for a while.
         Ejection = "ejection",
         /// Retries are limited to a percentage of first attempts.
--- a/components/policy/src/pick.rs
+++ b/components/policy/src/pick.rs
@@ -4,6 +4,10 @@
 //! prefix, a region behind a narrow link. With the least loaded server by report, every node sends to the
 //! same one at once; with the fastest one, that one fills up while others are idle.
 //!
+//! Load pattern: few requests of each node before hundreds of servers. Picked at random, hardly any server is met
+//! twice before its connection is closed, so nearly every request opens one. So a server to which the node has an
+//! idle connection is taken before others that are as good.
+//!
 //! The best score alone makes all nodes herd on outdated reports, and two choices at random ignore speed. So
 //! the pick is the better of two random choices among servers whose scores are nearly equal (Mitzenmacher,
 //! "The power of two choices in randomized load balancing", 2001).
@@ -30,6 +34,8 @@
     pub(crate) load: f64,
     /// Predicted seconds to the end of the answer.
     pub(crate) time: f64,
+    /// Whether this node has an idle connection to it.
+    pub(crate) connected: bool,
 }
 
 impl Candidate {
@@ -45,6 +51,24 @@
     rng: &mut SmallRng,
     switches: Switches,
 ) -> Option<ids::Server> {
+    let picked = pick_by_score(candidates, prefix, rng, switches)?;
+    if picked.connected || !switches.is_on(Mechanism::Reuse) {
+        return Some(picked.server);
+    }
+    let connected = candidates.iter().filter(|candidate| {
+        candidate.connected && candidate.score() <= picked.score() * NEAR_EQUAL
+    });
+    let best = connected.min_by(|a, b| a.score().total_cmp(&b.score()));
+    Some(best.unwrap_or(picked).server)
+}
+
+/// Picks one of the candidates, whether it is connected or not.
+fn pick_by_score<'a>(
+    candidates: &'a [Candidate],
+    prefix: u64,
+    rng: &mut SmallRng,
+    switches: Switches,
+) -> Option<&'a Candidate> {
     let best = candidates.iter().min_by(|a, b| a.score().total_cmp(&b.score()))?;
     let bound = best.score() * NEAR_EQUAL;
     if switches.is_on(Mechanism::Affinity)
@@ -53,23 +77,22 @@
         return Some(server);
     }
     if !switches.is_on(Mechanism::TwoChoices) {
-        return Some(best.server);
+        return Some(best);
     }
     let near_equals = || candidates.iter().filter(|candidate| candidate.score() <= bound);
     let count = near_equals().count();
     let first = near_equals().nth(rng.random_range(0..count))?;
     let second = near_equals().nth(rng.random_range(0..count))?;
-    let better = if second.load < first.load { second } else { first };
-    Some(better.server)
+    Some(if second.load < first.load { second } else { first })
 }
 
 /// The server that has most likely cached the prompt's prefix, by rendezvous hashing, unless it is slow or
 /// loaded; `bound` is the highest score that counts as nearly equal to the best.
-fn affinity_server(candidates: &[Candidate], prefix: u64, bound: f64) -> Option<ids::Server> {
+fn affinity_server(candidates: &[Candidate], prefix: u64, bound: f64) -> Option<&Candidate> {
     let mean = candidates.iter().map(|c| c.load).sum::<f64>() / candidates.len() as f64;
     let server = candidates.iter().max_by_key(|candidate| mix64(prefix ^ candidate.salt))?;
     let bounded = server.load <= mean * LOAD_BOUND + 0.1 && server.score() <= bound * LOAD_BOUND;
-    bounded.then_some(server.server)
+    bounded.then_some(server)
 }
 
 /// Spreads the bits of a number (the finalizer of splitmix64).
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -232,6 +232,13 @@
         }
     }
 
+    /// Records that this node has an idle connection to a backend server, which it may use until a time.
+    pub fn record_idle_connection(&mut self, key: ids::Server, until: Instant) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.record_idle_connection(until);
+        }
+    }
+
     /// Removes a class that the settings no longer name.
     pub fn remove_class(&mut self, key: ids::Class) {
         self.classes.remove(key);
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -49,6 +49,8 @@
     pub(crate) permits: Option<Permits>,
     /// Whether it is cold, and permits to send to it while it is.
     pub(crate) guard: Guard,
+    /// Until when this node has an idle connection to it.
+    connected_until: Option<Instant>,
     report: Option<Report>,
     /// Requests sent less requests ended since the report was made.
     net_change: i32,
@@ -76,6 +78,7 @@
             prefill: Estimator::default(),
             permits: None,
             guard: Guard::default(),
+            connected_until: None,
             report: None,
             net_change: 0,
             recent_changes: VecDeque::new(),
@@ -225,6 +228,16 @@
         self.first_token
     }
 
+    /// Records that this node has an idle connection to it, which it may use until a time.
+    pub(crate) fn record_idle_connection(&mut self, until: Instant) {
+        self.connected_until = Some(until);
+    }
+
+    /// Whether this node has an idle connection to it.
+    pub(crate) fn is_connected(&self, now: Instant) -> bool {
+        self.connected_until.is_some_and(|until| now < until)
+    }
+
     /// Counts a request sent, which uses a permit if it has named a rate limit or is cold. Returns until when
     /// the request must be sent, if it is cold.
     pub(crate) fn record_send(
@@ -234,6 +247,7 @@
         now: Instant,
     ) -> Option<Instant> {
         self.sent += 1;
+        self.connected_until = None;
         if let Some(permits) = &mut self.permits {
             permits.take(now);
         }
