Leave single prompts out of what nodes are sent where engines are in reserve

Cause: each of 584 nodes is sent every change at every busy engine, three for each request, so the bytes grow with nodes times requests. Change: prefill up to 150 ms at one engine isn't passed on while the pool has a reserve; queues, crowded slots and overdue first tokens are. Deployments without a reserve are as before.

--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -24,6 +24,7 @@
 use crate::state::State;
 
 mod cursor;
+mod detail;
 mod limits;
 mod pace;
 mod seeds;
@@ -50,9 +51,6 @@
 const MS_PER_S: f64 = 1_000.0;
 /// Time in seconds over which rates of requests are reported: on the wire they are whole numbers.
 const SENDS_SECONDS: f64 = 10.0;
-/// Part of an engine's slots from which on the number of occupied ones is passed on. Below it nobody waits for
-/// a slot.
-const CROWDED_PART: f64 = 0.5;
 const MAX_REPORT_BYTES: usize = 256 << 10;
 /// Largest summary in bytes: some thousands of engines.
 const MAX_SUMMARY_BYTES: usize = 1 << 20;
@@ -275,19 +273,14 @@
     state.rate_limits.issue(issuers, nodes, state.clock.now())
 }
 
-/// Sums all reports again. Nodes aren't sent the occupied slots of an engine below [`CROWDED_PART`], nor an
-/// engine at which there is nothing else to report.
+/// Sums all reports again, without what nodes needn't know.
 fn refresh_sums<A: Adapter>(state: &State<A>) {
     let (registry, scheduler) = (state.registry.borrow(), state.driver.scheduler.borrow());
-    let to_report = |mut load: Load| {
-        let slots =
-            registry.server_by_wire_key(load.server).and_then(|server| scheduler.slots(server));
-        let occupied: u32 = load.occupied.iter().sum();
-        if f64::from(occupied) < f64::from(slots.unwrap_or_default()) * CROWDED_PART {
-            load.occupied.clear();
-        }
-        let amounts = [&load.prefill_ms, &load.overdue_ms, &load.occupied];
-        amounts.iter().any(|amounts| !amounts.is_empty()).then_some(load)
+    let to_report = |load: Load| {
+        let server = registry.server_by_wire_key(load.server);
+        let slots = server.and_then(|server| scheduler.slots(server)).unwrap_or_default();
+        let has_reserve = server.is_some_and(|server| scheduler.has_reserve(server));
+        detail::needed(load, slots, has_reserve)
     };
     let mut aggregate = state.gossip.aggregate.borrow_mut();
     let lifetime = state.gossip.pace.borrow().pause(aggregate.node_count()) * LIFETIME_PAUSES;
--- /dev/null
+++ b/components/forward/src/gossip/detail/tests.rs
@@ -0,0 +1,25 @@
+use wire::gossip::Load;
+
+use super::{QUIET_MS, needed};
+
+const SLOTS: u32 = 16;
+
+fn load(prefill_ms: u32, occupied: u32) -> Load {
+    Load { prefill_ms: vec![0, prefill_ms], occupied: vec![0, occupied], ..Load::empty(7) }
+}
+
+/// Thousands of engines with one prompt each: nodes that can go to an idle one needn't know of them.
+#[test]
+fn single_prompts_are_left_out_where_there_is_a_reserve() {
+    assert_eq!(needed(load(QUIET_MS, 1), SLOTS, true), None);
+    assert!(needed(load(QUIET_MS, 1), SLOTS, false).is_some());
+}
+
+/// A queue is passed on in any case, and so is an engine whose slots run out or whose first tokens are overdue.
+#[test]
+fn what_requests_would_wait_for_is_passed_on() {
+    assert!(needed(load(QUIET_MS + 1, 1), SLOTS, true).is_some());
+    assert!(needed(load(0, SLOTS / 2), SLOTS, true).is_some());
+    let overdue = Load { overdue_ms: vec![300], ..load(0, 1) };
+    assert_eq!(needed(overdue, SLOTS, true).unwrap().overdue_ms, [300]);
+}
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -281,6 +281,11 @@
         self.servers.get(server).map(server::State::slots)
     }
 
+    /// Whether any requests that a server may get could go to an engine in reserve instead.
+    pub fn has_reserve(&self, server: ids::Server) -> bool {
+        self.pools.values().any(|pool| pool.has_server(server) && pool.has_reserve())
+    }
+
     /// Requests of this node in flight at a server.
     pub fn in_flight_at(&self, server: ids::Server) -> u32 {
         self.servers.get(server).map_or(0, |state| state.sent)
--- a/components/policy/tests/many_servers.rs
+++ b/components/policy/tests/many_servers.rs
@@ -71,6 +71,16 @@
     }
 }
 
+/// Nodes needn't hear of single prompts where a request can go to another engine.
+#[test]
+fn a_pool_has_a_reserve_where_engines_are_many() {
+    for (engines, reserve) in [(90, false), (6_000, true)] {
+        let mut fixture = fixture_with_engines(engines, SLOTS);
+        send(&mut fixture, DRAFT, 0);
+        assert_eq!(fixture.scheduler.has_reserve(fixture.servers[0]), reserve, "{engines}");
+    }
+}
+
 /// A burst of long prompts that the active engines could only prefill one after the other. The engines in reserve
 /// take what would wait, before the number of active engines has followed.
 #[test]
