--- a/components/policy/src/active/tests.rs
+++ b/components/policy/src/active/tests.rs
@@ -12,7 +12,7 @@
     let (mut active, start) = (Active::default(), Instant::now());
     active.update(46.0, start);
     assert_eq!(active.of(MANY), MIN_ENGINES);
-    active.update(400.0, start);
+    active.update(800.0, start);
     assert_eq!(active.of(MANY), 2_048);
     active.update(46.0, start + SHRINK_AFTER - Duration::from_millis(1));
     assert_eq!(active.of(MANY), 2_048);
