Ask starting nodes' seeds whether they are ready before one is asked for everything; go on with the nearest

Cause: a starting node asked all seeds for everything that is published and dropped all answers but one, so up to a socket buffer of each crossed the link for nothing. Later it followed a seed by hash: two of three nodes of the region with one seed asked across the link that is paid for by volume. Change: the race asks which seed is ready; the nearest by the latency of reports becomes the first source.

Servers with an idle connection are preferred only where the node sends less than a request to each server in 40 s.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -65,6 +65,9 @@
     loop {
         let Some(state) = weak.upgrade() else { return };
         let context = source_context(&state);
+        if let Some(nearest) = state.nearest_seed.get() {
+            sources.prefer(nearest);
+        }
         let source = sources.select(context, state.clock.now());
         let list_limit = sources.list_limit(state.clock.now());
         if source == Source::Store {
@@ -244,16 +247,15 @@
     apply_update(state, peer, asked, update)
 }
 
-/// Asks all peers at once, each again and again, and takes the first answer that begins to arrive; returns who gave
-/// it. Peers that lost power together with this node come back at different times, and one without power doesn't
-/// even refuse a connection. The other peers needn't send theirs: an answer with everything fills their links.
+/// Asks all peers at once, each again and again, whether they are ready, and the first one that is for everything that
+/// is published; returns which that was. Peers that lost power together with this node come back at different times,
+/// and one without power doesn't even refuse a connection. If all peers sent everything, it would fill their links.
 async fn race_peers<A: Adapter>(state: &Rc<State<A>>, peers: &[SocketAddr]) -> Option<SocketAddr> {
-    let ask = |peer: SocketAddr| async move {
+    let wait_until_ready = |peer: SocketAddr| async move {
         loop {
-            let asked = state.clock.boot_time();
-            match updates::request_update(state, peer, FIRST_WAIT).await {
-                Ok(incoming) => return (peer, asked, incoming),
-                Err(cause) => log::debug!(peer:% = peer, cause:% = cause; "no first answer yet"),
+            match updates::wait_until_peer_ready(state, peer, FIRST_WAIT).await {
+                Ok(()) => return peer,
+                Err(cause) => log::debug!(peer:% = peer, cause:% = cause; "not ready yet"),
             }
             tokio::time::sleep(jittered(STARTUP_PAUSE)).await;
         }
@@ -261,10 +263,9 @@
     if peers.is_empty() {
         return None;
     }
-    let race = select_all(peers.iter().map(|peer| Box::pin(ask(*peer))));
-    let ((peer, asked, incoming), ..) = tokio::time::timeout(RACE_TIME, race).await.ok()?;
-    let update = incoming.receive().await;
-    match update.and_then(|update| apply_update(state, peer, asked, update)) {
+    let race = select_all(peers.iter().map(|peer| Box::pin(wait_until_ready(*peer))));
+    let (peer, ..) = tokio::time::timeout(RACE_TIME, race).await.ok()?;
+    match ask_peer(state, peer).await {
         Ok(_) => Some(peer),
         Err(cause) => {
             log::debug!(peer:% = peer, cause:% = cause; "a first answer can't be used");
--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -114,6 +114,7 @@
         let now = state.clock.now();
         let latency = answer.as_ref().ok().map(|_| now.saturating_duration_since(asked));
         seeds.record_answer(seed, latency, now);
+        state.nearest_seed.set(seeds.nearest());
         let pause = match answer {
             Ok(summary) => {
                 let pause = Duration::from_millis(summary.pause_ms.into()).max(MIN_REPORT_PAUSE);
--- a/components/forward/src/gossip/seeds.rs
+++ b/components/forward/src/gossip/seeds.rs
@@ -42,6 +42,14 @@
         self.0.iter().min_by_key(order).map(|seed| seed.address)
     }
 
+    /// The nearest of the seeds that answer; none before each of those has been compared.
+    pub(crate) fn nearest(&self) -> Option<SocketAddr> {
+        let answering = || self.0.iter().filter(|seed| seed.retry_at.is_none());
+        let compared = answering().all(|seed| seed.answers >= PROBES);
+        let nearest = answering().min_by_key(|seed| seed.latency);
+        nearest.filter(|_| compared).map(|seed| seed.address)
+    }
+
     /// Records the time that a seed took to answer; none if it didn't answer.
     pub(crate) fn record_answer(
         &mut self,
--- a/components/forward/src/source.rs
+++ b/components/forward/src/source.rs
@@ -71,8 +71,8 @@
 /// The sources of one node, in the order in which it tries them.
 #[derive(Debug)]
 pub(crate) struct Sources {
-    /// For a seed the store, then the other seeds; for another node the seeds, beginning with the one in
-    /// its own network, then the store.
+    /// For a seed the store, then the other seeds; for another node the seeds, beginning with the nearest or the
+    /// one in its own network, then the store.
     order: Vec<Source>,
     is_seed: bool,
     /// Node that a seed without contact to the store asks after all others.
@@ -187,6 +187,16 @@
         self.record_success();
     }
 
+    /// Makes a peer the first source while the first one is in use: the nearest, as what crosses to another region
+    /// is paid for by volume.
+    pub(crate) fn prefer(&mut self, peer: SocketAddr) {
+        let in_use = self.has_read && self.current == 0 && self.fallback.is_none();
+        let found = self.order.iter().position(|source| *source == Source::Peer(peer));
+        if let Some(index) = found.filter(|_| in_use && !self.is_seed) {
+            self.order[..=index].rotate_right(1);
+        }
+    }
+
     /// Records that the selected source answered.
     pub(crate) fn record_success(&mut self) {
         (self.has_read, self.peer_without_store) = (true, false);
--- a/components/forward/src/source/tests.rs
+++ b/components/forward/src/source/tests.rs
@@ -249,3 +249,20 @@
     assert_eq!(sources.select(context, now + FIRST_RETRY_MIN), Source::Peer(address(9)));
     assert!(!sources.is_probing_first());
 }
+
+/// Published settings cross a link that is paid for by volume, once for each node that asks a seed beyond it. A node
+/// goes on with the nearest seed once that is known, but not while it looks for one that answers.
+#[test]
+fn the_nearest_seed_becomes_the_first_source() {
+    let (seeds, now) = ([address(1), address(2), address(3)], Instant::now());
+    let mut sources = running("a", address(9), &seeds);
+    for seed in seeds {
+        sources.prefer(seed);
+        assert_eq!(sources.select(Context::default(), now), Source::Peer(seed));
+        assert_eq!(sources.peers().len(), seeds.len());
+    }
+    assert!(!sources.record_failure(Failure::Down, Context::default(), now));
+    let second = sources.select(Context::default(), now);
+    sources.prefer(seeds[0]);
+    assert_eq!(sources.select(Context::default(), now), second);
+}
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -95,6 +95,8 @@
     /// Notified when the replica, its proof of freshness or the number of failures changes.
     pub(crate) updated: Notify,
     pub(crate) peer_client: awc::Client,
+    /// The seed that answers this node's reports in the shortest time; none before it is known.
+    pub(crate) nearest_seed: Cell<Option<SocketAddr>>,
     /// Candidates for this seed's delegate, and whether this node is the delegate of another seed.
     pub(crate) delegates: Delegates,
     /// Number of nodes in the fleet, as last reported; at least 1.
@@ -170,6 +172,7 @@
             history_lost: Cell::new(false),
             updated: Notify::new(),
             peer_client: updates::peer_client(),
+            nearest_seed: Cell::new(None),
             delegates: Delegates::default(),
             fleet_nodes: Cell::new(1),
             work_reports: WorkReports::default(),
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -21,6 +21,8 @@
 
 /// Path on the listener for peers at which a node asks for updates.
 const UPDATES_PATH: &str = "/updates";
+/// Path at which a starting node asks whether a peer can answer at [`UPDATES_PATH`].
+const READY_PATH: &str = "/updates/ready";
 /// Path at which seeds report work to each other.
 const WORK_PATH: &str = "/work";
 /// Largest request in bytes: a name and a few numbers.
@@ -130,6 +132,23 @@
     StoreError::Unavailable(format!("peer {peer}: {cause}"))
 }
 
+/// Waits until a peer has what is published and is in contact with the store, at most for `wait`.
+pub(crate) async fn wait_until_peer_ready<A: Adapter>(
+    state: &State<A>,
+    peer: SocketAddr,
+    wait: Duration,
+) -> Result<(), StoreError> {
+    let wait_ms = wait.as_millis() as u32;
+    let ask =
+        UpdateRequest { from: state.node().name.clone(), wait_ms, ..UpdateRequest::default() };
+    let request = state.peer_client.post(format!("http://{peer}{READY_PATH}"));
+    let sent = request.timeout(wait + ANSWER_GRACE).send_body(ask.encode()).await;
+    match sent.map_err(|cause| down(peer, &cause))?.status() {
+        StatusCode::OK => Ok(()),
+        status => Err(down(peer, &status)),
+    }
+}
+
 /// Reports to another seed the work of this node and of the nodes that ask it.
 pub(crate) async fn report_work<A: Adapter>(
     state: &State<A>,
@@ -151,7 +170,8 @@
     {
         return gossip::answer_report(&state, request).await;
     }
-    if request.method() != Method::POST || ![UPDATES_PATH, WORK_PATH].contains(&path.as_str()) {
+    let known = [UPDATES_PATH, READY_PATH, WORK_PATH].contains(&path.as_str());
+    if request.method() != Method::POST || !known {
         return status(StatusCode::NOT_FOUND);
     }
     let body = match listen::read_body(&mut request, MAX_REQUEST_BYTES).await {
@@ -165,6 +185,11 @@
         state.seed_work_reports.record(&ask.from, ask.work, now);
         return status(StatusCode::OK);
     }
+    if path == READY_PATH {
+        let loaded = wait_until_loaded(&state, Duration::from_millis(ask.wait_ms.into())).await;
+        let ready = loaded && state.store_failures.get() == 0;
+        return status(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+    }
     match ask.address {
         Some(address) if state.is_seed() => state.delegates.add_candidate(address),
         _ => state.delegates.record_delegation(now),
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -217,6 +217,7 @@
         let free = self.collect_candidates(&mut candidates, pending, overdue, now);
         let picked = pick::pick(&candidates, pending.request.prefix, &mut self.rng, switches);
         let choice = picked.map_or(if free { Choice::Busy } else { Choice::Full }, Choice::Server);
+        self.pools[self.jobs[job].pool].sends.record_send(0, now);
         candidates.clear();
         self.scratch = candidates;
         choice
@@ -242,6 +243,7 @@
         let all_ejected = ejected == pool.servers.len();
         let link = self.switches.is_on(Mechanism::LinkBudget);
         let urgent = self.may_exceed_share(pending, now);
+        let concentrates = pool.meets_few_connections(now);
         let (mut near, mut far, mut free) = (false, 0, false);
         for key in &pool.servers {
             let state = &self.servers[*key];
@@ -283,7 +285,7 @@
                 self.longest_own_overdue(state, now)
             };
             let time = time * (1.0 + self.failure_rate(state, now) * FAILURE_PENALTY) + stall;
-            let connected = state.is_connected(now);
+            let connected = concentrates && state.is_connected(now);
             let candidate =
                 Candidate { server: *key, salt: state.terms.salt, load, time, connected };
             if here || !link {
--- a/components/policy/src/pick.rs
+++ b/components/policy/src/pick.rs
@@ -34,7 +34,7 @@
     pub(crate) load: f64,
     /// Predicted seconds to the end of the answer.
     pub(crate) time: f64,
-    /// Whether this node has an idle connection to it.
+    /// Whether this node has an idle connection to it, and sends too few requests to be connected to most servers.
     pub(crate) connected: bool,
 }
 
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -14,11 +14,15 @@
 use crate::pick::mix64;
 use crate::queue::Lanes;
 use crate::server;
+use crate::slots::SendRate;
 use crate::terms::Server;
 
 /// Servers of a pool for which its statistics are computed in each tick. Those of a larger pool are computed in
 /// every so many ticks, so that the work per second doesn't grow with the servers.
 const SERVERS_PER_TICK: usize = 256;
+/// Time in seconds in which a node has to send a request to each server of a pool to meet open connections by chance;
+/// servers commonly close idle ones within a quarter of it.
+const MEETING_SECONDS: f64 = 40.0;
 
 slotmap::new_key_type! {
     /// Key of a pool.
@@ -116,6 +120,8 @@
     pub(crate) isolation: Isolation,
     /// Sorted by tier, then class.
     pub(crate) queues: Vec<Queue>,
+    /// Rate at which this node chooses among its plain servers.
+    pub(crate) sends: SendRate,
     /// Epoch of the scheduler in which none of its servers had a slot for this node; 0 if there was none.
     pub(crate) full_epoch: u64,
     /// Number of requests that belong to it, waiting or sent.
@@ -140,6 +146,7 @@
             ticks_left: 0,
             isolation: Isolation::default(),
             queues: vec![],
+            sends: SendRate::default(),
             full_epoch: 0,
             jobs: 0,
             token_rate: 0.0,
@@ -203,6 +210,13 @@
         self.isolation.update_borders(&active.collect(), now);
     }
 
+    /// Whether this node sends so few requests that it would hardly meet a server twice before it closes the
+    /// connection. Elsewhere all servers are connected anyway, and requests spread over them.
+    pub(crate) fn meets_few_connections(&self, now: Instant) -> bool {
+        let rate = self.sends.per_second(now).sum_up_to(u8::MAX);
+        rate * MEETING_SECONDS < self.servers.len() as f64
+    }
+
     /// Counts a tick; returns whether the statistics are to be computed in it.
     pub(crate) fn is_statistics_tick(&mut self) -> bool {
         if let Some(left) = self.ticks_left.checked_sub(1) {
--- a/components/policy/src/slots.rs
+++ b/components/policy/src/slots.rs
@@ -50,7 +50,7 @@
     }
 
     /// Requests a second.
-    fn per_second(&self, now: Instant) -> PerPriority {
+    pub(crate) fn per_second(&self, now: Instant) -> PerPriority {
         self.decayed(now).scaled(std::f64::consts::LN_2 / HALF_LIFE_SECONDS)
     }
 }
--- a/components/policy/tests/reuse.rs
+++ b/components/policy/tests/reuse.rs
@@ -46,6 +46,14 @@
     assert!(opened > 50, "{opened} connections without reuse");
 }
 
+/// A node before a few servers is connected to all of them sooner or later. Its requests spread over them.
+#[test]
+fn requests_spread_over_a_few_servers() {
+    let mut fixture = Fixture::new(1, 4, 6, 10);
+    let (_, used) = connections_of(40, &mut fixture);
+    assert_eq!(used.len(), 4);
+}
+
 /// The server that the node is connected to fails half of its requests. The node moves on.
 #[test]
 fn a_connection_to_a_failing_server_is_no_reason_to_stay() {
