Engines that a node hasn't used count as fast as those that it has, where most are unused

Cause: the number of active engines follows the engine time of all nodes, which took 50 ms a token for an engine that a node hadn't used, ten times too much. By that the set had 512 or 1,024 engines of a region and changed near the threshold. Change: the median interval of the engines in use stands for the others, in pools with a reserve; 256 engines at least, far above the work of this fleet.

--- a/components/policy/src/active.rs
+++ b/components/policy/src/active.rs
@@ -14,7 +14,7 @@
 /// Fraction of their time that active engines may be busy. Requests rarely wait for each other there.
 const UTILIZATION: f64 = 0.5;
 /// Least number of active engines of a region; a pool with fewer uses all of them.
-const MIN_ENGINES: usize = 128;
+const MIN_ENGINES: usize = 256;
 /// Time for which fewer engines must have been enough before their number is halved.
 const SHRINK_AFTER: Duration = Duration::from_secs(10);
 
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -90,7 +90,7 @@
         let others = self.pools.iter().filter(|(other, pool)| *other != key && pool.waiting() > 0);
         let others: Vec<_> = others.map(|(_, pool)| pool).collect();
         self.servers_examined += self.pools[key].servers.len() as u64;
-        let (mut rate, mut intervals, mut firsts) = (0.0, vec![], vec![]);
+        let (mut rate, mut intervals, mut known, mut firsts) = (0.0, vec![], vec![], vec![]);
         for server in &self.pools[key].servers {
             let state = &self.servers[*server];
             if state.leaving() {
@@ -100,11 +100,13 @@
             let node_slots = f64::from(state.node_slots(self.switches));
             rate += node_slots / state.token_interval() / users as f64;
             intervals.push(state.token_interval());
+            known.extend(state.known_token_interval());
             firsts.extend(state.first_token_time());
         }
         let pool = &mut self.pools[key];
         pool.token_rate = rate;
         pool.token_interval = median(&mut intervals).unwrap_or(DEFAULT_TOKEN_SECONDS);
+        pool.known_token_interval = median(&mut known);
         pool.first_token_time = median(&mut firsts).unwrap_or(DEFAULT_FIRST_TOKEN_SECONDS);
     }
 
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -130,6 +130,8 @@
     pub(crate) token_rate: f64,
     /// Median time between tokens at its servers, in seconds.
     pub(crate) token_interval: f64,
+    /// The same at those of which it is known; none if it is known of none.
+    pub(crate) known_token_interval: Option<f64>,
     /// Median time from sending a request to its first token, in seconds.
     pub(crate) first_token_time: f64,
 }
@@ -151,6 +153,7 @@
             jobs: 0,
             token_rate: 0.0,
             token_interval: crate::server::DEFAULT_TOKEN_SECONDS,
+            known_token_interval: None,
             first_token_time: crate::server::DEFAULT_FIRST_TOKEN_SECONDS,
         }
     }
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -175,9 +175,13 @@
 
     /// Seconds between tokens of a stream.
     pub(crate) fn token_interval(&self) -> f64 {
+        self.known_token_interval().unwrap_or(DEFAULT_TOKEN_SECONDS)
+    }
+
+    /// The same; none if nothing is known of it.
+    pub(crate) fn known_token_interval(&self) -> Option<f64> {
         let reported = self.report.as_ref().map(|report| report.token_interval.as_secs_f64());
-        let known = self.observed_interval.or(reported).filter(|interval| *interval > 0.0);
-        known.unwrap_or(DEFAULT_TOKEN_SECONDS)
+        self.observed_interval.or(reported).filter(|interval| *interval > 0.0)
     }
 
     /// Whether its reports no longer arrive, as happens when a link or the server is down.
--- a/components/policy/tests/many_servers.rs
+++ b/components/policy/tests/many_servers.rs
@@ -71,6 +71,26 @@
     }
 }
 
+/// A node has used some dozens of thousands of engines. The others count as fast as those, or the work would seem to
+/// take many times as many engines.
+#[test]
+fn engines_that_a_node_hasnt_used_count_as_fast_as_the_others() {
+    let mut fixture = fixture_with_engines(6_000, SLOTS);
+    for session in 0..200 {
+        let (job, _) = send(&mut fixture, DRAFT, session);
+        for _ in 0..10 {
+            fixture.now += Duration::from_millis(5);
+            fixture.scheduler.record_tokens(job, 1, fixture.now);
+        }
+        complete(&mut fixture, job, Duration::from_millis(5));
+    }
+    let before: f64 = fixture.scheduler.recent_engine_seconds().iter().sum();
+    send(&mut fixture, DRAFT, 1_000);
+    let after: f64 = fixture.scheduler.recent_engine_seconds().iter().sum();
+    // A prompt of 9,000 tokens and an answer of some dozen.
+    assert!(after - before < 0.2, "{} s", after - before);
+}
+
 /// Nodes needn't hear of single prompts where a request can go to another engine.
 #[test]
 fn a_pool_has_a_reserve_where_engines_are_many() {
