--- a/components/policy/src/prefix.rs
+++ b/components/policy/src/prefix.rs
@@ -3,8 +3,9 @@
 //! Load pattern: sessions with long prefixes, and engines that requests leave as they are full, slow or gone.
 //! Without this, each request that leaves its engine has the prefix prefilled again: a fifth of all prefill on
 //! a day of heavy load. Fetching a prefix from another engine takes a few hundredths of the time of prefilling
-//! it, also where an engine caches only the first parts, which many sessions share. Without fetching, callers at three sites of eight nodes get 0.013 to 0.019 less of the value of their
-//! requests (mean over days with failures, paired, standard error 0.004 to 0.007).
+//! it, also where an engine caches only the first parts, which many sessions share. Without fetching, callers at
+//! three sites of eight nodes get 0.013 to 0.019 less of the value of their requests (mean over days with failures,
+//! paired, standard error 0.004 to 0.007).
 
 use std::time::Instant;
 
