Decay a node's work up to the moment at which it is reported

Cause: a node's engine time decayed with its next request only, and was reported as of the last one. The sum over all nodes was too high by a factor that grows with the nodes among which the same requests are divided, and the number of active engines follows it. Change: what is read is decayed up to now. The shares of the groups keep to the undecayed sums, whose ratio is the same.

--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -235,9 +235,10 @@
 
     /// Recent work of this node at engines.
     pub(crate) fn own_work(&self) -> Work {
-        let [strict, steady, bulk] = self.driver.scheduler.borrow().recent_engine_seconds();
+        let now = self.clock.now();
+        let [strict, steady, bulk] = self.driver.scheduler.borrow().recent_engine_seconds(now);
         let millis = |seconds: f64| (seconds * 1_000.0) as u32;
-        let kib_per_s = self.crossing.kib_per_s(self.clock.now());
+        let kib_per_s = self.crossing.kib_per_s(now);
         let (strict_ms, steady_ms, bulk_ms) = (millis(strict), millis(steady), millis(bulk));
         Work { nodes: 1, strict_ms, steady_ms, bulk_ms, kib_per_s }
     }
--- a/components/policy/src/isolation.rs
+++ b/components/policy/src/isolation.rs
@@ -151,23 +151,31 @@
 
     /// Applies the decay since the last call.
     fn decay(&mut self, now: Instant) {
-        let last = self.decayed.replace(now).unwrap_or(now);
-        let half_lives =
-            now.saturating_duration_since(last).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let factor = (-half_lives).exp2();
+        let factor = self.decay_factor(now);
+        self.decayed = Some(now);
         self.work = self.work.map(|seconds| seconds * factor);
         self.prior = self.prior.map(|seconds| seconds * factor);
     }
 
-    /// Decayed engine time by group, in seconds.
-    pub(crate) fn recent_seconds(&self) -> [f64; GROUPS] {
-        self.work
+    /// What is left at `now` of work as of the last decay, as a fraction.
+    fn decay_factor(&self, now: Instant) -> f64 {
+        let last = self.decayed.unwrap_or(now);
+        let half_lives =
+            now.saturating_duration_since(last).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        (-half_lives).exp2()
+    }
+
+    /// Decayed engine time by group, in seconds. It is decayed up to `now`, not only to the last request: summed
+    /// over hundreds of nodes that each send a request in seconds, it would be several times too much.
+    pub(crate) fn recent_seconds(&self, now: Instant) -> [f64; GROUPS] {
+        let factor = self.decay_factor(now);
+        self.work.map(|seconds| seconds * factor)
     }
 
     /// Engine time in seconds that all nodes use in a second, as far as known.
     pub(crate) fn work_per_second(&self, now: Instant) -> f64 {
         let fleet = self.fleet.filter(|(_, received)| now < *received + MAX_FLEET_AGE);
-        let work = fleet.map_or_else(|| self.recent_seconds(), |(seconds, _)| seconds);
+        let work = fleet.map_or_else(|| self.recent_seconds(now), |(seconds, _)| seconds);
         work.iter().sum::<f64>() * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
     }
 
@@ -186,7 +194,7 @@
     /// both steady and bulk work.
     fn cumulative_shares(&self, now: Instant) -> Option<[f64; GROUPS - 1]> {
         let fleet = self.fleet.filter(|(_, received)| now < *received + MAX_FLEET_AGE);
-        let work = fleet.map_or_else(|| self.recent_seconds(), |(seconds, _)| seconds);
+        let work = fleet.map_or_else(|| self.work, |(seconds, _)| seconds);
         let [strict, steady, bulk] = std::array::from_fn(|group| work[group] + self.prior[group]);
         let all = strict + steady + bulk;
         let mixed = [strict + steady, bulk].iter().all(|seconds| *seconds > ABSENT_SECONDS);
--- a/components/policy/src/isolation/tests.rs
+++ b/components/policy/src/isolation/tests.rs
@@ -151,3 +151,25 @@
         }
     }
 }
+
+/// Hundreds of nodes that each send a request every other second report their work at any moment in between. If
+/// they reported it as of their last request, the sum would grow with the number of nodes among which the same
+/// requests are divided, and with it the number of active engines.
+#[test]
+fn the_sum_of_all_nodes_doesnt_depend_on_their_number() {
+    const REQUESTS_PER_S: u32 = 300;
+    const SECONDS: u32 = 20;
+    const WORK: f64 = 0.1;
+    let start = Instant::now();
+    let expected = f64::from(REQUESTS_PER_S) * WORK;
+    for nodes in [6, 600, 1_200] {
+        let mut isolations: Vec<_> = (0..nodes).map(|_| Isolation::default()).collect();
+        for request in 0..REQUESTS_PER_S * SECONDS {
+            let now = start + Duration::from_secs(1) * request / REQUESTS_PER_S;
+            isolations[request as usize % nodes].add_work(MS(250), WORK, now);
+        }
+        let end = start + Duration::from_secs(1) * SECONDS;
+        let sum: f64 = isolations.iter().map(|isolation| isolation.work_per_second(end)).sum();
+        assert!((sum / expected - 1.0).abs() < 0.1, "{nodes} nodes: {sum} s a second, {expected}");
+    }
+}
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -296,10 +296,11 @@
     /// several nodes can be added.
     ///
     /// ```
-    /// assert_eq!(policy::Scheduler::new().recent_engine_seconds(), [0.0; policy::GROUPS]);
+    /// let now = std::time::Instant::now();
+    /// assert_eq!(policy::Scheduler::new().recent_engine_seconds(now), [0.0; policy::GROUPS]);
     /// ```
-    pub fn recent_engine_seconds(&self) -> [f64; GROUPS] {
-        let all = self.pools.values().map(|pool| pool.isolation.recent_seconds());
+    pub fn recent_engine_seconds(&self, now: Instant) -> [f64; GROUPS] {
+        let all = self.pools.values().map(|pool| pool.isolation.recent_seconds(now));
         all.fold([0.0; GROUPS], |sum, own| std::array::from_fn(|group| sum[group] + own[group]))
     }
 
--- a/components/policy/tests/many_servers.rs
+++ b/components/policy/tests/many_servers.rs
@@ -71,6 +71,11 @@
     }
 }
 
+/// Recent engine time of a node, in seconds.
+fn engine_seconds(fixture: &Fixture) -> f64 {
+    fixture.scheduler.recent_engine_seconds(fixture.now).iter().sum()
+}
+
 /// A node has used some dozens of thousands of engines. The others count as fast as those, or the work would seem to
 /// take many times as many engines.
 #[test]
@@ -86,12 +91,11 @@
         complete(&mut fixture, job, Duration::from_millis(20));
     }
     fixture.scheduler.poll(fixture.now, &mut vec![]);
-    let work = |fixture: &Fixture| fixture.scheduler.recent_engine_seconds().iter().sum::<f64>();
-    let before = work(&fixture);
+    let before = engine_seconds(&fixture);
     for session in NEW..2 * NEW {
         send(&mut fixture, DRAFT, session);
     }
-    let each = (work(&fixture) - before) / NEW as f64;
+    let each = (engine_seconds(&fixture) - before) / NEW as f64;
     // A prompt of 9,000 tokens, and its part of the engine for an answer of 100 that takes half a second.
     assert!(each < 0.3, "{each} s");
 }
