Count no time for tokens at engines of unknown speed where engines are in reserve

Cause: before a node of a new fleet has received an answer, it counted 50 ms a token, some ten times too much, so the number of active engines began at 1,024 to 2,048 of a region and was halved each 10 s. Change: without any known interval only prefill counts. The number of active engines rises at once when answers arrive.

--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -362,10 +362,7 @@
         let tokens = f64::from(pending.tokens);
         let batch = BATCH_SIZE.min(f64::from(state.slots()) * MEAN_OCCUPANCY).max(1.0);
         let pool = self.jobs[job].pool;
-        // Of thousands of engines a node knows only those few that it has used.
-        let typical =
-            self.pools[pool].known_token_interval.filter(|_| self.pools[pool].has_reserve());
-        let interval = state.known_token_interval().or(typical).unwrap_or(state.token_interval());
+        let interval = state.known_token_interval().unwrap_or(self.pools[pool].typical_interval());
         let seconds = prefill + tokens * interval / batch;
         let tolerance = self.pause_tolerance(&self.jobs[job]);
         self.pools[pool].isolation.add_work(tolerance, seconds, now);
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -199,6 +199,17 @@
         sizes.any(|members| self.active.of(members) < members)
     }
 
+    /// Seconds between tokens to expect of an engine that this node knows nothing of. Of thousands of engines it knows
+    /// only those few that it has used. Before it has used any, tokens aren't counted: the number of active engines
+    /// rises as soon as answers arrive, but falls slowly.
+    pub(crate) fn typical_interval(&self) -> f64 {
+        if self.has_reserve() {
+            self.known_token_interval.unwrap_or_default()
+        } else {
+            crate::server::DEFAULT_TOKEN_SECONDS
+        }
+    }
+
     /// Whether a member is one of those on which requests are concentrated.
     pub(crate) fn is_active(&self, member: &Member) -> bool {
         let range = self.region_ranges.iter().find(|(region, _)| *region == member.region);
--- a/components/policy/tests/many_servers.rs
+++ b/components/policy/tests/many_servers.rs
@@ -100,6 +100,20 @@
     assert!(each < 0.3, "{each} s");
 }
 
+/// A fleet has started, and no node has received an answer yet. At a guess that is ten times too slow, the first
+/// requests would seem to take many times as many engines, and it takes a minute until their number has come down.
+#[test]
+fn engines_of_unknown_speed_add_no_time_for_tokens() {
+    const REQUESTS: u64 = 20;
+    let mut fixture = fixture_with_engines(6_000, SLOTS);
+    for session in 0..REQUESTS {
+        send(&mut fixture, DRAFT, session);
+    }
+    let each = engine_seconds(&fixture) / REQUESTS as f64;
+    // A prompt of 9,000 tokens.
+    assert!(each < 0.15, "{each} s");
+}
+
 /// Nodes needn't hear of single prompts where a request can go to another engine.
 #[test]
 fn a_pool_has_a_reserve_where_engines_are_many() {
