Nodes that start take the list of servers from a seed of their region

Cause: a starting node asks all seeds at once for 0.3 s which is ready. Seeds take 0.6 s to read 6,000 servers, so each node then asked a seed by hash, two of three in the other region. Change: a seed answers at once in which failure domain it is; those of the node's region come first, and one of another region is taken 0.1 s after it is ready at the earliest. Evidence: forward/src/source/tests.rs.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -1,5 +1,7 @@
 //! Keeps this node's copy of the published settings and backend servers up to date, from the store or a peer.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -11,7 +13,7 @@
 
 use crate::adapter::{Adapter, Item, Record, Store, StoreError, Versioned, WatchReply};
 use crate::mechanism::Mechanism;
-use crate::source::{Context, Failure, Source};
+use crate::source::{Context, Failure, Source, Sources};
 use crate::state::State;
 use crate::{proof, updates};
 
@@ -35,6 +37,9 @@
 /// Time for which a starting node asks all seeds at once, before it tries one source after the other. VMs that
 /// start together do so within it.
 const RACE_TIME: Duration = Duration::from_millis(300);
+/// Time for which a starting node waits for a peer in its own region after one in another region is ready. Peers that
+/// start together are ready within some round trips between regions.
+const FAR_PEER_DELAY: Duration = Duration::from_millis(100);
 /// Pause of a starting node after no source has answered.
 const STARTUP_PAUSE: Duration = Duration::from_millis(40);
 /// First pause after all sources have failed; doubled each time.
@@ -57,7 +62,7 @@
     let mut failed_rounds = 0;
     if let Some(state) = weak.upgrade()
         && !state.is_seed()
-        && let Some(peer) = race_peers(&state, &sources.peers()).await
+        && let Some(peer) = race_peers(&state, &mut sources).await
     {
         record_answer(&state, Source::Peer(peer));
         sources.record_first_answer(peer, state.clock.now());
@@ -250,21 +255,19 @@
 /// Asks all peers at once, each again and again, whether they are ready, and the first one that is for everything that
 /// is published; returns which that was. Peers that lost power together with this node come back at different times,
 /// and one without power doesn't even refuse a connection. If all peers sent everything, it would fill their links.
-async fn race_peers<A: Adapter>(state: &Rc<State<A>>, peers: &[SocketAddr]) -> Option<SocketAddr> {
-    let wait_until_ready = |peer: SocketAddr| async move {
-        loop {
-            match updates::wait_until_peer_ready(state, peer, FIRST_WAIT).await {
-                Ok(()) => return peer,
-                Err(cause) => log::debug!(peer:% = peer, cause:% = cause; "not ready yet"),
-            }
-            tokio::time::sleep(jittered(STARTUP_PAUSE)).await;
-        }
-    };
+///
+/// Those of this node's region come first, also in `sources`: everything is the most that a node is ever sent, and what
+/// crosses to another region is paid for by volume.
+async fn race_peers<A: Adapter>(state: &Rc<State<A>>, sources: &mut Sources) -> Option<SocketAddr> {
+    let peers = sources.peers();
     if peers.is_empty() {
         return None;
     }
-    let race = select_all(peers.iter().map(|peer| Box::pin(wait_until_ready(*peer))));
-    let (peer, ..) = tokio::time::timeout(RACE_TIME, race).await.ok()?;
+    let near = RefCell::new(HashSet::new());
+    let race = select_all(peers.iter().map(|peer| Box::pin(wait_until_ready(state, *peer, &near))));
+    let first = tokio::time::timeout(RACE_TIME, race).await;
+    sources.prefer_region(&near.borrow());
+    let (peer, ..) = first.ok()?;
     match ask_peer(state, peer).await {
         Ok(_) => Some(peer),
         Err(cause) => {
@@ -274,6 +277,34 @@
     }
 }
 
+/// Waits until a peer is ready, and if it is in another region, for [`FAR_PEER_DELAY`] more. Adds it to `near` once it
+/// has answered that it is in this node's region.
+async fn wait_until_ready<A: Adapter>(
+    state: &State<A>,
+    peer: SocketAddr,
+    near: &RefCell<HashSet<SocketAddr>>,
+) -> SocketAddr {
+    // The first question tells only where the peer is.
+    let mut wait = Duration::ZERO;
+    loop {
+        match updates::request_presence(state, peer, wait).await {
+            Ok(presence) => {
+                wait = FIRST_WAIT;
+                let is_near = state.is_in_own_region(&presence.domain);
+                if is_near {
+                    near.borrow_mut().insert(peer);
+                }
+                if presence.ready {
+                    tokio::time::sleep(if is_near { Duration::ZERO } else { FAR_PEER_DELAY }).await;
+                    return peer;
+                }
+            }
+            Err(cause) => log::debug!(peer:% = peer, cause:% = cause; "not ready yet"),
+        }
+        tokio::time::sleep(jittered(STARTUP_PAUSE)).await;
+    }
+}
+
 /// Applies a peer's answer to a question that was asked at `asked`; returns the pause before the next call.
 fn apply_update<A: Adapter>(
     state: &State<A>,
--- a/components/forward/src/source.rs
+++ b/components/forward/src/source.rs
@@ -15,7 +15,7 @@
 //! node reads the store at once.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -178,6 +178,17 @@
         self.order.iter().filter_map(peer).collect()
     }
 
+    /// Moves the peers of this node's region before the others, if no source has answered yet.
+    pub(crate) fn prefer_region(&mut self, near: &HashSet<SocketAddr>) {
+        if self.has_read || self.is_seed {
+            return;
+        }
+        self.order.sort_by_key(|source| match source {
+            Source::Peer(peer) => (false, !near.contains(peer)),
+            Source::Store => (true, false),
+        });
+    }
+
     /// Records that a peer gave this node its first answer. The node goes on with that peer, and tries its first
     /// source later.
     pub(crate) fn record_first_answer(&mut self, peer: SocketAddr, now: Instant) {
--- a/components/forward/src/source/tests.rs
+++ b/components/forward/src/source/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -44,6 +45,24 @@
     }
 }
 
+/// A fleet in two regions starts, and its seeds need longer to read thousands of servers than nodes ask all of them at
+/// once. Then each node would take the list from any seed, which crosses the link between the regions hundreds of times.
+#[test]
+fn a_node_that_starts_asks_the_seeds_of_its_region_first() {
+    let (seeds, now) = ([address(1), address(2), address(3)], Instant::now());
+    let near = HashSet::from([address(2)]);
+    for node in 0..20 {
+        let mut sources = Sources::new(&format!("n{node}"), address(9), &seeds, now);
+        sources.prefer_region(&near);
+        assert_eq!(sources.select(Context::default(), now), Source::Peer(address(2)));
+        assert_eq!(sources.peers().len(), seeds.len());
+        for _ in 0..seeds.len() {
+            sources.record_failure(Failure::Down, Context::default(), now + FIRST_STORE_READ_DELAY);
+        }
+        assert_eq!(sources.select(Context::default(), now), Source::Store);
+    }
+}
+
 /// Seeds read the store. All other nodes ask a seed first, and spread evenly over the seeds.
 #[test]
 fn only_seeds_read_the_store() {
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -219,6 +219,12 @@
         node.seeds.contains(&node.peers)
     }
 
+    /// Whether a failure domain is in this node's region.
+    pub(crate) fn is_in_own_region(&self, domain: &str) -> bool {
+        let node = self.node();
+        node.domains.get(domain).is_some_and(|region| *region == node.region())
+    }
+
     /// The seeds, in the order in which this node asks them.
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         let node = self.node();
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -12,7 +12,7 @@
 use awc::error::{ConnectError, SendRequestError};
 use clock::Clock;
 use futures_util::StreamExt;
-use wire::updates::{Update, UpdateRequest, Work};
+use wire::updates::{Presence, Update, UpdateRequest, Work};
 
 use crate::adapter::{Adapter, StoreError};
 use crate::answer::Answer;
@@ -21,7 +21,7 @@
 
 /// Path on the listener for peers at which a node asks for updates.
 const UPDATES_PATH: &str = "/updates";
-/// Path at which a starting node asks whether a peer can answer at [`UPDATES_PATH`].
+/// Path at which a starting node asks where a peer is and whether it can answer at [`UPDATES_PATH`].
 const READY_PATH: &str = "/updates/ready";
 /// Path at which seeds report work to each other.
 const WORK_PATH: &str = "/work";
@@ -132,21 +132,25 @@
     StoreError::Unavailable(format!("peer {peer}: {cause}"))
 }
 
-/// Waits until a peer has what is published and is in contact with the store, at most for `wait`.
-pub(crate) async fn wait_until_peer_ready<A: Adapter>(
+/// Asks a peer in which failure domain it is and whether it can send everything that is published; the peer may wait
+/// up to `wait` until it can.
+pub(crate) async fn request_presence<A: Adapter>(
     state: &State<A>,
     peer: SocketAddr,
     wait: Duration,
-) -> Result<(), StoreError> {
+) -> Result<Presence, StoreError> {
     let wait_ms = wait.as_millis() as u32;
     let ask =
         UpdateRequest { from: state.node().name.clone(), wait_ms, ..UpdateRequest::default() };
     let request = state.peer_client.post(format!("http://{peer}{READY_PATH}"));
     let sent = request.timeout(wait + ANSWER_GRACE).send_body(ask.encode()).await;
-    match sent.map_err(|cause| down(peer, &cause))?.status() {
-        StatusCode::OK => Ok(()),
-        status => Err(down(peer, &status)),
+    let mut response = sent.map_err(|cause| down(peer, &cause))?;
+    if response.status() != StatusCode::OK {
+        return Err(down(peer, &response.status()));
     }
+    let body = response.body().limit(MAX_REQUEST_BYTES).await;
+    let body = body.map_err(|cause| down(peer, &cause))?;
+    Presence::decode(&body).map_err(|cause| down(peer, &cause))
 }
 
 /// Reports to another seed the work of this node and of the nodes that ask it.
@@ -188,7 +192,9 @@
     if path == READY_PATH {
         let loaded = wait_until_loaded(&state, Duration::from_millis(ask.wait_ms.into())).await;
         let ready = loaded && state.store_failures.get() == 0;
-        return status(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+        let presence = Presence { domain: state.node().domain.clone(), ready };
+        let mut response = Response::build(StatusCode::OK);
+        return response.body(presence.encode()).map_into_boxed_body();
     }
     match ask.address {
         Some(address) if state.is_seed() => state.delegates.add_candidate(address),
--- a/components/wire/src/updates.rs
+++ b/components/wire/src/updates.rs
@@ -61,6 +61,17 @@
         pub kib_per_s: u32,
     }
 
+    /// The answer to the question whether a node can answer update requests.
+    #[derive(Default, Serialize, Deserialize)]
+    pub struct Presence {
+        /// Failure domain of the node.
+        #[serde(rename = "d")]
+        pub domain: String,
+        /// Whether the node has everything that is published and is in contact with the store.
+        #[serde(rename = "r", default)]
+        pub ready: bool,
+    }
+
     /// The answer to an [`UpdateRequest`]: the changes after its position.
     #[derive(Default, Serialize, Deserialize)]
     pub struct Update {
@@ -189,4 +200,4 @@
     }
 }
 
-messages!(UpdateRequest, Update);
+messages!(UpdateRequest, Update, Presence);
