--- a/components/policy/src/cache.rs
+++ b/components/policy/src/cache.rs
@@ -24,9 +24,6 @@
 const REPORTED_FOR: Duration = Duration::from_millis(600);
 /// Shortest part that is reported, in tokens.
 const MIN_REPORTED_TOKENS: u32 = 1_500;
-/// Engines known to all nodes to cache a part, from which on one more that is as good a source isn't reported: no
-/// node looks at more.
-const ENOUGH_SOURCES: usize = 16;
 /// Most parts in the index, which bounds its memory.
 const MAX_PARTS: usize = 10_000;
 
@@ -66,20 +63,13 @@
     }
 
     /// Records that an engine has sent the first token for a request, so that it caches the prompt's
-    /// parts. `is_substitute` tells whether another engine is as good a source for other engines.
-    pub(crate) fn record_prefill(
-        &mut self,
-        request: &Request,
-        server: ids::Server,
-        is_substitute: impl Fn(ids::Server) -> bool,
-        now: Instant,
-    ) {
+    /// parts.
+    pub(crate) fn record_prefill(&mut self, request: &Request, server: ids::Server, now: Instant) {
         for part in &request.shared {
-            let has_sources = self.has_enough_sources(part.id, &is_substitute, now);
             let entry = self.entry(part.id, server, now);
             (entry.prefilled, entry.used) = (true, now);
             let recent = entry.reported.is_some_and(|reported| now < reported + REPORT_AGAIN_AFTER);
-            if part.tokens >= MIN_REPORTED_TOKENS && !recent && !has_sources {
+            if part.tokens >= MIN_REPORTED_TOKENS && !recent {
                 entry.reported = Some(now);
                 self.updates.push_back((now, Cached { server, part: part.id }));
             }
@@ -87,22 +77,6 @@
         self.drop_old_updates(now);
     }
 
-    /// Whether all nodes know enough engines that cache a part. A part that all sessions share is soon cached by
-    /// hundreds, and each report of one goes to every node.
-    fn has_enough_sources(
-        &self,
-        part: u64,
-        is_substitute: impl Fn(ids::Server) -> bool,
-        now: Instant,
-    ) -> bool {
-        let entries = self.parts.get(&part).into_iter().flatten();
-        let known = entries.filter(|(server, entry)| {
-            let reported = entry.reported.is_some_and(|at| now < at + REPORT_AGAIN_AFTER);
-            reported && entry.losses == self.losses_of(**server) && is_substitute(**server)
-        });
-        known.take(ENOUGH_SOURCES).count() == ENOUGH_SOURCES
-    }
-
     /// Takes in that another node reported a part as cached.
     pub(crate) fn apply_update(&mut self, cached: Cached, now: Instant) {
         self.sweep(now);
--- a/components/policy/src/cache/tests.rs
+++ b/components/policy/src/cache/tests.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{ENOUGH_SOURCES, Index, MAX_PARTS, REPORT_AGAIN_AFTER, REPORTED_FOR, RETENTION};
+use super::{Index, MAX_PARTS, REPORT_AGAIN_AFTER, REPORTED_FOR, RETENTION};
 use crate::terms::{Cached, Part, Request};
 
 /// Identifier of a part that is long enough to be reported.
@@ -40,7 +40,7 @@
     assert_eq!(index.cached_tokens(&request.shared, one, now), 6_400);
     assert_eq!(index.cached_tokens(&request.shared, two, now), 0);
     assert_eq!(index.fetch_sources(&request.shared, now).count(), 0);
-    index.record_prefill(&request, one, |_| false, now);
+    index.record_prefill(&request, one, now);
     assert_eq!(index.fetch_sources(&request.shared, now).collect::<Vec<_>>(), [one]);
 }
 
@@ -51,7 +51,7 @@
     let (mut index, now, [one, _]) = (Index::default(), Instant::now(), servers());
     let request = request();
     index.record_send(&request, one, now);
-    index.record_prefill(&request, one, |_| false, now);
+    index.record_prefill(&request, one, now);
     assert_eq!(index.cached_tokens(&request.shared, one, now + RETENTION), 0);
     index.record_send(&request, one, now + RETENTION);
     assert_eq!(index.fetch_sources(&request.shared, now + RETENTION).count(), 0);
@@ -63,7 +63,7 @@
     let (mut index, now, [one, two]) = (Index::default(), Instant::now(), servers());
     let request = request();
     for server in [one, two] {
-        index.record_prefill(&request, server, |_| false, now);
+        index.record_prefill(&request, server, now);
     }
     index.void_server(one);
     assert_eq!(index.cached_tokens(&request.shared, one, now), 0);
@@ -77,50 +77,22 @@
     let (mut index, now, [one, _]) = (Index::default(), Instant::now(), servers());
     let request = request();
     for n in 0..100 {
-        index.record_prefill(&request, one, |_| false, now + Duration::from_millis(n));
+        index.record_prefill(&request, one, now + Duration::from_millis(n));
     }
     let update = Cached { server: one, part: LONG };
     assert_eq!(index.parts_to_report(now + Duration::from_millis(100)), [update]);
     assert!(index.parts_to_report(now + REPORTED_FOR).is_empty());
     index.apply_update(update, now + REPORT_AGAIN_AFTER);
-    index.record_prefill(
-        &request,
-        one,
-        |_| false,
-        now + REPORT_AGAIN_AFTER + Duration::from_millis(1),
-    );
+    index.record_prefill(&request, one, now + REPORT_AGAIN_AFTER + Duration::from_millis(1));
     assert!(index.parts_to_report(now + REPORT_AGAIN_AFTER + Duration::from_millis(2)).is_empty());
 }
 
-/// Hundreds of engines come to cache a part that all sessions share. If each were reported, every node would be sent
-/// all of them again and again, though it fetches the part from one of a few.
-#[test]
-fn a_part_with_enough_sources_isnt_reported() {
-    const ENGINES: usize = 1_000;
-    let (mut index, now) = (Index::default(), Instant::now());
-    let mut all = slotmap::SlotMap::<ids::Server, ()>::with_key();
-    let servers: Vec<_> = (0..ENGINES).map(|_| all.insert(())).collect();
-    let mut reported = 0;
-    for server in &servers {
-        index.record_prefill(&request(), *server, |_| true, now);
-        reported = reported.max(index.parts_to_report(now).len());
-    }
-    assert_eq!(reported, ENOUGH_SOURCES);
-    // Sources that are lost are replaced.
-    servers[..ENOUGH_SOURCES].iter().for_each(|server| index.void_server(*server));
-    index.record_prefill(&request(), servers[ENGINES - 1], |_| true, now);
-    assert_eq!(index.parts_to_report(now).len(), ENOUGH_SOURCES + 1);
-    // Those in another region, or that the node can't use, don't count.
-    index.record_prefill(&request(), servers[ENGINES - 2], |_| false, now);
-    assert_eq!(index.parts_to_report(now).len(), ENOUGH_SOURCES + 2);
-}
-
 /// In a node that is set to report nothing, old updates are dropped, or they would fill its memory.
 #[test]
 fn unreported_updates_are_dropped() {
     let (mut index, now, [one, _]) = (Index::default(), Instant::now(), servers());
     for n in 0..100 {
-        index.record_prefill(&request(), one, |_| false, now + REPORT_AGAIN_AFTER * n);
+        index.record_prefill(&request(), one, now + REPORT_AGAIN_AFTER * n);
     }
     assert_eq!(index.updates.len(), 1);
 }
@@ -150,10 +122,10 @@
     let request = request();
     index.record_send(&request, one, now);
     index.void_server(one);
-    index.record_prefill(&request, one, |_| false, now);
+    index.record_prefill(&request, one, now);
     assert_eq!(index.cached_tokens(&request.shared, one, now), 6_400);
     let later = now + RETENTION - Duration::from_millis(1);
-    index.record_prefill(&request, one, |_| false, later);
+    index.record_prefill(&request, one, later);
     index.record_send(&request, one, later + Duration::from_millis(2));
     assert_eq!(index.cached_tokens(&request.shared, one, later), 6_400);
 }
--- a/components/policy/src/prefix.rs
+++ b/components/policy/src/prefix.rs
@@ -129,20 +129,6 @@
         sources.next()
     }
 
-    /// Records that an engine caches the prefix of a request. Where engines are in reserve, any engine of the region
-    /// will do as a source of it: the others are mostly idle as well.
-    pub(crate) fn record_prefill(&mut self, job: ids::Job, server: ids::Server, now: Instant) {
-        let pending = &self.jobs[job];
-        let Some(state) = self.servers.get(server) else { return };
-        let (has_reserve, region) = (self.pools[pending.pool].has_reserve(), state.terms.region);
-        let servers = &self.servers;
-        let is_substitute = |other: ids::Server| {
-            let other = servers.get(other).filter(|other| !other.leaving());
-            has_reserve && other.is_some_and(|other| other.terms.region == region)
-        };
-        self.prefixes.record_prefill(&pending.request, server, is_substitute, now);
-    }
-
     /// Tokens of a prompt's prefix that an engine is known to cache.
     fn cached_tokens(&self, pending: &Pending, server: ids::Server, now: Instant) -> u32 {
         if !self.switches.is_on(Mechanism::PrefixIndex) {
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -456,10 +456,6 @@
         let (class, workspace, sent) =
             (pending.request.class, pending.request.workspace, pending.sent_at);
         let continued = pending.continued;
-        if last.is_none() && !continued {
-            self.record_prefill(job, server, now);
-        }
-        let Some(pending) = self.jobs.get_mut(job) else { return };
         if let Some(state) = self.servers.get_mut(server) {
             state.health.record_response();
             if let Some(cold_time) = state.terms.cold_time {
@@ -469,6 +465,7 @@
                 None if continued => {}
                 None => {
                     let took = now.saturating_duration_since(sent);
+                    self.prefixes.record_prefill(&pending.request, server, now);
                     state.record_first_token(took);
                     let first_token = FirstToken {
                         priority: pending.priority,
