Followers stay with a seed of their region

Cause: a node followed the seed that was nearest by the latency of reports of load. A seed that sends its list to two hundred nodes misses reports; then the nearest that answered was one of the other region, and changes crossed the link. Change: the nearest is the one that was nearest whenever it answered, and a seed of another region is never preferred to one of the node's own.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -266,7 +266,7 @@
     let near = RefCell::new(HashSet::new());
     let race = select_all(peers.iter().map(|peer| Box::pin(wait_until_ready(state, *peer, &near))));
     let first = tokio::time::timeout(RACE_TIME, race).await;
-    sources.prefer_region(&near.borrow());
+    sources.prefer_region(near.take());
     let (peer, ..) = first.ok()?;
     match ask_peer(state, peer).await {
         Ok(_) => Some(peer),
--- a/components/forward/src/gossip/seeds.rs
+++ b/components/forward/src/gossip/seeds.rs
@@ -42,12 +42,13 @@
         self.0.iter().min_by_key(order).map(|seed| seed.address)
     }
 
-    /// The nearest of the seeds that answer; none before each of those has been compared.
+    /// The nearest of the seeds that have answered often enough to be compared, also if it missed the last report: it
+    /// may just be sending its list to hundreds of nodes. None while others that answer are still to be compared.
     pub(crate) fn nearest(&self) -> Option<SocketAddr> {
-        let answering = || self.0.iter().filter(|seed| seed.retry_at.is_none());
-        let compared = answering().all(|seed| seed.answers >= PROBES);
-        let nearest = answering().min_by_key(|seed| seed.latency);
-        nearest.filter(|_| compared).map(|seed| seed.address)
+        let compared = |seed: &&Seed| seed.answers >= PROBES;
+        let comparing = self.0.iter().any(|seed| seed.retry_at.is_none() && !compared(&seed));
+        let nearest = self.0.iter().filter(compared).min_by_key(|seed| seed.latency);
+        nearest.filter(|_| !comparing).map(|seed| seed.address)
     }
 
     /// Records the time that a seed took to answer; none if it didn't answer.
--- a/components/forward/src/source.rs
+++ b/components/forward/src/source.rs
@@ -75,6 +75,8 @@
     /// one in its own network, then the store.
     order: Vec<Source>,
     is_seed: bool,
+    /// Peers that are known to be in this node's region.
+    near: HashSet<SocketAddr>,
     /// Node that a seed without contact to the store asks after all others.
     delegate: Option<SocketAddr>,
     /// Index in the order of the source that is asked now.
@@ -116,6 +118,7 @@
         Sources {
             order,
             is_seed,
+            near: HashSet::new(),
             delegate: None,
             current: 0,
             left_first: None,
@@ -179,10 +182,12 @@
     }
 
     /// Moves the peers of this node's region before the others, if no source has answered yet.
-    pub(crate) fn prefer_region(&mut self, near: &HashSet<SocketAddr>) {
+    pub(crate) fn prefer_region(&mut self, near: HashSet<SocketAddr>) {
         if self.has_read || self.is_seed {
             return;
         }
+        self.near = near;
+        let near = &self.near;
         self.order.sort_by_key(|source| match source {
             Source::Peer(peer) => (false, !near.contains(peer)),
             Source::Store => (true, false),
@@ -199,8 +204,11 @@
     }
 
     /// Makes a peer the first source while the first one is in use: the nearest, as what crosses to another region
-    /// is paid for by volume.
+    /// is paid for by volume. One of another region stays behind those of this node's region.
     pub(crate) fn prefer(&mut self, peer: SocketAddr) {
+        if !self.near.is_empty() && !self.near.contains(&peer) {
+            return;
+        }
         let in_use = self.has_read && self.current == 0 && self.fallback.is_none();
         let found = self.order.iter().position(|source| *source == Source::Peer(peer));
         if let Some(index) = found.filter(|_| in_use && !self.is_seed) {
--- a/components/forward/src/source/tests.rs
+++ b/components/forward/src/source/tests.rs
@@ -53,7 +53,7 @@
     let near = HashSet::from([address(2)]);
     for node in 0..20 {
         let mut sources = Sources::new(&format!("n{node}"), address(9), &seeds, now);
-        sources.prefer_region(&near);
+        sources.prefer_region(near.clone());
         assert_eq!(sources.select(Context::default(), now), Source::Peer(address(2)));
         assert_eq!(sources.peers().len(), seeds.len());
         for _ in 0..seeds.len() {
@@ -63,6 +63,21 @@
     }
 }
 
+/// The seed of a node's region is busy sending its list to hundreds of nodes, so that it misses reports of load and one of
+/// another region seems to be the nearest. If nodes followed that one, all changes of all servers would cross the link.
+#[test]
+fn a_seed_of_another_region_is_never_preferred() {
+    let (seeds, now) = ([address(1), address(2)], Instant::now());
+    let mut sources = Sources::new("a", address(9), &seeds, now);
+    sources.prefer_region(HashSet::from([address(2)]));
+    sources.record_success();
+    sources.prefer(address(1));
+    assert_eq!(sources.select(Context::default(), now), Source::Peer(address(2)));
+    // It is asked while the near one fails.
+    sources.record_failure(Failure::Down, Context::default(), now);
+    assert_eq!(sources.select(Context::default(), now), Source::Peer(address(1)));
+}
+
 /// Seeds read the store. All other nodes ask a seed first, and spread evenly over the seeds.
 #[test]
 fn only_seeds_read_the_store() {
