Send short prompts to engines with an idle connection where engines are in reserve

Cause: each of 584 nodes sends 0.7 requests a second to engines, by a hash of the session to one of 512. Change: an engine to which the node isn't connected costs 0.03 s more, which outweighs a short prefix that is prefilled again but no long one; connected engines are always among those looked at. Evidence: policy/tests/reuse.rs, 100 short prompts before 6,000 and 12,000 engines: 5 connections at most, over 50 without.

--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -360,7 +360,9 @@
         let expires = self.pool.put(&server.address, body, keep_alive);
         let key = self.registry.borrow().server_by_wire_key(wire::key(&server.name));
         if let (Some(key), Some(expires)) = (key, expires) {
-            self.driver.scheduler.borrow_mut().record_idle_connection(key, expires.into_std());
+            let now = self.clock.now();
+            let mut scheduler = self.driver.scheduler.borrow_mut();
+            scheduler.record_idle_connection(key, expires.into_std(), now);
         }
     }
 
--- a/components/policy/src/candidates.rs
+++ b/components/policy/src/candidates.rs
@@ -45,7 +45,7 @@
 
 impl Scheduler {
     /// The engines to look at for a request: all engines of a small pool. Those that aren't drawn but cache its
-    /// prefix, or are preferred for it, or have a permit that soon expires, are added.
+    /// prefix, or are preferred for it, or connected, or have a permit that soon expires, are added.
     pub(crate) fn candidates<'a>(
         &'a self,
         pool: &'a Pool,
@@ -62,6 +62,7 @@
             let known = preferred.into_iter().flatten();
             let known = known.chain(self.prefixes.holders(&pending.request.shared));
             let known = known.chain(self.permitted.iter().copied());
+            let known = known.chain(self.connected.iter().copied());
             let mut seen: HashSet<_> = members.iter().map(|member| member.server).collect();
             let known = known.filter_map(|server| pool.member(server));
             members.extend(known.filter(|member| seen.insert(member.server)));
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -212,6 +212,7 @@
                 return if free { Choice::Busy } else { Choice::Full };
             };
             self.record_engine_send(job, chosen, now);
+            self.pools[self.jobs[job].pool].sends.record_send(0, now);
             return Choice::Server(chosen.server);
         }
         let mut candidates = std::mem::take(&mut self.scratch);
@@ -245,7 +246,7 @@
         let all_ejected = ejected == pool.servers.len();
         let link = self.switches.is_on(Mechanism::LinkBudget);
         let urgent = self.may_exceed_share(pending, now);
-        let concentrates = pool.meets_few_connections(now);
+        let concentrates = pool.meets_few_connections(pool.servers.len(), now);
         let (mut near, mut far, mut free) = (false, 0, false);
         for key in &pool.servers {
             let state = &self.servers[*key];
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -8,6 +8,10 @@
 //! nodes send it there without a message; once it is known where its prefix is cached, it goes there. A
 //! request leaves such an engine only once it would be late there. Each engine is scored by its cost in
 //! seconds of engine time, and the cheapest one is taken.
+//!
+//! Load pattern: a few requests a second of each node before hundreds of active engines. Sent to the preferred
+//! engine of its session, nearly each request opens a connection. So short prompts go on at the engines to which
+//! the node is connected, and only long prefixes are worth a connection.
 
 use std::time::{Duration, Instant};
 
@@ -54,6 +58,9 @@
 /// Cost of an engine other than the preferred one where the shared prefix is short, in seconds: callers
 /// don't notice a smaller gain, and each engine that prefills the prefix again spends time on it.
 const NON_PREFERRED_SECONDS: f64 = 0.02;
+/// Cost of a connection that has to be opened, in seconds: round trips, and what a server spends on it. It outweighs
+/// [`NON_PREFERRED_SECONDS`] and a short prefix that is prefilled again, but no long one.
+const CONNECTION_SECONDS: f64 = 0.03;
 /// Cost of an engine in reserve, in seconds: it is used where a request would wait for about as long, or have about
 /// as much prefilled, at an active one.
 const RESERVE_SECONDS: f64 = 0.1;
@@ -81,6 +88,8 @@
     unreported: Unreported,
     /// Priorities of the streams that the request would disturb.
     stricter: Stricter,
+    /// Whether an engine to which this node is connected is preferred.
+    reuses: bool,
 }
 
 /// What a request is expected to cost at an engine.
@@ -124,7 +133,6 @@
         let candidates = self.candidates(pool, pending, preferred);
         let unreported = self.unreported_requests(pending, &candidates, group, now);
         let stricter = self.stricter_priorities(pool, group);
-        let context = Context { group, copies: &copies, unreported, stricter };
         let partial = candidates.members.len() < pool.members.len();
         let mut usable = self.usable_members(pending, candidates, now);
         if usable.is_empty() && partial {
@@ -134,10 +142,14 @@
         let slots = |member: &Member| self.free_slots(pending, &self.servers[member.server], now);
         let with_slots = usable.iter().map(|member| (*member, slots(member)));
         let sampled = self.sample_engines(pending, with_slots, preferred);
+        let reuses = self.reuses_connections(pool, now);
+        let context = Context { group, copies: &copies, unreported, stricter, reuses };
         let mut best: Option<Estimate> = None;
-        // A permit expires soon, so its engine is considered in any case.
+        // A permit expires soon, and a connection is closed soon, so their engines are considered in any case.
         let considered = |member: &&&Member| {
-            sampled.contains(&member.server) || self.servers[member.server].needs_permit(now)
+            let state = &self.servers[member.server];
+            let connected = reuses && state.is_connected(now);
+            sampled.contains(&member.server) || state.needs_permit(now) || connected
         };
         for member in usable.iter().filter(considered) {
             let Some(estimate) = self.estimate_cost(pending, member, context, now) else {
@@ -249,7 +261,7 @@
         context: Context<'_>,
         now: Instant,
     ) -> Option<Estimate> {
-        let Context { group, copies, unreported, stricter } = context;
+        let Context { group, copies, unreported, stricter, reuses } = context;
         let state = &self.servers[member.server];
         let request = &pending.request;
         let preferred = copies.preferred[0] == Some(member.server);
@@ -283,6 +295,7 @@
         } else {
             NON_PREFERRED_SECONDS
         };
+        let connection = if reuses && !state.is_connected(now) { CONNECTION_SECONDS } else { 0.0 };
         let queue = state.prefill.queued_ahead(u8::MAX, now) * QUEUE_WEIGHT;
         let reserve = if engine_group.is_none() { RESERVE_SECONDS } else { 0.0 };
         let cost = prefill
@@ -296,11 +309,19 @@
             + stutter
             + concurrency
             + failures
+            + connection
             + not_preferred;
         let prefill = prefill + uncertain_prefill;
         Some(Estimate { server: member.server, prefill, backlog, overdue, preferred, fetch, cost })
     }
 
+    /// Whether a node prefers engines to which it is connected: where it hardly meets one of the active ones twice.
+    fn reuses_connections(&self, pool: &Pool, now: Instant) -> bool {
+        self.switches.is_on(Mechanism::Reuse)
+            && pool.has_reserve()
+            && pool.meets_few_connections(pool.active_members().count(), now)
+    }
+
     /// Cost of a stream at the border of its group, which engines leave as the group shrinks, or beyond it; negative
     /// at the border for a stream that is shorter than most. So the longest streams run at the engines that
     /// leave last.
--- a/components/policy/src/membership.rs
+++ b/components/policy/src/membership.rs
@@ -29,6 +29,7 @@
     pub fn remove(&mut self, key: ids::Server) {
         self.scheduler.servers.remove(key);
         self.scheduler.permitted.remove(&key);
+        self.scheduler.connected.remove(&key);
     }
 }
 
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -120,7 +120,7 @@
     pub(crate) isolation: Isolation,
     /// Sorted by tier, then class.
     pub(crate) queues: Vec<Queue>,
-    /// Rate at which this node chooses among its plain servers.
+    /// Rate at which this node chooses among its servers.
     pub(crate) sends: SendRate,
     /// Epoch of the scheduler in which none of its servers had a slot for this node; 0 if there was none.
     pub(crate) full_epoch: u64,
@@ -224,11 +224,11 @@
         self.isolation.update_borders(&active.collect(), now);
     }
 
-    /// Whether this node sends so few requests that it would hardly meet a server twice before it closes the
-    /// connection. Elsewhere all servers are connected anyway, and requests spread over them.
-    pub(crate) fn meets_few_connections(&self, now: Instant) -> bool {
+    /// Whether this node sends so few requests that it would hardly meet one of so many servers twice before it closes
+    /// the connection. Elsewhere all servers are connected anyway, and requests spread over them.
+    pub(crate) fn meets_few_connections(&self, servers: usize, now: Instant) -> bool {
         let rate = self.sends.per_second(now).sum_up_to(u8::MAX);
-        rate * MEETING_SECONDS < self.servers.len() as f64
+        rate * MEETING_SECONDS < servers as f64
     }
 
     /// Counts a tick; returns whether the statistics are to be computed in it.
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -82,6 +82,8 @@
     pub(crate) servers_examined: u64,
     /// Servers that may have a permit.
     pub(crate) permitted: BTreeSet<ids::Server>,
+    /// Servers to which this node has an idle connection, or had one a short time ago.
+    pub(crate) connected: BTreeSet<ids::Server>,
     /// Engines at which other nodes last reported a backlog.
     pub(crate) peer_loaded: Vec<ids::Server>,
 }
@@ -144,6 +146,7 @@
             cross_region: true,
             servers_examined: 0,
             permitted: BTreeSet::new(),
+            connected: BTreeSet::new(),
             peer_loaded: vec![],
         }
         .with_limits()
@@ -233,9 +236,14 @@
     }
 
     /// Records that this node has an idle connection to a backend server, which it may use until a time.
-    pub fn record_idle_connection(&mut self, key: ids::Server, until: Instant) {
+    pub fn record_idle_connection(&mut self, key: ids::Server, until: Instant, now: Instant) {
+        let servers = &self.servers;
+        let is_connected =
+            |other: &ids::Server| servers.get(*other).is_some_and(|other| other.is_connected(now));
+        self.connected.retain(is_connected);
         if let Some(state) = self.servers.get_mut(key) {
             state.record_idle_connection(until);
+            self.connected.insert(key);
         }
     }
 
--- a/components/policy/tests/reuse.rs
+++ b/components/policy/tests/reuse.rs
@@ -1,4 +1,4 @@
-//! Few requests of a node before hundreds of plain servers.
+//! Few requests of a node before hundreds of plain servers, or engines.
 
 mod common;
 
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use common::Fixture;
+use common::prompts::{DRAFT, STEADY, complete, fixture_with_engines, send};
 use policy::{Action, Ending, Mechanism, Policy};
 
 const SERVERS: usize = 350;
@@ -28,7 +29,7 @@
         fixture.now += SERVICE;
         fixture.scheduler.record_tokens(job, 1, fixture.now);
         fixture.scheduler.attempt_ended(job, Ending::Completed, fixture.now);
-        fixture.scheduler.record_idle_connection(server, fixture.now + IDLE);
+        fixture.scheduler.record_idle_connection(server, fixture.now + IDLE, fixture.now);
     }
     (opened, open)
 }
@@ -74,7 +75,45 @@
         let ending = if fails { Ending::Broken } else { Ending::Completed };
         fixture.scheduler.attempt_ended(job, ending, fixture.now);
         fixture.scheduler.withdraw(job, fixture.now);
-        fixture.scheduler.record_idle_connection(server, fixture.now + IDLE);
+        fixture.scheduler.record_idle_connection(server, fixture.now + IDLE, fixture.now);
     }
     assert!(sent <= 10, "{sent} of 40 requests to the failing server");
 }
+
+/// Sends one request after the other of sessions that each come once; returns the number of connections that were
+/// opened to engines.
+fn engine_connections_of(requests: u64, class: usize, fixture: &mut Fixture) -> usize {
+    let (mut open, mut opened) = (BTreeSet::new(), 0);
+    for session in 0..requests {
+        fixture.now += Duration::from_secs(1);
+        let (job, server) = send(fixture, class, session);
+        opened += usize::from(open.insert(server));
+        complete(fixture, job, SERVICE);
+        fixture.scheduler.record_idle_connection(server, fixture.now + IDLE, fixture.now);
+    }
+    opened
+}
+
+/// A node sends a short prompt each second, and there are thousands of engines. At the preferred engine of its
+/// session nearly each would open a connection, for a prefix that takes milliseconds to prefill.
+#[test]
+fn short_prompts_meet_open_connections_to_engines() {
+    for engines in [6_000, 12_000] {
+        let mut fixture = fixture_with_engines(engines, 16);
+        let opened = engine_connections_of(100, STEADY, &mut fixture);
+        assert!(opened <= 5, "{opened} connections for 100 requests before {engines} engines");
+    }
+    let mut fixture = fixture_with_engines(6_000, 16);
+    fixture.scheduler = std::mem::take(&mut fixture.scheduler).with_disabled(Mechanism::Reuse);
+    let opened = engine_connections_of(100, STEADY, &mut fixture);
+    assert!(opened > 50, "{opened} connections without reuse");
+}
+
+/// A long prefix belongs at the engine where all nodes look for it, connected or not. Elsewhere it would be prefilled
+/// once more by each node.
+#[test]
+fn long_prefixes_are_worth_a_connection() {
+    let mut fixture = fixture_with_engines(6_000, 16);
+    let opened = engine_connections_of(100, DRAFT, &mut fixture);
+    assert!(opened > 50, "{opened} connections for 100 sessions");
+}
