Log how the end of each answer was marked and what followed its last whole event

A log line "ended" with outcome "complete" doesn't tell an answer whose length or last chunk arrived from one that lasted until its connection ended, nor whether the connection ended inside an event.

`ended_by` names the delimiter (head, length, connection) and `cut_bytes` counts the bytes after the last whole event.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use catalog::Entry;
 use clock::Clock;
-use http_client::{Body, Connection};
+use http_client::{Body, Connection, Delimiter};
 use lifecycle::Unsent;
 use policy::Ending;
 
@@ -114,6 +114,8 @@
     splitter: Option<Splitter>,
     /// Chunk that was read before the answer was passed on.
     first: Option<Chunk>,
+    /// Number of bytes after the last whole event at the end of the body.
+    cut_bytes: usize,
     ended: bool,
 }
 
@@ -140,6 +142,7 @@
             let Some(bytes) = self.body.next().await.map_err(lost)? else {
                 self.ended = true;
                 let rest = self.splitter.as_mut().map(Splitter::take_remainder).unwrap_or_default();
+                self.cut_bytes = rest.len();
                 return Ok((!rest.is_empty()).then_some(Chunk { bytes: rest, events: 0 }));
             };
             let Some(splitter) = &mut self.splitter else {
@@ -153,6 +156,16 @@
         Ok(None)
     }
 
+    /// How the end of the answer is marked.
+    pub(crate) fn delimiter(&self) -> Delimiter {
+        self.body.delimiter()
+    }
+
+    /// Number of bytes that followed the last whole event when the connection ended.
+    pub(crate) fn cut_bytes(&self) -> usize {
+        self.cut_bytes
+    }
+
     /// Returns the connection to the pool if the answer has ended regularly.
     pub(crate) fn release_connection<A: Adapter>(self, state: &State<A>) {
         if self.ended {
@@ -260,6 +273,7 @@
         body,
         splitter: (success && events).then(|| Splitter::resuming_after(last_event_id)),
         first: None,
+        cut_bytes: 0,
         ended: false,
     };
     if reply.splitter.is_some() {
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -9,6 +9,7 @@
 use catalog::Entry;
 use clock::Clock;
 use driver::{Refused, Submission, Target};
+use http_client::Delimiter;
 use lifecycle::{Outcome, Reason, Sending, Waiting};
 use policy::{Ending, Expected, Refusal};
 use tokio::sync::oneshot;
@@ -73,6 +74,8 @@
     pub(crate) longest_pause: Duration,
     /// Tokens of the answer that were passed on.
     pub(crate) tokens: u32,
+    /// How the end of the latest answer was marked, and how many bytes were left after its last whole event.
+    pub(crate) end: Option<(Delimiter, usize)>,
     /// Time from its arrival to its latest attempt.
     sent: Option<Duration>,
     /// Number of attempts.
@@ -313,12 +316,13 @@
         self.ended.set(true);
         self.state.metrics.count_outcome(route, outcome);
         let millis = |time: Duration| time.as_millis() as u64;
-        let Stats { first_event, longest_pause, tokens, sent, sends, expected } = &self.stats;
+        let Stats { first_event, longest_pause, tokens, end, sent, sends, expected } = &self.stats;
         let route_terms = received.route();
         log::info!(
             request = received.call.id.as_str(), content = received.fingerprint_hex(),
             route = route, tier = received.found.tier(),
             server = server, outcome = outcome, status = status, took_ms = millis(time),
+            ended_by = end.map(|(delimiter, _)| delimiter.as_str()), cut_bytes = end.map(|(_, bytes)| bytes),
             first_ms = first_event.map(millis), pause_ms = millis(*longest_pause), sends = sends,
             sent_ms = sent.map(millis), home = expected.map(|expected| expected.preferred),
             reading_ms = expected.map(|expected| millis(expected.prefill)),
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -78,9 +78,9 @@
         let repeatable = self.active.received.repeatable().is_some();
         let stalled = stall_after(self.active.received.route().target_pause);
         let timeout = if repeatable { time_left.min(stalled) } else { time_left };
-        tokio::time::timeout(timeout, reply.next_chunk())
-            .await
-            .unwrap_or(Err(AttemptError::TimedOut))
+        let next = tokio::time::timeout(timeout, reply.next_chunk()).await;
+        self.active.stats.end = Some((reply.delimiter(), reply.cut_bytes()));
+        next.unwrap_or(Err(AttemptError::TimedOut))
     }
 
     /// Counts the tokens of a chunk and measures its delay; returns its bytes.
--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -23,7 +23,19 @@
     flushed: bool,
 }
 
-/// How the end of a body is marked.
+derives::named! {
+    /// How the end of a body is marked.
+    pub enum Delimiter {
+        /// Nothing follows the head.
+        Head = "head",
+        /// A stated length, or the last of several chunks.
+        Length = "length",
+        /// The regular end of the connection.
+        Connection = "connection",
+    }
+}
+
+/// A body and how its end is marked.
 enum Framing {
     /// Nothing follows the head.
     Empty(Framed<TcpStream, ClientCodec>),
@@ -51,6 +63,15 @@
         Body { framing, flushed }
     }
 
+    /// How the end of the body is marked.
+    pub fn delimiter(&self) -> Delimiter {
+        match self.framing {
+            Framing::Empty(_) => Delimiter::Head,
+            Framing::Delimited(_) => Delimiter::Length,
+            Framing::UntilClose(..) => Delimiter::Connection,
+        }
+    }
+
     /// The next bytes of the body; none once it is complete. A body without a length is complete when
     /// its connection is closed, but not when it is reset.
     ///
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -22,7 +22,7 @@
 use bytes::Bytes;
 use tokio::net::TcpStream;
 
-pub use body::Body;
+pub use body::{Body, Delimiter};
 pub use pool::{Pool, PoolLimits};
 
 /// Messages that the codec encodes.
