A stream that ends inside an event is broken off, not complete

Cause: `PartialReply::next_chunk` took the regular end of a body for the end of the answer and passed on whatever followed the last whole event. For a body with neither length nor chunks, the end of a body is any FIN, also that of a server which crashes. Class: an end of the transport taken for an end of the answer, without evidence from the answer itself.

Change: `Splitter::finish` decides whether a stream whose body has ended is whole: what follows the last whole event must belong to no event (line breaks, whole comments), and a body that only its connection ends must have brought an event. Otherwise the attempt is lost, as after a reset: a stream that may be resumed continues at another server, any other is broken off, and one of which nothing was passed on yet is answered as unknown. Events may also end with CR line breaks, which were passed on only at the end before.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -14,7 +14,7 @@
 
 use crate::adapter::{Adapter, Attempt, ServerProtocol, StatedLimit, Verdict};
 use crate::cold;
-use crate::events::{OutOfOrder, Splitter};
+use crate::events::{OutOfOrder, Splitter, Truncated};
 use crate::intake::Received;
 use crate::limits;
 use crate::mechanism::Mechanism;
@@ -114,8 +114,6 @@
     splitter: Option<Splitter>,
     /// Chunk that was read before the answer was passed on.
     first: Option<Chunk>,
-    /// Number of bytes after the last whole event at the end of the body.
-    cut_bytes: usize,
     ended: bool,
 }
 
@@ -140,9 +138,8 @@
         let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
         while !self.ended {
             let Some(bytes) = self.body.next().await.map_err(lost)? else {
+                let rest = self.finish().map_err(|cause| AttemptError::Lost(cause.to_string()))?;
                 self.ended = true;
-                let rest = self.splitter.as_mut().map(Splitter::take_remainder).unwrap_or_default();
-                self.cut_bytes = rest.len();
                 return Ok((!rest.is_empty()).then_some(Chunk { bytes: rest, events: 0 }));
             };
             let Some(splitter) = &mut self.splitter else {
@@ -161,9 +158,15 @@
         self.body.delimiter()
     }
 
-    /// Number of bytes that followed the last whole event when the connection ended.
+    /// Number of bytes that arrived after the last whole event.
     pub(crate) fn cut_bytes(&self) -> usize {
-        self.cut_bytes
+        self.splitter.as_ref().map_or(0, Splitter::pending_bytes)
+    }
+
+    /// Checks that the body, which ended regularly, holds a complete answer; returns what is left of it.
+    fn finish(&mut self) -> Result<Bytes, Truncated> {
+        let delimiter = self.delimiter();
+        self.splitter.as_mut().map_or(Ok(Bytes::new()), |splitter| splitter.finish(delimiter))
     }
 
     /// Returns the connection to the pool if the answer has ended regularly.
@@ -273,7 +276,6 @@
         body,
         splitter: (success && events).then(|| Splitter::resuming_after(last_event_id)),
         first: None,
-        cut_bytes: 0,
         ended: false,
     };
     if reply.splitter.is_some() {
--- a/components/forward/src/events.rs
+++ b/components/forward/src/events.rs
@@ -2,6 +2,7 @@
 //! one and another server can continue the stream after the last whole event.
 
 use bytes::{Bytes, BytesMut};
+use http_client::Delimiter;
 use memchr::memmem;
 
 derives::data! {
@@ -22,6 +23,17 @@
     last: u64,
 }
 
+/// A stream that ended before its last event was whole.
+#[derive(Debug, PartialEq, thiserror::Error)]
+pub(crate) enum Truncated {
+    /// An event had begun.
+    #[error("the stream ended inside an event, {0} bytes after the last whole one")]
+    InsideEvent(usize),
+    /// Nothing but the end of the connection marks the end, and no event arrived.
+    #[error("the connection ended before the first event")]
+    BeforeFirstEvent,
+}
+
 /// Splits the bytes of one stream into whole events.
 #[derive(Debug, Default)]
 pub(crate) struct Splitter {
@@ -31,12 +43,14 @@
     last: Option<u64>,
     /// Events up to this id were already sent to the caller, and are skipped.
     sent: Option<u64>,
+    /// A whole event arrived.
+    received: bool,
 }
 
 impl Splitter {
     /// For a stream that continues after an event that the caller already has.
     pub(crate) fn resuming_after(sent: Option<u64>) -> Self {
-        Splitter { buf: BytesMut::new(), last: None, sent }
+        Splitter { sent, ..Splitter::default() }
     }
 
     /// Id of the last event returned by [`Splitter::push`] or sent before.
@@ -51,6 +65,7 @@
         let mut events = 0;
         while let Some(end) = event_end(&self.buf) {
             let event = self.buf.split_to(end);
+            self.received = true;
             let Some(id) = event_id(&event) else {
                 out.extend_from_slice(&event);
                 continue;
@@ -67,22 +82,43 @@
         Ok((!out.is_empty()).then(|| Batch { bytes: out.freeze(), events }))
     }
 
-    /// Takes the bytes after the last whole event, once the stream has ended regularly.
-    pub(crate) fn take_remainder(&mut self) -> Bytes {
-        self.buf.split().freeze()
+    /// Number of bytes after the last whole event.
+    pub(crate) fn pending_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Ends the stream, whose body ended as `delimiter` requires. Returns what followed the last whole event, if
+    /// that belongs to no event.
+    pub(crate) fn finish(&mut self, delimiter: Delimiter) -> Result<Bytes, Truncated> {
+        if !is_outside_events(&self.buf) {
+            return Err(Truncated::InsideEvent(self.buf.len()));
+        }
+        if delimiter == Delimiter::Connection && self.last_id().is_none() && !self.received {
+            return Err(Truncated::BeforeFirstEvent);
+        }
+        Ok(self.buf.split().freeze())
     }
 }
 
+/// Ends of a line that is followed by an empty one.
+const EMPTY_LINES: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+
 /// Length of the first event including the empty line that ends it; none if it is incomplete.
 fn event_end(bytes: &[u8]) -> Option<usize> {
-    let plain = memmem::find(bytes, b"\n\n").map(|at| at + 2);
-    let crlf = memmem::find(bytes, b"\r\n\r\n").map(|at| at + 4);
-    plain.into_iter().chain(crlf).min()
+    let ends = EMPTY_LINES.iter().map(|end| memmem::find(bytes, end).map(|at| at + end.len()));
+    ends.flatten().min()
+}
+
+/// Whether bytes after an event hold nothing but line breaks and whole comments.
+fn is_outside_events(bytes: &[u8]) -> bool {
+    let mut lines: Vec<_> = bytes.split(|byte| matches!(byte, b'\n' | b'\r')).collect();
+    let unfinished = lines.pop().unwrap_or_default();
+    unfinished.is_empty() && lines.iter().all(|line| line.is_empty() || line.starts_with(b":"))
 }
 
 /// The numeric id of an event, if it has one.
 fn event_id(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|byte| *byte == b'\n');
+    let lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let id = std::str::from_utf8(ids.next()?).ok()?;
     id.trim().parse().ok()
--- a/components/forward/src/events/tests.rs
+++ b/components/forward/src/events/tests.rs
@@ -1,4 +1,6 @@
-use super::Splitter;
+use http_client::Delimiter;
+
+use super::{Splitter, Truncated};
 
 /// The network may cut the stream at any byte. Only whole events are returned, and none is lost.
 #[test]
@@ -43,3 +45,49 @@
     splitter.push(b"id: 4\ndata: a\n\n").unwrap();
     assert!(splitter.push(b"id: 4\ndata: a\n\n").is_err());
 }
+
+/// A stream ends inside an event, or inside the empty line after it. What arrived isn't a complete answer,
+/// however the end of the body is marked.
+#[test]
+fn a_stream_that_ends_inside_an_event_is_truncated() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n".replace('\n', line_end);
+        for delimiter in [Delimiter::Length, Delimiter::Connection] {
+            for end in text.len() / 2 + 1..text.len() {
+                let mut splitter = Splitter::default();
+                splitter.push(&text.as_bytes()[..end]).unwrap();
+                let cut = end - text.len() / 2;
+                assert_eq!(splitter.finish(delimiter), Err(Truncated::InsideEvent(cut)), "{end}");
+            }
+            let mut splitter = Splitter::default();
+            splitter.push(text.as_bytes()).unwrap();
+            assert_eq!(splitter.finish(delimiter), Ok("".into()));
+        }
+    }
+}
+
+/// A connection ends right after the head of a response without a length. Nothing shows that the stream
+/// was meant to be empty; a length of 0, or an event that the caller already has, does.
+#[test]
+fn an_unframed_stream_without_events_is_truncated() {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.finish(Delimiter::Connection), Err(Truncated::BeforeFirstEvent));
+    assert_eq!(splitter.finish(Delimiter::Length), Ok("".into()));
+    let mut resumed = Splitter::resuming_after(Some(3));
+    assert_eq!(resumed.finish(Delimiter::Connection), Ok("".into()));
+}
+
+/// Comments and line breaks after the last event belong to no event, so the answer is complete and they
+/// are passed on.
+#[test]
+fn a_comment_may_follow_the_last_event() {
+    for rest in [": end\n", "\n", "\r\n: end\r\n"] {
+        let mut splitter = Splitter::default();
+        splitter.push(b"id: 1\ndata: a\n\n").unwrap();
+        splitter.push(rest.as_bytes()).unwrap();
+        assert_eq!(splitter.finish(Delimiter::Connection), Ok(rest.into()));
+    }
+    let mut cut = Splitter::default();
+    cut.push(b"id: 1\ndata: a\n\n: en").unwrap();
+    assert_eq!(cut.finish(Delimiter::Connection), Err(Truncated::InsideEvent(4)));
+}
