Reset a connection whose end would make an incomplete response look complete

A caller of HTTP/1.0 knows no chunks, so a stream to it lasts until its connection ends. When the stream was broken off, or a node ended with requests open, the connection was closed like after a complete one. Callers saw: a shortened stream that they can't tell from a whole one.

Cause: the listener ends every connection by dropping it, which is a regular end; only chunks or a length carried the difference.

Change: the connection keeps whether its regular end would complete an incomplete response, from the head of a response without chunks or length until its whole body was written, and is reset if it ends in between.

--- a/components/listen/src/accept.rs
+++ b/components/listen/src/accept.rs
@@ -115,6 +115,9 @@
                     // HTTP/1.0 has no chunked encoding; the end of the connection ends the stream.
                     response.head_mut().no_chunking(true);
                     response.head_mut().set_connection_type(ConnectionType::Close);
+                    if let Some(active) = &active {
+                        active.connection().begin_undelimited();
+                    }
                 }
                 if *state.borrow() != State::Open {
                     response.head_mut().set_connection_type(ConnectionType::Close);
--- a/components/listen/src/connection.rs
+++ b/components/listen/src/connection.rs
@@ -5,6 +5,20 @@
 
 use tokio::sync::Notify;
 
+derives::value! {
+    /// What the regular end of a connection shows about its last response.
+    #[derive(Default)]
+    enum Ending {
+        /// The response is complete, or its length or chunks tell where it ends.
+        #[default]
+        Complete,
+        /// The response lasts until the connection ends, and its body isn't complete.
+        Incomplete,
+        /// As before, and its body is complete but not written to the end.
+        Unwritten,
+    }
+}
+
 /// State of one connection.
 #[derive(Default)]
 pub(crate) struct Connection {
@@ -14,6 +28,7 @@
     served: Cell<u64>,
     /// The body of the request in progress was read to its end.
     body_received: Cell<bool>,
+    ending: Cell<Ending>,
     closing: Cell<bool>,
     peer_gone: Cell<bool>,
     /// Wakes the connection's task when a request ends or the caller disconnects.
@@ -40,6 +55,30 @@
         self.body_received.get()
     }
 
+    /// Records that the response in progress lasts until the connection ends.
+    pub(crate) fn begin_undelimited(&self) {
+        self.ending.set(Ending::Incomplete);
+    }
+
+    /// Records that the body of the response was handed over whole for writing.
+    pub(crate) fn mark_body_complete(&self) {
+        if self.ending.get() == Ending::Incomplete {
+            self.ending.set(Ending::Unwritten);
+        }
+    }
+
+    /// Records that everything handed over for writing was written.
+    pub(crate) fn mark_written(&self) {
+        if self.ending.get() == Ending::Unwritten {
+            self.ending.set(Ending::Complete);
+        }
+    }
+
+    /// Whether the regular end of the connection would make an incomplete response look complete.
+    pub(crate) fn would_feign_completion(&self) -> bool {
+        self.ending.get() != Ending::Complete
+    }
+
     /// Makes the connection take no further request.
     pub(crate) fn close(&self) {
         self.closing.set(true);
@@ -69,6 +108,11 @@
         connection.body_received.set(false);
         ActiveRequest(connection)
     }
+
+    /// The connection of the request.
+    pub(crate) fn connection(&self) -> &Connection {
+        &self.0
+    }
 }
 
 impl Drop for ActiveRequest {
--- a/components/listen/src/io.rs
+++ b/components/listen/src/io.rs
@@ -98,6 +98,17 @@
     }
 }
 
+impl Drop for Io {
+    /// Resets a connection whose regular end would make an incomplete response look complete.
+    fn drop(&mut self) {
+        if self.connection.would_feign_completion()
+            && let Err(cause) = self.stream.set_zero_linger()
+        {
+            log::warn!(cause:% = cause; "an incomplete response can't be reset");
+        }
+    }
+}
+
 impl AsyncRead for Io {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -168,6 +179,7 @@
         this.write_timer.stop();
         this.written_bytes = 0;
         this.flushed = this.connection.served();
+        this.connection.mark_written();
         Pin::new(&mut this.stream).poll_flush(cx)
     }
 
--- a/components/listen/src/response.rs
+++ b/components/listen/src/response.rs
@@ -1,5 +1,5 @@
 //! A response body that counts its request as in progress until the HTTP library drops the body,
-//! which it does once it has taken over all of it for writing.
+//! which it does once it has taken over all of it for writing. Tells the connection when the body is complete.
 
 use std::error::Error;
 use std::pin::Pin;
@@ -12,7 +12,7 @@
 
 pub(crate) struct TrackedBody {
     pub(crate) body: BoxBody,
-    #[allow(dead_code, reason = "counts the request until the body is dropped")]
+    /// Counts the request until the body is dropped.
     pub(crate) active: Option<ActiveRequest>,
 }
 
@@ -27,6 +27,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.body).poll_next(cx)
+        let next = Pin::new(&mut self.body).poll_next(cx);
+        if let (Poll::Ready(None), Some(active)) = (&next, &self.active) {
+            active.connection().mark_body_complete();
+        }
+        next
     }
 }
