Log when no server of a service can be reached, and for how long it was silent

`policy::reach` keeps by service what shows a way to its servers: connections made or not, answers, silence after a request. `forward::reach` feeds it, probes up to three servers of a service that was sent requests and has been silent for 0.5 s, and logs once when none can be reached and once when they can again. The line "ended" has the number of attempts without a connection and how long the service has been silent. From the third on, such attempts of one request are logged at debug.

No decision depends on it yet.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -18,11 +18,12 @@
 use crate::intake::Received;
 use crate::limits;
 use crate::mechanism::Mechanism;
+use crate::reach;
 use crate::state::State;
 
 /// Time to connect to a server. A running one accepts within a round trip of a few tens of
 /// milliseconds; nothing was sent yet, so another server can be tried at once.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Mismatched responses that are skipped on one connection.
 const MAX_MISMATCHED: u32 = 2;
 /// Largest answer that is buffered until it is complete, so that the request can still be retried at
@@ -205,6 +206,10 @@
         None => {
             state.metrics.count_connection();
             let connection = Connection::connect(&server.address, CONNECT_TIMEOUT).await;
+            match connection {
+                Ok(_) => reach::record_reached(state, server),
+                Err(_) => reach::record_unreached(state, server),
+            }
             connection.map_err(|cause| AttemptError::Unreached(cause.to_string()))?
         }
     };
@@ -217,9 +222,11 @@
     }
     let head = request_head(state, received, server, plan);
     let sent = state.clock.now();
+    reach::record_sent(state, server);
     let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
     let (mut head, mut body) =
         connection.exchange(head, received.body.clone()).await.map_err(lost)?;
+    reach::record_reached(state, server);
     let mut mismatched = 0;
     loop {
         let verdict = state.adapter.servers.check_response(&head, &received.call, server);
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod operators;
 mod proof;
+mod reach;
 mod registry;
 mod replica;
 mod serve;
@@ -82,6 +83,7 @@
             log::warn!(without = disabled.as_str(); "mechanisms are disabled");
         }
         follow::start(&state);
+        reach::start(&state);
         if state.switches.is_on(Mechanism::LoadGossip) {
             gossip::start(&state);
         }
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -98,6 +98,18 @@
         self.model_key(service, "")
     }
 
+    /// Key that stands for a service as a whole.
+    pub(crate) fn service_key(&mut self, service: &str) -> ids::Model {
+        self.model_key(service, "")
+    }
+
+    /// Name of the service for which a key stands as a whole.
+    pub(crate) fn service_name(&self, key: ids::Model) -> Option<String> {
+        let mut names = self.by_model.iter();
+        let found = names.find(|((_, model), known)| model.is_empty() && **known == key);
+        found.map(|((service, _), _)| service.clone())
+    }
+
     /// Key of a model, which is created if it is new.
     fn model_key(&mut self, service: &str, model: &str) -> ids::Model {
         let name = (service.to_string(), model.to_string());
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -18,6 +18,7 @@
 use crate::answer::{Answer, Error};
 use crate::attempt::{self, AttemptError, Plan, Reply, WholeReply};
 use crate::intake::{self, Received};
+use crate::reach;
 use crate::state::{OpenRequest, State};
 use crate::stream::{self, Relay};
 
@@ -65,6 +66,10 @@
 /// Outcome in logs and metrics of a request whose caller disconnected.
 const CALLER_GONE: &str = "caller-gone";
 
+/// Attempts of a request without a connection that are logged one by one. There may be a hundred while no
+/// server can be reached.
+const LOGGED_UNREACHED: u32 = 2;
+
 /// Measurements of one request, for the log.
 #[derive(Default)]
 pub(crate) struct Stats {
@@ -80,6 +85,8 @@
     sent: Option<Duration>,
     /// Number of attempts.
     sends: u32,
+    /// Number of attempts in which no connection was made.
+    unreached: Cell<u32>,
     /// The scheduler's estimate for the engine of the latest attempt.
     expected: Option<Expected>,
 }
@@ -285,7 +292,16 @@
         let (request, name) = (self.received.call.id.as_str(), server.name.as_str());
         let left_ms = self.received.time_left(&self.state).as_millis() as u64;
         self.state.metrics.count_failed_attempt(&self.received.route().name);
-        log::warn!(
+        let mut level = log::Level::Warn;
+        if let AttemptError::Unreached(_) = error {
+            let unreached = self.stats.unreached.get() + 1;
+            self.stats.unreached.set(unreached);
+            if unreached > LOGGED_UNREACHED {
+                level = log::Level::Debug;
+            }
+        }
+        log::log!(
+            level,
             request = request, content = self.received.fingerprint_hex(), server = name,
             attempt = attempt, left_ms = left_ms, cause:% = error; "attempt failed"
         );
@@ -316,10 +332,15 @@
         self.ended.set(true);
         self.state.metrics.count_outcome(route, outcome);
         let millis = |time: Duration| time.as_millis() as u64;
-        let Stats { first_event, longest_pause, tokens, end, sent, sends, expected } = &self.stats;
+        let server_entry = self.server.as_ref();
+        let silent_ms =
+            server_entry.and_then(|server| reach::silence_ms(&self.state, &server.service));
+        let Stats { first_event, longest_pause, tokens, end, sent, sends, unreached, expected } =
+            &self.stats;
         let route_terms = received.route();
         log::info!(
             request = received.call.id.as_str(), content = received.fingerprint_hex(),
+            unreached = unreached.get(), silent_ms = silent_ms,
             route = route, tier = received.found.tier(),
             server = server, outcome = outcome, status = status, took_ms = millis(time),
             ended_by = end.map(|(delimiter, _)| delimiter.as_str()), cut_bytes = end.map(|(_, bytes)| bytes),
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -9,7 +9,7 @@
 use clock::Clock;
 use driver::{Crashes, Driver};
 use http_client::{Pool, PoolLimits};
-use policy::{Mechanism, Scheduler};
+use policy::{Mechanism, Reach, Scheduler};
 use slab::Slab;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
@@ -69,6 +69,8 @@
     /// Requests during which servers crashed.
     pub(crate) crashes: Rc<Crashes>,
     pub(crate) registry: RefCell<Registry>,
+    /// Whether this node reaches the servers of each service.
+    pub(crate) reach: RefCell<Reach>,
     /// The settings in force; none before the first were read.
     pub(crate) settings: RefCell<Option<Rc<Settings>>>,
     pub(crate) freshness: RefCell<Freshness>,
@@ -154,6 +156,7 @@
             driver: Driver::new(scheduler, clock),
             crashes: Crashes::new(seed, clock),
             registry: RefCell::new(registry),
+            reach: RefCell::default(),
             settings: RefCell::default(),
             membership: RefCell::default(),
             newest_invalid: Cell::new(false),
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -35,6 +35,7 @@
 mod quarantine;
 mod queue;
 mod quota;
+mod reach;
 mod sampling;
 mod scheduler;
 mod server;
@@ -50,6 +51,7 @@
 pub use pending::Expected;
 pub use quarantine::{Crash, Evidence, Quarantine};
 pub use quota::Wait;
+pub use reach::Reach;
 pub use scheduler::{RETRY_BURST, Scheduler};
 pub use status::{Status, Unused};
 pub use terms::{
