--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod link;
 mod orders;
+mod path;
 mod plain;
 mod platform;
 mod raw;
@@ -11,6 +12,7 @@
 pub use crate::engine::{Engine, Fault, Pace};
 pub use crate::link::{Link, Way};
 pub use crate::orders::Orders;
+pub use crate::path::{Cut, Path};
 pub use crate::plain::Plain;
 pub use crate::platform::{Platform, Stale};
 pub use crate::raw::{Closed, Raw, Seen, Step};
--- /dev/null
+++ b/components/fakes/src/path.rs
@@ -0,0 +1,138 @@
+//! The network path from one node to one server, which can be partitioned.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::Closed;
+
+/// Connections that the path queues until it passes them on.
+const BACKLOG: u32 = 64;
+
+derives::value! {
+    /// How a path is partitioned.
+    #[derive(Default)]
+    pub enum Cut {
+        /// It isn't.
+        #[default]
+        None,
+        /// New connections are refused; those that are open go on.
+        Refusing,
+        /// New connections are refused, and those that are open are reset.
+        Resetting,
+        /// New connections hang, and nothing passes on those that are open; they are reset once this ends.
+        Silent,
+    }
+}
+
+/// A path that passes connections on to a server until it is cut.
+pub struct Path {
+    to: SocketAddr,
+    port: Closed,
+    cut: watch::Sender<Cut>,
+    accepting: RefCell<Option<JoinHandle<()>>>,
+    /// Fills the queue of a silent path, so that further connections hang.
+    filling: RefCell<Option<(TcpListener, TcpStream)>>,
+    made: Rc<Cell<u32>>,
+}
+
+impl Path {
+    /// Opens a path to an address on a free port.
+    pub fn open(to: SocketAddr) -> io::Result<Self> {
+        let path = Path {
+            to,
+            port: Closed::open()?,
+            cut: watch::channel(Cut::None).0,
+            accepting: RefCell::default(),
+            filling: RefCell::default(),
+            made: Rc::default(),
+        };
+        path.accept()?;
+        Ok(path)
+    }
+
+    /// Its address.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.port.address()
+    }
+
+    /// Connections that were passed on so far.
+    pub fn connections(&self) -> u32 {
+        self.made.get()
+    }
+
+    /// Partitions the path, or ends the partition.
+    pub async fn set(&self, cut: Cut) -> io::Result<()> {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+            // The listener is closed once the task has ended.
+            let _ = accepting.await;
+        }
+        self.filling.take();
+        self.cut.send_replace(cut);
+        match cut {
+            Cut::None => self.accept(),
+            Cut::Refusing | Cut::Resetting => Ok(()),
+            Cut::Silent => {
+                let listener = self.listen(0)?;
+                let filling = TcpStream::connect(self.address()?).await?;
+                self.filling.replace(Some((listener, filling)));
+                Ok(())
+            }
+        }
+    }
+
+    fn listen(&self, backlog: u32) -> io::Result<TcpListener> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address()?)?;
+        socket.listen(backlog)
+    }
+
+    fn accept(&self) -> io::Result<()> {
+        let listener = self.listen(BACKLOG)?;
+        let (to, cut, made) = (self.to, self.cut.clone(), self.made.clone());
+        let accepting = actix_rt::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                made.set(made.get() + 1);
+                actix_rt::spawn(pass(near, to, cut.subscribe()));
+            }
+        });
+        self.accepting.replace(Some(accepting));
+        Ok(())
+    }
+}
+
+impl Drop for Path {
+    fn drop(&mut self) {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+        }
+    }
+}
+
+/// Passes one connection on until it ends or the path is cut.
+async fn pass(mut near: TcpStream, to: SocketAddr, mut cut: watch::Receiver<Cut>) {
+    let Ok(mut far) = TcpStream::connect(to).await else { return };
+    loop {
+        let current = *cut.borrow_and_update();
+        match current {
+            Cut::Resetting => break,
+            Cut::Silent => {
+                let _ = cut.changed().await;
+                break;
+            }
+            Cut::None | Cut::Refusing => tokio::select! {
+                _ = copy_bidirectional(&mut near, &mut far) => return,
+                changed = cut.changed() => if changed.is_err() { return },
+            },
+        }
+    }
+    let _ = (near.set_zero_linger(), far.set_zero_linger());
+}
