A node that can't reach the servers of a service passes requests on to a peer

Cause: a node's only way to serve a request is its own connection to a server. Each of its failures was handled as one of that server: 56 to 137 attempts of one request, one server after the other, until its caller left. Nothing concluded from them that the node itself is cut off, and nothing could follow from it. Class: a loss of the way taken for a loss of the target. Refusing at once isn't enough, as first tries count; being unready isn't either, as the balancer uses all nodes of a zone once fewer than half are left, and open connections stay.

Change: a request whose service is out of reach (`policy::reach`), or which found two servers unreachable, goes to a peer by one message with its head, body, time left and settings' revision (`wire::hop`), and the answer comes back as it arrives. The peer serves it like its own callers', checks key, regions and servers by its settings, which may not be older, and never passes it on again. What it refuses is not run; after a send without an answer the request may have run and isn't sent anywhere else. Which peers reach servers comes with the answers to reports: seeds name up to four nodes that don't ask for peers themselves, in turn for each request. While every node reaches servers this adds nothing to the messages, except each node's address once.

--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -111,6 +111,22 @@
         self.driver.scheduler.borrow_mut().continue_at_backup(self.job, now)
     }
 
+    /// Takes a waiting request back from the scheduler, which then doesn't assign a server to it until
+    /// [`Submission::resubmit`].
+    pub fn withdraw(&mut self) {
+        if !self.finished && !self.in_flight {
+            let now = self.driver.clock.now();
+            self.driver.scheduler.borrow_mut().withdraw(self.job, now);
+            self.driver.action_senders.borrow_mut().remove(self.job);
+            self.finished = true;
+        }
+    }
+
+    /// Submits a request again that was withdrawn.
+    pub fn resubmit(&mut self, request: policy::Request) {
+        *self = Submission::new(&self.driver.clone(), request);
+    }
+
     /// Ends the attempt; returns whether the request is queued again. If it is, call
     /// [`Submission::wait_for_server`] before awaiting anything else: the driver cancels a request
     /// that gets a server while no task waits for it.
@@ -129,10 +145,8 @@
     fn drop(&mut self) {
         if !self.finished && self.in_flight {
             self.end_attempt(Ending::Cancelled);
-        } else if !self.finished {
-            let now = self.driver.clock.now();
-            self.driver.scheduler.borrow_mut().withdraw(self.job, now);
-            self.driver.action_senders.borrow_mut().remove(self.job);
+        } else {
+            self.withdraw();
         }
         self.driver.run_actions();
     }
--- a/components/forward/src/answer.rs
+++ b/components/forward/src/answer.rs
@@ -8,6 +8,20 @@
 /// A response of any of the node's listeners.
 pub(crate) type Answer = Response<BoxBody>;
 
+derives::named! {
+    /// Where an answer comes from, and what it shows a peer that passed the request on.
+    pub(crate) enum Origin {
+        /// A server gave it.
+        Server = "server",
+        /// The proxy itself: the request wasn't run, and trying another peer is of no use.
+        NotRun = "not-run",
+        /// The proxy itself: the request wasn't run here, and another node may serve it.
+        Elsewhere = "elsewhere",
+        /// The proxy itself: the request may have run.
+        Unknown = "unknown",
+    }
+}
+
 /// Why a request has no answer from a server. The message tells the caller what to do.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -29,6 +43,8 @@
     NodeFull,
     #[error("the request wasn't run ({reason}); send it again after {} ms", .retry_after.as_millis())]
     Refused { reason: &'static str, retry_after: Duration },
+    #[error("this node reaches no backend server; send the request again, it wasn't run")]
+    Unreachable,
     #[error("no whole answer came; the request may have run")]
     Unknown,
     #[error("no answer came in time; the request may have run")]
@@ -49,9 +65,10 @@
             Error::HeadTooLarge(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Error::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Error::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Error::SettingsTooOld | Error::NodeFull | Error::Refused { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Error::SettingsTooOld
+            | Error::NodeFull
+            | Error::Unreachable
+            | Error::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Error::Unknown => StatusCode::BAD_GATEWAY,
             Error::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -68,6 +85,7 @@
             Error::BodyTimeout => "body-too-slow",
             Error::SettingsTooOld => "settings-too-old",
             Error::NodeFull => "node-full",
+            Error::Unreachable => "unreachable",
             Error::Refused { reason, .. } => reason,
             Error::Unknown => "unknown",
             Error::TimedOut => "no-answer-in-time",
@@ -78,11 +96,19 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Error::Refused { retry_after, .. } => Some(*retry_after),
-            Error::SettingsTooOld | Error::NodeFull => Some(RETRY_ELSEWHERE),
+            Error::SettingsTooOld | Error::NodeFull | Error::Unreachable => Some(RETRY_ELSEWHERE),
             _ => None,
         }
     }
 
+    fn origin(&self) -> Origin {
+        match self {
+            Error::Refused { .. } => Origin::NotRun,
+            Error::Unknown | Error::TimedOut => Origin::Unknown,
+            _ => Origin::Elsewhere,
+        }
+    }
+
     /// The response to the caller.
     pub(crate) fn response(&self) -> Answer {
         let body = serde_json::json!({"error": {"message": self.to_string()}});
@@ -91,6 +117,8 @@
         if let Some(retry_after) = self.retry_after() {
             response.insert_header(("retry-after", format!("{:.3}", retry_after.as_secs_f64())));
         }
-        response.body(body.to_string()).map_into_boxed_body()
+        let mut response = response.body(body.to_string()).map_into_boxed_body();
+        response.extensions_mut().insert(self.origin());
+        response
     }
 }
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
-use actix_http::{RequestHead, ResponseHead, StatusCode, Uri, Version};
+use actix_http::{RequestHead, Response, ResponseHead, StatusCode, Uri, Version};
 use bytes::{Bytes, BytesMut};
 use catalog::Entry;
 use clock::Clock;
@@ -13,6 +13,7 @@
 use policy::Ending;
 
 use crate::adapter::{Adapter, Attempt, ServerProtocol, StatedLimit, Verdict};
+use crate::answer::Answer;
 use crate::cold;
 use crate::events::{OutOfOrder, Splitter, Truncated};
 use crate::intake::Received;
@@ -28,7 +29,7 @@
 const MAX_MISMATCHED: u32 = 2;
 /// Largest answer that is buffered until it is complete, so that the request can still be retried at
 /// another server if it is interrupted. A larger one is passed on as it arrives.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
+pub(crate) const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// Why an attempt brought no answer.
 #[derive(Debug, thiserror::Error)]
@@ -95,6 +96,15 @@
     pub(crate) body: Bytes,
 }
 
+impl WholeReply {
+    /// The response to the caller.
+    pub(crate) fn into_response(self) -> Answer {
+        let mut response = Response::new(self.status);
+        *response.headers_mut() = self.headers;
+        response.set_body(self.body).map_into_boxed_body()
+    }
+}
+
 /// An answer that may be passed on to the caller.
 pub(crate) enum Reply {
     /// It is complete.
--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -21,6 +21,7 @@
 use crate::adapter::Adapter;
 use crate::answer::Answer;
 use crate::cold;
+use crate::peers;
 use crate::state::State;
 
 mod cursor;
@@ -109,6 +110,7 @@
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = cold::add_to_report(&state, report);
+        let report = peers::add_to_report(&state, report);
         let report = Report { work: Some(state.own_work()), ..report };
         let answer = post_report(&state, seed, NODE_PATH, report).await;
         let now = state.clock.now();
@@ -122,6 +124,7 @@
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
                 limits::apply_summary(&state, &mut limit_cursor, &summary);
                 cold::apply_permits(&state, &summary.cold_permits, asked);
+                peers::apply_summary(&state, &summary);
                 if let Some(work) = summary.work {
                     state.set_fleet_work(work);
                 }
@@ -177,12 +180,14 @@
         let report = Report { from, known, work: Some(work), ..Report::default() };
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
+        let report = peers::add_to_report(&state, report);
         let answer = post_report(&state, seed, SEED_PATH, report).await;
         let now = state.clock.now();
         match answer {
             Ok(summary) => {
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
                 limits::apply_summary(&state, &mut limit_cursor, &summary);
+                peers::apply_summary(&state, &summary);
                 let parts =
                     state.gossip.aggregate.borrow_mut().apply_seed_summary(&name, summary, now);
                 apply_cached_parts(&state, &parts);
@@ -234,7 +239,9 @@
         reports.record(&report.from, work, now);
     }
     let (cold, permits_wanted) = (std::mem::take(&mut report.cold), report.permits_wanted);
+    let wants_peers = report.wants_peers;
     if !from_seed {
+        peers::record_report(state, &report);
         state.gossip.aggregate.borrow_mut().add_report(report, now);
     }
     refresh_sums(state);
@@ -258,6 +265,7 @@
         summary = cold::add_to_summary(state, (&cold, permits_wanted), summary);
         summary.work = Some(state.fleet_work());
     }
+    summary = peers::add_to_summary(state, &from, from_seed, wants_peers, summary);
     summary.pause_ms = state.gossip.pace.borrow().pause(aggregate.node_count()).as_millis() as u32;
     let body = summary.encode();
     if !from_seed && !summary.complete {
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -37,6 +37,20 @@
     /// Hash of its content and workspace, the same for each try of the caller.
     pub(crate) fingerprint: u64,
     pub(crate) request: policy::Request,
+    /// Key that stands for the service as a whole that serves it.
+    pub(crate) service: ids::Model,
+    /// How it came from a peer; none if it came from its caller.
+    pub(crate) hop: Option<Hop>,
+}
+
+derives::value! {
+    /// How a request came from a peer, which it isn't passed on to any other.
+    pub(crate) struct Hop {
+        /// Revision of the settings by which the peer accepted it.
+        pub(crate) revision: u64,
+        /// An earlier attempt may have run it.
+        pub(crate) may_have_run: bool,
+    }
 }
 
 impl Received {
@@ -56,7 +70,8 @@
 
     /// Proof that the request may run more than once, if its route allows that.
     pub(crate) fn repeatable(&self) -> Option<lifecycle::Repeatable> {
-        lifecycle::Repeatable::if_idempotent(self.route().kind.is_repeatable())
+        let may_have_run = self.hop.is_some_and(|hop| hop.may_have_run);
+        lifecycle::Repeatable::if_idempotent(self.route().kind.is_repeatable() && !may_have_run)
     }
 }
 
@@ -77,13 +92,63 @@
     let body = tokio::time::timeout(time_limit, read_body(state, &mut head, &settings, open)).await;
     let body = body.map_err(|_| Error::BodyTimeout)??;
     listen::mark_body_received(&head);
+    admit(state, &settings, Content { head, call, body }, found, arrived, None)
+}
+
+/// Admits a request that a peer received whole and passed on. By older settings than the peer's it isn't served.
+pub(crate) async fn receive_from_peer<A: Adapter>(
+    state: &Rc<State<A>>,
+    content: Content,
+    arrived: Timestamp,
+    hop: Hop,
+) -> Result<Received, Error> {
+    let settings = wait_for_settings(state).await.ok_or(Error::SettingsTooOld)?;
+    if settings.revision < hop.revision {
+        return Err(Error::SettingsTooOld);
+    }
+    let found = find_route(state, &settings, &content.call)?;
+    admit(state, &settings, content, found, arrived, Some(hop))
+}
+
+/// A request as it was received.
+pub(crate) struct Content {
+    pub(crate) head: Request,
+    pub(crate) call: Call,
+    pub(crate) body: Bytes,
+}
+
+/// Describes a request that was received whole to the scheduler.
+fn admit<A: Adapter>(
+    state: &Rc<State<A>>,
+    settings: &Settings,
+    content: Content,
+    found: Match,
+    arrived: Timestamp,
+    hop: Option<Hop>,
+) -> Result<Received, Error> {
+    let Content { head, call, body } = content;
+    let time_limit = call.timeout.min(found.route.timeout);
     if call.prompt.tokens > 0 {
         state.crossing.record_request_bytes(body.len(), state.clock.now());
     }
-    let request = scheduler_request(state, &settings, &call, &found, arrived, time_limit)?;
+    let (mut request, service) =
+        scheduler_request(state, settings, &call, &found, arrived, time_limit)?;
+    request.idempotent &= !hop.is_some_and(|hop| hop.may_have_run);
     let fingerprint = fingerprint(&head, &call, &found, &body);
     let revision = settings.revision;
-    Ok(Received { call, head, body, found, revision, arrived, time_limit, fingerprint, request })
+    Ok(Received {
+        call,
+        head,
+        body,
+        found,
+        revision,
+        arrived,
+        time_limit,
+        fingerprint,
+        request,
+        service,
+        hop,
+    })
 }
 
 /// Hash of the request's content and workspace.
@@ -170,7 +235,7 @@
     found: &Match,
     arrived: Timestamp,
     time_limit: Duration,
-) -> Result<policy::Request, Error> {
+) -> Result<(policy::Request, ids::Model), Error> {
     // The last part belongs to this request or session; the parts before it are shared.
     let shared = call.prompt.parts.len().checked_sub(2).map(|index| call.prompt.parts[index].id);
     let session = shared.unwrap_or_else(|| xxh3_64(call.id.as_bytes()));
@@ -187,7 +252,7 @@
         found,
     );
     let time_left = time_limit.saturating_sub(state.elapsed_since(arrived));
-    Ok(policy::Request {
+    let request = policy::Request {
         class,
         workspace,
         model,
@@ -201,5 +266,6 @@
         idempotent: found.route.kind.is_repeatable(),
         region: state.region,
         regions: registry.allowed_regions(&residency),
-    })
+    };
+    Ok((request, registry.service_key(service)))
 }
--- a/components/forward/src/mechanism.rs
+++ b/components/forward/src/mechanism.rs
@@ -20,6 +20,8 @@
         RegionalAffinity = "crossing",
         /// Nodes report to each other the prefill work that engines have queued.
         LoadGossip = "loads",
+        /// A node that can't reach the servers of a service passes requests on to a peer that does.
+        Hop = "hop",
     }
 }
 
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -2,6 +2,7 @@
 //! answer on.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,9 +16,11 @@
 use tokio::sync::oneshot;
 
 use crate::adapter::{Adapter, CallerProtocol};
-use crate::answer::{Answer, Error};
+use crate::answer::{Answer, Error, Origin};
 use crate::attempt::{self, AttemptError, Plan, Reply, WholeReply};
+use crate::hop;
 use crate::intake::{self, Received};
+use crate::mechanism::Mechanism;
 use crate::reach;
 use crate::state::{OpenRequest, State};
 use crate::stream::{self, Relay};
@@ -66,6 +69,12 @@
 /// Outcome in logs and metrics of a request whose caller disconnected.
 const CALLER_GONE: &str = "caller-gone";
 
+/// Servers that a request finds unreachable before it is passed on to a peer.
+const MAX_UNREACHED: u32 = 2;
+/// Pause after no peer took a request, in which it is tried at the servers.
+const PEER_PAUSE: Duration = Duration::from_millis(100);
+/// Peers that a request is passed on to before it is tried at the servers again.
+const MAX_PEERS: usize = 3;
 /// Attempts of a request without a connection that are logged one by one. There may be a hundred while no
 /// server can be reached.
 const LOGGED_UNREACHED: u32 = 2;
@@ -87,10 +96,20 @@
     sends: u32,
     /// Number of attempts in which no connection was made.
     unreached: Cell<u32>,
+    /// The peer that serves it.
+    peer: Option<SocketAddr>,
     /// The scheduler's estimate for the engine of the latest attempt.
     expected: Option<Expected>,
 }
 
+/// What became of a request that was passed on.
+enum Passed {
+    /// A peer answers it.
+    Reply(Sending, SocketAddr, hop::Reply),
+    /// A peer may have run it; this is the answer to the caller.
+    Answer(Answer),
+}
+
 /// A request that is being served.
 pub(crate) struct ActiveRequest<A: Adapter> {
     pub(crate) state: Rc<State<A>>,
@@ -105,11 +124,15 @@
     pub(crate) stats: Stats,
     /// Its outcome was logged.
     ended: Cell<bool>,
+    /// When it was last passed on to peers and none took it.
+    peers_tried: Option<Instant>,
+    /// An attempt may have run it.
+    may_have_run: bool,
     /// Error response of an earlier attempt, for the caller if no other attempt succeeds.
     error_reply: Option<WholeReply>,
 }
 
-async fn serve<A: Adapter>(
+pub(crate) async fn serve<A: Adapter>(
     state: Rc<State<A>>,
     received: Received,
     open: OpenRequest<A>,
@@ -126,12 +149,26 @@
         sent,
         stats: Stats::default(),
         ended: Cell::new(false),
+        peers_tried: None,
+        may_have_run: false,
         error_reply: None,
     };
     if let Err(refused) = active.state.crashes.check_quarantine(active.received.fingerprint) {
         return active.refuse(waiting, refused);
     }
     loop {
+        if active.needs_peer() {
+            if active.received.hop.is_some() {
+                return active.refuse_unreachable(waiting);
+            }
+            waiting = match active.pass_on(waiting).await {
+                Ok(Passed::Reply(sending, peer, reply)) => {
+                    return active.relay_from_peer(sending, peer, reply);
+                }
+                Ok(Passed::Answer(answer)) => return answer,
+                Err(waiting) => waiting,
+            };
+        }
         let server = match active.wait_for_server().await {
             Ok(server) => server,
             Err(refused) => return active.refuse(waiting, refused),
@@ -148,6 +185,7 @@
         let again = active.submission.end_attempt(error.ending());
         let timed_out = matches!(error, AttemptError::TimedOut);
         let unsent = error.not_run_proof();
+        active.may_have_run |= unsent.is_none();
         if let AttemptError::ServerError(whole) = error {
             active.error_reply = Some(*whole);
         }
@@ -335,12 +373,21 @@
         let server_entry = self.server.as_ref();
         let silent_ms =
             server_entry.and_then(|server| reach::silence_ms(&self.state, &server.service));
-        let Stats { first_event, longest_pause, tokens, end, sent, sends, unreached, expected } =
-            &self.stats;
+        let Stats {
+            first_event,
+            longest_pause,
+            tokens,
+            end,
+            sent,
+            sends,
+            unreached,
+            peer,
+            expected,
+        } = &self.stats;
         let route_terms = received.route();
         log::info!(
             request = received.call.id.as_str(), content = received.fingerprint_hex(),
-            unreached = unreached.get(), silent_ms = silent_ms,
+            peer = peer.map(|peer| peer.to_string()), unreached = unreached.get(), silent_ms = silent_ms,
             route = route, tier = received.found.tier(),
             server = server, outcome = outcome, status = status, took_ms = millis(time),
             ended_by = end.map(|(delimiter, _)| delimiter.as_str()), cut_bytes = end.map(|(_, bytes)| bytes),
@@ -409,9 +456,7 @@
             self.received.found.workspace.as_ref().map_or("", |workspace| &workspace.name);
         let time = self.state.elapsed_since(self.received.arrived);
         self.state.metrics.observe_answer(&self.received.route().name, workspace, time);
-        let mut response = Response::new(whole.status);
-        *response.headers_mut() = whole.headers;
-        response.set_body(whole.body).map_into_boxed_body()
+        whole.into_response()
     }
 
     /// Passes an answer on, at once if it is complete, or else as it arrives.
@@ -431,6 +476,88 @@
     }
 }
 
+impl<A: Adapter> ActiveRequest<A> {
+    /// Whether this node can't reach the servers of the request's service, so that only a peer can serve it.
+    fn needs_peer(&self) -> bool {
+        let state = &self.state;
+        let lost = state.reach.borrow().is_lost(self.received.service);
+        let needed = lost || self.stats.unreached.get() >= MAX_UNREACHED;
+        let now = state.clock.now();
+        let paused = self.peers_tried.is_some_and(|at| now < at + PEER_PAUSE);
+        needed && !paused && state.switches.is_on(Mechanism::Hop)
+    }
+
+    /// Passes the request on to the first peer that takes it.
+    ///
+    /// # Errors
+    /// When none did and nothing ran, the request, which waits for a server of this node again.
+    async fn pass_on(&mut self, mut waiting: Waiting) -> Result<Passed, Waiting> {
+        self.state.peers.demand(self.state.clock.now());
+        let peers = self.state.peers.for_request(&self.state);
+        if peers.is_empty() {
+            return Err(waiting);
+        }
+        self.peers_tried = Some(self.state.clock.now());
+        self.submission.withdraw();
+        for peer in peers.into_iter().take(MAX_PEERS) {
+            let sending = waiting.send();
+            let error = match hop::send(&self.state, &self.received, peer, self.may_have_run).await
+            {
+                Ok(reply) => return Ok(Passed::Reply(sending, peer, reply)),
+                Err(error) => error,
+            };
+            log::warn!(
+                request = self.received.call.id.as_str(), peer:% = peer, cause:% = error;
+                "a peer gave no answer"
+            );
+            self.state.peers.remove(peer);
+            let timed_out = matches!(error, AttemptError::TimedOut);
+            // A request that a peer may have run isn't sent again: its part of the retry budget isn't known here.
+            let unsent = error.not_run_proof();
+            let repeatable = self.received.repeatable().filter(|_| unsent.is_some());
+            waiting = match sending.fail(unsent, repeatable) {
+                Ok(waiting) => waiting,
+                Err(outcome) => {
+                    return Ok(Passed::Answer(self.answer_without_reply(outcome, timed_out)));
+                }
+            };
+        }
+        self.submission.resubmit(self.received.request.clone());
+        Err(waiting)
+    }
+
+    /// Passes the answer of a peer on.
+    fn relay_from_peer(mut self, sending: Sending, peer: SocketAddr, reply: hop::Reply) -> Answer {
+        self.stats.peer = Some(peer);
+        match reply {
+            hop::Reply::Whole(Origin::Server, whole) => {
+                sending.complete();
+                self.relay_whole(whole)
+            }
+            hop::Reply::Whole(origin, whole) => {
+                self.record_outcome(origin.as_str(), whole.status.as_u16());
+                whole.into_response()
+            }
+            hop::Reply::Partial(mut reply) => {
+                let mut response = Response::new(reply.head.status);
+                *response.headers_mut() = std::mem::take(&mut reply.head.headers);
+                response.set_body(hop::body(self, sending.stream(), reply)).map_into_boxed_body()
+            }
+        }
+    }
+
+    /// Answers a peer whose request can't be served here either.
+    fn refuse_unreachable(&mut self, waiting: Waiting) -> Answer {
+        let outcome = waiting.refuse(Reason::NoServer);
+        if outcome == Outcome::Unknown {
+            return self.answer_without_reply(outcome, false);
+        }
+        let error = Error::Unreachable;
+        self.record_outcome(error.as_str(), error.status().as_u16());
+        error.response()
+    }
+}
+
 /// Identifies a server for crash detection; a restart under the same name counts as another server.
 fn crash_target(server: &Entry) -> Target {
     let start = format!("{} {}", server.name, server.started.unwrap_or_default());
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -23,6 +23,7 @@
 use crate::limits::{self, Limits};
 use crate::mechanism::{Mechanism as Own, Switches};
 use crate::node::Node;
+use crate::peers::Peers;
 use crate::registry::Registry;
 use crate::replica::Replica;
 use crate::source::{Delegates, Sources};
@@ -97,6 +98,8 @@
     /// Notified when the replica, its proof of freshness or the number of failures changes.
     pub(crate) updated: Notify,
     pub(crate) peer_client: awc::Client,
+    /// Peers to which requests can be passed on.
+    pub(crate) peers: Peers,
     /// The seed that answers this node's reports in the shortest time; none before it is known.
     pub(crate) nearest_seed: Cell<Option<SocketAddr>>,
     /// Candidates for this seed's delegate, and whether this node is the delegate of another seed.
@@ -175,6 +178,7 @@
             history_lost: Cell::new(false),
             updated: Notify::new(),
             peer_client: updates::peer_client(),
+            peers: Peers::default(),
             nearest_seed: Cell::new(None),
             delegates: Delegates::default(),
             fleet_nodes: Cell::new(1),
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::serve::ActiveRequest;
 
 /// Time for the last events to reach the socket before the connection is closed after an error.
-const FLUSH_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const FLUSH_DELAY: Duration = Duration::from_millis(50);
 /// A pause this many times as long as the route's target for pauses counts as a stall. Pauses longer
 /// than the target occur when an engine's batch is full, pauses three times as long don't.
 const STALL_PAUSES: u32 = 3;
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -1,8 +1,11 @@
 //! Messages in which nodes report their load at engines to each other: outstanding prefill, occupied
 //! slots, and the content of prefix caches.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
+use crate::is_false;
 use crate::updates::Work;
 
 derives::data! {
@@ -60,6 +63,12 @@
         /// Recent work at engines: of the node, or of a seed and all nodes that report to it.
         #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
         pub work: Option<Work>,
+        /// Whether the node can't reach the servers of a service and asks for peers that do.
+        #[serde(rename = "u", default, skip_serializing_if = "is_false")]
+        pub wants_peers: bool,
+        /// Address of the node's listener for peers, once the seed has asked for it.
+        #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
+        pub address: Option<SocketAddr>,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -109,6 +118,12 @@
         /// Recent work of all nodes at engines.
         #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
         pub work: Option<Work>,
+        /// Peers that reach servers, by the addresses of their listeners for peers, if the node asked for them.
+        #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+        pub peers: Vec<SocketAddr>,
+        /// Whether the seed doesn't know the address of the node.
+        #[serde(rename = "i", default, skip_serializing_if = "is_false")]
+        pub wants_address: bool,
     }
 
     /// A request during which servers crashed. An array on the wire.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -7,6 +7,7 @@
 #[macro_use]
 mod encoding;
 pub mod gossip;
+pub mod hop;
 mod idempotency;
 pub mod updates;
 
@@ -167,7 +168,7 @@
 #[error("unreadable frame from a peer ({0}); check that both run builds of this program")]
 pub struct Error(#[from] rmp_serde::decode::Error);
 
-fn is_false(flag: &bool) -> bool {
+pub(crate) fn is_false(flag: &bool) -> bool {
     !flag
 }
 
