A request that no peer took doesn't wait forever

Callers would have seen no answer until they left: `Submission::resubmit` replaced the submission, and the end of the old one ran the scheduler's actions, which assigned a server to the new one while no task waited for it and so cancelled it.

Change: a withdrawn submission is submitted again in place.

--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -122,9 +122,12 @@
         }
     }
 
-    /// Submits a request again that was withdrawn.
+    /// Submits a request again that was withdrawn. Call [`Submission::wait_for_server`] before awaiting anything
+    /// else.
     pub fn resubmit(&mut self, request: policy::Request) {
-        *self = Submission::new(&self.driver.clone(), request);
+        let now = self.driver.clock.now();
+        self.job = self.driver.scheduler.borrow_mut().submit(request, now);
+        (self.in_flight, self.finished) = (false, false);
     }
 
     /// Ends the attempt; returns whether the request is queued again. If it is, call
--- a/components/fakes/src/path.rs
+++ b/components/fakes/src/path.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use tokio::io::copy_bidirectional;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -14,6 +14,8 @@
 
 /// Connections that the path queues until it passes them on.
 const BACKLOG: u32 = 64;
+/// Bytes that are copied at once.
+const BUFFER_BYTES: usize = 16 << 10;
 
 derives::value! {
     /// How a path is partitioned.
@@ -39,7 +41,7 @@
     accepting: RefCell<Option<JoinHandle<()>>>,
     /// Fills the queue of a silent path, so that further connections hang.
     filling: RefCell<Option<(TcpListener, TcpStream)>>,
-    made: Rc<Cell<u32>>,
+    passed: Rc<Cell<u64>>,
 }
 
 impl Path {
@@ -51,7 +53,7 @@
             cut: watch::channel(Cut::None).0,
             accepting: RefCell::default(),
             filling: RefCell::default(),
-            made: Rc::default(),
+            passed: Rc::default(),
         };
         path.accept()?;
         Ok(path)
@@ -62,9 +64,9 @@
         self.port.address()
     }
 
-    /// Connections that were passed on so far.
-    pub fn connections(&self) -> u32 {
-        self.made.get()
+    /// Bytes of requests that were passed on so far.
+    pub fn bytes(&self) -> u64 {
+        self.passed.get()
     }
 
     /// Partitions the path, or ends the partition.
@@ -97,11 +99,10 @@
 
     fn accept(&self) -> io::Result<()> {
         let listener = self.listen(BACKLOG)?;
-        let (to, cut, made) = (self.to, self.cut.clone(), self.made.clone());
+        let (to, cut, passed) = (self.to, self.cut.clone(), self.passed.clone());
         let accepting = actix_rt::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
-                made.set(made.get() + 1);
-                actix_rt::spawn(pass(near, to, cut.subscribe()));
+                actix_rt::spawn(pass(near, to, cut.subscribe(), passed.clone()));
             }
         });
         self.accepting.replace(Some(accepting));
@@ -117,8 +118,33 @@
     }
 }
 
+/// Copies bytes both ways until one side ends, and counts those that go there.
+async fn copy_both_ways(near: &mut TcpStream, far: &mut TcpStream, passed: &Cell<u64>) {
+    let (mut near_read, mut near_write) = near.split();
+    let (mut far_read, mut far_write) = far.split();
+    let there = async {
+        let mut buffer = [0; BUFFER_BYTES];
+        loop {
+            let count = near_read.read(&mut buffer).await.unwrap_or(0);
+            if count == 0 || far_write.write_all(&buffer[..count]).await.is_err() {
+                return;
+            }
+            passed.set(passed.get() + count as u64);
+        }
+    };
+    tokio::select! {
+        () = there => {}
+        _ = tokio::io::copy(&mut far_read, &mut near_write) => {}
+    }
+}
+
 /// Passes one connection on until it ends or the path is cut.
-async fn pass(mut near: TcpStream, to: SocketAddr, mut cut: watch::Receiver<Cut>) {
+async fn pass(
+    mut near: TcpStream,
+    to: SocketAddr,
+    mut cut: watch::Receiver<Cut>,
+    passed: Rc<Cell<u64>>,
+) {
     let Ok(mut far) = TcpStream::connect(to).await else { return };
     loop {
         let current = *cut.borrow_and_update();
@@ -129,7 +155,7 @@
                 break;
             }
             Cut::None | Cut::Refusing => tokio::select! {
-                _ = copy_bidirectional(&mut near, &mut far) => return,
+                () = copy_both_ways(&mut near, &mut far, &passed) => return,
                 changed = cut.changed() => if changed.is_err() { return },
             },
         }
