Nodes together stay within the slots of servers that say they are brittle

New on the platform: servers of a service may say in all their answers that they fall over if they have to turn away more than a few requests in a second. Nothing read the header, and each node filled every server as if it were alone.

Change: `policy::brittle`: while a service says so, a node has at most its part of each server's slots in flight there, slots divided by the nodes of the fleet. With fewer slots than nodes, a hash of both names selects as many nodes as there are slots on average, and a node that gets none uses one server. So the sum is bounded by the size of the fleet that each node knows, whatever it knows of the others' requests. A node that is declined nevertheless leaves that server alone for a second. What doesn't fit waits in the node's own queue, in order of class. It ends with an answer to a later request without the header.

`fakes::Step::Slots` is the stand-in.

--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::any;
 
@@ -32,6 +33,8 @@
         Hang,
         /// Plays these steps in place of those that follow, if the request's head holds this text.
         IfHead(String, Vec<Step>),
+        /// Goes on if fewer than so many requests do, and else plays these steps in place of those that follow.
+        Slots(u32, Vec<Step>),
         /// Ends the server, with all its connections, if the body that was run holds this text.
         CrashAt(String),
     }
@@ -57,6 +60,10 @@
     runs: RefCell<HashMap<String, u32>>,
     seen: RefCell<Vec<Seen>>,
     open: Cell<u32>,
+    /// Requests that occupy one of the server's slots.
+    occupied: Cell<u32>,
+    /// When it had no slot for a request.
+    rejections: RefCell<Vec<Instant>>,
     /// Says when the server has crashed.
     crashed: watch::Sender<bool>,
 }
@@ -88,6 +95,8 @@
             runs: RefCell::default(),
             seen: RefCell::default(),
             open: Cell::new(0),
+            occupied: Cell::new(0),
+            rejections: RefCell::default(),
             crashed: watch::channel(false).0,
         });
         let accepting = actix_rt::spawn(accept(socket, state.clone()));
@@ -119,6 +128,16 @@
         self.state.seen.borrow().clone()
     }
 
+    /// Most requests for which it had no slot within a second.
+    pub fn rejections_in_a_second(&self) -> usize {
+        let rejections = self.state.rejections.borrow();
+        let second = Duration::from_secs(1);
+        let from = |start: &Instant| {
+            rejections.iter().filter(|at| *at >= start && **at < *start + second).count()
+        };
+        rejections.iter().map(from).max().unwrap_or(0)
+    }
+
     /// Whether it has crashed.
     pub fn crashed(&self) -> bool {
         *self.state.crashed.borrow()
@@ -196,10 +215,16 @@
     });
     let at = state.seen.borrow().len() - 1;
     let mut steps = VecDeque::from(steps);
+    let mut slot = None;
     while let Some(step) = steps.pop_front() {
         match step {
             Step::IfHead(text, others) if head.contains(&text) => steps = others.into(),
             Step::IfHead(..) => {}
+            Step::Slots(count, others) if state.occupied.get() >= count => {
+                state.rejections.borrow_mut().push(Instant::now());
+                steps = others.into();
+            }
+            Step::Slots(..) => slot = Some(Slot::occupy(&state.occupied)),
             Step::Run => {
                 let length = value(head, "content-length").parse().unwrap_or(0);
                 while read.len() < length {
@@ -235,9 +260,26 @@
             }
         }
     }
+    drop(slot);
     Ok(true)
 }
 
+/// An occupied slot, until it is dropped.
+struct Slot<'a>(&'a Cell<u32>);
+
+impl<'a> Slot<'a> {
+    fn occupy(occupied: &'a Cell<u32>) -> Self {
+        occupied.set(occupied.get() + 1);
+        Slot(occupied)
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 fn value(head: &str, name: &str) -> String {
     let lines = head.lines().filter_map(|line| line.split_once(':'));
     let mut values = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -117,6 +117,10 @@
     /// The server's rate limit, as stated in a response.
     fn rate_limit(&self, head: &ResponseHead) -> StatedLimit;
 
+    /// Whether the response says that the servers of its service are brittle: they crash if they have to decline
+    /// many requests.
+    fn is_brittle(&self, head: &ResponseHead) -> bool;
+
     /// How long the server keeps the connection of a response open while idle, if it states that.
     fn keep_alive(&self, head: &ResponseHead) -> Option<Duration>;
 }
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -14,6 +14,7 @@
 
 use crate::adapter::{Adapter, Attempt, ServerProtocol, StatedLimit, Verdict};
 use crate::answer::Answer;
+use crate::brittle;
 use crate::cold;
 use crate::events::{OutOfOrder, Splitter, Truncated};
 use crate::intake::Received;
@@ -241,6 +242,8 @@
     loop {
         let verdict = state.adapter.servers.check_response(&head, &received.call, server);
         if matches!(verdict, Verdict::Answer | Verdict::Declined) {
+            let brittle = state.adapter.servers.is_brittle(&head);
+            brittle::record_answer(state, server, brittle, sent);
             let limit = state.adapter.servers.rate_limit(&head);
             // A server that declines or fails may omit its limit; that doesn't lift a limit stated before.
             if limit != StatedLimit::Unspecified || head.status.is_success() {
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod adapter;
 mod answer;
 mod attempt;
+mod brittle;
 mod cold;
 mod crossing;
 mod evacuation;
--- a/components/forward/src/limits.rs
+++ b/components/forward/src/limits.rs
@@ -122,16 +122,21 @@
     }
 }
 
+/// Number of nodes in the fleet; many if it isn't known yet.
+pub(crate) fn assumed_nodes<A: Adapter>(state: &State<A>) -> u32 {
+    match state.fleet_nodes.get() {
+        0 | 1 if !state.node().seeds.is_empty() => UNKNOWN_FLEET_NODES,
+        nodes => nodes.max(1),
+    }
+}
+
 /// Issues permits to this node itself if no seed has answered within [`SEED_TIMEOUT`].
 pub(crate) fn issue_without_seeds<A: Adapter>(state: &State<A>) {
     let now = state.clock.now();
     if !state.rate_limits.seeds_silent(now) {
         return;
     }
-    let nodes = match state.fleet_nodes.get() {
-        0 | 1 if !state.node().seeds.is_empty() => UNKNOWN_FLEET_NODES,
-        nodes => nodes.max(1),
-    };
+    let nodes = assumed_nodes(state);
     let permits = state.rate_limits.issue(f64::from(nodes) / PART_WITHOUT_SEEDS, 1, now);
     add_permits(state, &permits);
 }
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -16,6 +16,7 @@
 use wire::updates::Work;
 
 use crate::adapter::{Adapter, Protocols};
+use crate::brittle;
 use crate::cold;
 use crate::crossing::Crossing;
 use crate::evacuation::Evacuations;
@@ -70,6 +71,8 @@
     /// Requests during which servers crashed.
     pub(crate) crashes: Rc<Crashes>,
     pub(crate) registry: RefCell<Registry>,
+    /// Services whose servers are brittle.
+    pub(crate) brittle: brittle::Services,
     /// Whether this node reaches the servers of each service.
     pub(crate) reach: RefCell<Reach>,
     /// The settings in force; none before the first were read.
@@ -160,6 +163,7 @@
             crashes: Crashes::new(seed, clock),
             registry: RefCell::new(registry),
             reach: RefCell::default(),
+            brittle: brittle::Services::default(),
             settings: RefCell::default(),
             membership: RefCell::default(),
             newest_invalid: Cell::new(false),
@@ -378,6 +382,7 @@
         for (key, entry) in self.register_servers(servers) {
             cold::apply_entry(self, key, &entry);
         }
+        brittle::apply_servers(self);
         self.driver.run_actions();
     }
 
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -93,6 +93,11 @@
             if !matches!(ending, Ending::Cancelled | Ending::Stopped | Ending::Expired) {
                 state.health.record_outcome(ending == Ending::Completed, now);
             }
+            if ending == Ending::NotRun
+                && let Some(brittle) = &mut state.brittle
+            {
+                brittle.record_declined(now);
+            }
             match ending {
                 Ending::Completed => state.health.record_response(),
                 Ending::NotRun | Ending::Unreached | Ending::Failed | Ending::Broken => {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod backlog;
 mod backup;
+mod brittle;
 mod bucket;
 mod cache;
 mod candidates;
@@ -46,6 +47,7 @@
 mod throttle;
 
 pub use action::{Action, Ending, Policy, Refusal};
+pub use brittle::brittle_share;
 pub use isolation::GROUPS;
 pub use mechanism::Mechanism;
 pub use pending::Expected;
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::brittle;
 use crate::cold::Guard;
 use crate::health::Health;
 use crate::limit::Limit;
@@ -49,6 +50,8 @@
     pub(crate) permits: Option<Permits>,
     /// Whether it is cold, and permits to send to it while it is.
     pub(crate) guard: Guard,
+    /// What this node may send to it, if it is brittle.
+    pub(crate) brittle: Option<brittle::Guard>,
     /// Until when this node has an idle connection to it.
     connected_until: Option<Instant>,
     report: Option<Report>,
@@ -78,6 +81,7 @@
             prefill: Estimator::default(),
             permits: None,
             guard: Guard::default(),
+            brittle: None,
             connected_until: None,
             report: None,
             net_change: 0,
@@ -122,10 +126,12 @@
         self.sent < self.node_slots(switches)
     }
 
-    /// Whether a permit is left, if it has named a rate limit or is cold.
+    /// Whether a permit is left, if it has named a rate limit or is cold, and a slot of this node's part, if it is
+    /// brittle.
     pub(crate) fn has_permit(&self, now: Instant) -> bool {
         let within_limit = self.permits.as_ref().is_none_or(|permits| permits.available(now));
-        within_limit && self.guard.admits(now)
+        let sound = self.brittle.is_none_or(|guard| guard.admits(self.sent, now));
+        within_limit && sound && self.guard.admits(now)
     }
 
     /// Whether requests are sent to it only on permits.
