Soak: unframed answers, silent servers, and nodes partitioned from all servers

Servers of the soak also answer without length or chunks, whole, cut inside an event or reset, and fall silent for a second within an answer. In each third seed the nodes have paths of their own to the servers, and a fault partitions one node from all of them (refusing, resetting or silent). Once all faults are over, one node is partitioned: from 3 s on it must serve two thirds of what it is sent.

--- a/tests/soak/brittle.rs
+++ b/tests/soak/brittle.rs
@@ -5,8 +5,8 @@
 
 use fakes::{Raw, Step};
 
-use crate::fixture::store::Store;
 use crate::fixture::{ATTEMPT_ID, BRITTLE_PATH, RESPONSE_HEAD, post, server_entry};
+use crate::world::Stores;
 
 /// Service of these servers.
 const SERVICE: &str = "brittle";
@@ -40,7 +40,7 @@
 }
 
 impl Brittle {
-    pub async fn start(store: &Store) -> Self {
+    pub async fn start(store: &Stores) -> Self {
         let brittle = Brittle {
             servers: RefCell::default(),
             starts: Cell::new(0),
@@ -53,7 +53,7 @@
         brittle
     }
 
-    async fn add(&self, store: &Store, limited: bool) {
+    async fn add(&self, store: &Stores, limited: bool) {
         let start = self.starts.replace(self.starts.get() + 1);
         let arrivals = self.arrivals.clone();
         let limit = if limited { format!("server-limit: {LIMIT}\r\n") } else { String::new() };
@@ -72,7 +72,7 @@
     }
 
     /// Starts those that crashed again, under new names.
-    pub async fn restart(&self, store: &Store) {
+    pub async fn restart(&self, store: &Stores) {
         let crashed = |server: &Server| server.raw.crashed();
         let gone: Vec<_> =
             self.servers.borrow_mut().extract_if(.., |server| crashed(server)).collect();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -23,7 +23,7 @@
 
 /// Seeds that CI plays. Each that ever failed is added, with a line on the cause: 1030 and 1034 found
 /// two nodes with one port, which the soak had chosen itself.
-const SEEDS: [u64; 4] = [1, 2, 1030, 1034];
+const SEEDS: [u64; 5] = [1, 2, 3, 1030, 1034];
 /// How long faults go on.
 const SHORT: Duration = Duration::from_secs(8);
 const LONG: Duration = Duration::from_secs(15);
--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -38,8 +38,10 @@
 }
 
 impl Node {
-    /// Nodes of one fleet, each with its own way to the store; the first two are its seeds.
-    pub fn fleet(seed: u64, stores: &[SocketAddr]) -> Vec<Node> {
+    /// Nodes of one fleet, each with its own way to the store; the first two are its seeds. If `own_stores`, each
+    /// reads its store itself.
+    pub fn fleet(seed: u64, stores: &[SocketAddr], own_stores: bool) -> Vec<Node> {
+        let without = if own_stores { "without = [\"seeds\"]\n" } else { "" };
         let mut nodes = vec![];
         for index in 0..stores.len() {
             let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -55,7 +57,7 @@
             let text = format!(
                 "adapter = \"platform\"\nname = \"node-{index}\"\ndomain = \"riga-a\"\n\
                  callers = \"{callers}\"\noperators = \"{operators}\"\npeers = \"{peers}\"\n\
-                 seeds = [{}]\nstore = \"{store}\"\n[domains]\nriga-a = \"riga\"\n\
+                 seeds = [{}]\nstore = \"{store}\"\n{without}[domains]\nriga-a = \"riga\"\n\
                  [room]\nmemory_mb = 110\ndescriptors = 1000\n\
                  [promises]\nrevocation_ms = 5000\ngrace_s = 4\nrepeats = 0.2\n",
                 seeds.join(", ")
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,9 +1,10 @@
 //! What the nodes stand in: callers, servers, the store, and what goes wrong.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use fakes::{Link, Raw, Step, Way};
+use fakes::{Cut, Link, Path, Raw, Step, Way};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
@@ -13,8 +14,8 @@
 use crate::brittle::{self, Brittle};
 use crate::fixture::store::{Mode, Store};
 use crate::fixture::{
-    API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, ROUTES, Reply, configuration,
-    server_entry, success_response,
+    API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, RESPONSE_HEAD, ROUTES, Reply,
+    UNFRAMED_HEAD, configuration, server_entry, stream_event, success_response,
 };
 use crate::nodes::Node;
 
@@ -24,6 +25,10 @@
 const BRIEF: &str = "k-brief";
 /// A request with a withdrawn key may run if it was sent before this, after the withdrawal.
 const REVOCATION: Duration = Duration::from_millis(5_050);
+/// Bytes of an event after which it isn't whole yet.
+const EVENT_CUTS: usize = 10;
+/// A sound server may be silent for as long.
+const SILENCE: Duration = Duration::from_secs(1);
 /// A caller gives up after this.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// Time in which nodes that are well know what the others know.
@@ -31,6 +36,12 @@
 /// Requests to servers that crash, and the pause between them.
 const HELD: usize = 240;
 const PACE: Duration = Duration::from_millis(20);
+/// In each seed that is a multiple of this, nodes have paths of their own to the servers.
+const PARTITIONED_SEEDS: u64 = 3;
+/// Requests to a node that is partitioned from all servers.
+const PARTITIONED_REQUESTS: u32 = 60;
+/// Time that a caller of such a node waits.
+const IMPATIENCE: Duration = Duration::from_millis(500);
 /// After the last fault, nodes and servers have this long to be well again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -43,13 +54,50 @@
     told: Option<Reply>,
 }
 
+/// The stores of the nodes: one for all, or one for each, which differ in the addresses of servers only.
+pub struct Stores(Vec<Store>);
+
+impl Stores {
+    async fn start(count: usize) -> Self {
+        let mut stores = vec![];
+        for _ in 0..count {
+            stores.push(Store::start().await);
+        }
+        Stores(stores)
+    }
+
+    fn of_node(&self, node: usize) -> &Store {
+        &self.0[node % self.0.len()]
+    }
+
+    /// Writes a text under a key.
+    pub fn put(&self, key: &str, value: &str) {
+        self.0.iter().for_each(|store| store.put(key, value));
+    }
+
+    /// Deletes a key.
+    pub fn delete(&self, key: &str) {
+        self.0.iter().for_each(|store| store.delete(key));
+    }
+
+    fn set_mode(&self, mode: Mode) {
+        self.0.iter().for_each(|store| store.set_mode(mode));
+    }
+
+    fn drop_history(&self) {
+        self.0.iter().for_each(Store::drop_history);
+    }
+}
+
 pub struct World {
     seed: u64,
-    store: Store,
+    stores: Stores,
     servers: Vec<Raw>,
     brittle: Brittle,
     /// Ways of the nodes to the store, and of all nodes to the servers.
     links: Vec<Link>,
+    /// Paths of each node to the servers, where nodes can be partitioned from them; else none.
+    paths: Vec<Vec<Path>>,
     nodes: Vec<Node>,
     sent: RefCell<Vec<Sent>>,
     withdrawn: Cell<Option<Instant>>,
@@ -80,19 +128,42 @@
         4 => vec![Step::Run, Step::Wait(Duration::from_millis(900)), Step::Write(whole)],
         5 => vec![Step::Run, Step::Write(format!("{whole}{whole}"))],
         6 => vec![Step::Run, Step::Hang],
+        7 => unframed(kind, None),
+        8 => unframed(kind, Some(rng.random_range(0..EVENT_CUTS))),
+        9 => vec![
+            Step::Run,
+            Step::Write(whole[..cut].to_string()),
+            Step::Wait(SILENCE),
+            Step::Write(whole[cut..].to_string()),
+        ],
         _ => vec![Step::Run, Step::Write(whole)],
     }
 }
 
+/// Runs a request and answers without a length or chunks. With a cut, a stream ends that many bytes into its
+/// second event, and another answer is reset.
+fn unframed(kind: Kind, cut: Option<usize>) -> Vec<Step> {
+    let (first, second) = (stream_event(1), stream_event(2));
+    let text = match (kind.streams(), cut) {
+        (true, Some(cut)) => format!("{UNFRAMED_HEAD}{first}{}", &second[..=cut]),
+        (true, None) => format!("{UNFRAMED_HEAD}{first}{second}"),
+        (false, _) => format!("{RESPONSE_HEAD}\r\nbooked"),
+    };
+    let end = if cut.is_some() && !kind.streams() { Step::Reset } else { Step::Close };
+    vec![Step::Run, Step::Write(text), end]
+}
+
 impl World {
     pub async fn start(seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let store = Store::start().await;
-        let (mut servers, mut links) = (vec![], vec![]);
-        for _ in 0..NODES {
-            links.push(Link::start(store.address()).await.unwrap());
+        let partitioned = seed.is_multiple_of(PARTITIONED_SEEDS);
+        let stores = Stores::start(if partitioned { NODES } else { 1 }).await;
+        let (mut servers, mut links, mut paths) = (vec![], vec![], vec![]);
+        for node in 0..NODES {
+            links.push(Link::start(stores.of_node(node).address()).await.unwrap());
         }
-        let stores: Vec<_> = links.iter().map(Link::address).collect();
+        let addresses: Vec<_> = links.iter().map(Link::address).collect();
+        paths.resize_with(if partitioned { NODES } else { 0 }, Vec::new);
         for (index, kind) in
             [Kind::Charge, Kind::Charge, Kind::Stream, Kind::Stream].into_iter().enumerate()
         {
@@ -100,19 +171,30 @@
             let server = Raw::named(ATTEMPT_ID, move |_| script(&mut dice.borrow_mut(), kind))
                 .await
                 .unwrap();
-            let link = Link::start(server.address().parse().unwrap()).await.unwrap();
-            let text = server_entry(&link.address().to_string(), "ready");
+            let (key, to) = (format!("servers/i-{index}"), server.address().parse().unwrap());
             let service = if kind == Kind::Stream { "streams" } else { "plain" };
-            let text = text.replace("\"plain\"", &format!("\"{service}\""));
-            store.put(&format!("servers/i-{index}"), &text);
+            let entry = |address: SocketAddr| {
+                let text = server_entry(&address.to_string(), "ready");
+                text.replace("\"plain\"", &format!("\"{service}\""))
+            };
+            for (node, paths) in paths.iter_mut().enumerate() {
+                let path = Path::open(to).unwrap();
+                stores.of_node(node).put(&key, &entry(path.address().unwrap()));
+                paths.push(path);
+            }
+            if !partitioned {
+                let link = Link::start(to).await.unwrap();
+                stores.put(&key, &entry(link.address()));
+                links.push(link);
+            }
             servers.push(server);
-            links.push(link);
         }
         let world = World {
             seed,
-            nodes: Node::fleet(seed, &stores),
-            brittle: Brittle::start(&store).await,
-            store,
+            nodes: Node::fleet(seed, &addresses, partitioned),
+            brittle: Brittle::start(&stores).await,
+            stores,
+            paths,
             servers,
             links,
             sent: RefCell::default(),
@@ -133,7 +215,7 @@
     fn publish(&self, keys: &[&str]) {
         let version = self.version.get() + 1;
         self.version.set(version);
-        self.store.put(CONFIGURATION, &configuration(version, &routes(), keys));
+        self.stores.put(CONFIGURATION, &configuration(version, &routes(), keys));
     }
 
     /// Injects faults, one after the other and overlapping; returns how many.
@@ -156,7 +238,7 @@
     async fn fault(&self, rng: &mut SmallRng) {
         let node = &self.nodes[rng.random_range(0..NODES)];
         let link = &self.links[rng.random_range(0..self.links.len())];
-        match rng.random_range(0..12) {
+        match rng.random_range(0..13) {
             0 => {
                 node.kill();
                 node.start();
@@ -177,10 +259,15 @@
             8 | 9 => link.set(Way::default()),
             10 => {
                 let moods = [Mode::Normal, Mode::Rejecting, Mode::Unresponsive];
-                self.store.set_mode(moods[rng.random_range(0..3)]);
+                self.stores.set_mode(moods[rng.random_range(0..3)]);
+            }
+            11 => {
+                let cuts = [Cut::None, Cut::Refusing, Cut::Resetting, Cut::Silent];
+                let (node, cut) = (rng.random_range(0..NODES), cuts[rng.random_range(0..4)]);
+                self.partition(node, cut).await;
             }
             _ => {
-                self.store.set_mode(Mode::Normal);
+                self.stores.set_mode(Mode::Normal);
                 let keys = if self.withdrawn.get().is_some() {
                     vec![API_KEY]
                 } else {
@@ -188,14 +275,24 @@
                 };
                 self.publish(&keys);
                 if rng.random() {
-                    self.store.drop_history();
+                    self.stores.drop_history();
                 }
             }
         }
     }
 
+    /// Partitions a node from all servers, or ends that, where nodes have paths of their own.
+    async fn partition(&self, node: usize, cut: Cut) {
+        for path in self.paths.get(node).into_iter().flatten() {
+            path.set(cut).await.unwrap();
+        }
+    }
+
     async fn heal(&self) {
-        self.store.set_mode(Mode::Normal);
+        self.stores.set_mode(Mode::Normal);
+        for node in 0..NODES {
+            self.partition(node, Cut::None).await;
+        }
         self.links.iter().for_each(|link| link.set(Way::default()));
         for node in &self.nodes {
             node.signal(Signal::CONT);
@@ -218,7 +315,7 @@
             let callers = self.nodes[rng.random_range(0..NODES)].callers;
             let text = brittle::request(&format!("{}-b{count}", self.seed), count % 8 == 0);
             let _ = tokio::time::timeout(PATIENCE, exchange(callers, &text)).await;
-            self.brittle.restart(&self.store).await;
+            self.brittle.restart(&self.stores).await;
             tokio::time::sleep(Duration::from_millis(rng.random_range(1..80))).await;
         }
     }
@@ -253,6 +350,7 @@
     pub async fn check(&self) -> String {
         self.recovers().await;
         self.holds_back().await;
+        self.serves_without_servers().await;
         let sent = self.sent.borrow();
         let (mut whole, mut refused) = (0, 0);
         for request in sent.iter() {
@@ -287,12 +385,40 @@
             let callers = self.nodes[count % NODES].callers;
             let text = brittle::request(&format!("{}-h{count}", self.seed), count % 15 == 0);
             let _ = tokio::time::timeout(PATIENCE, exchange(callers, &text)).await;
-            self.brittle.restart(&self.store).await;
+            self.brittle.restart(&self.stores).await;
             tokio::time::sleep(PACE).await;
         }
         self.brittle.check(before, since);
     }
 
+    /// A node that is partitioned from all servers serves its callers by way of the others.
+    async fn serves_without_servers(&self) {
+        if self.paths.is_empty() {
+            return;
+        }
+        let node = self.seed as usize / 3 % NODES;
+        self.partition(node, Cut::Silent).await;
+        let begun = Instant::now();
+        let (mut served, mut count) = (0, 0);
+        while count < PARTITIONED_REQUESTS {
+            let settled = begun.elapsed() > SETTLED;
+            let id = format!("{}-p{settled}-{}", self.seed, begun.elapsed().as_micros());
+            let sending = self.send(node, Kind::Read, id.clone(), false);
+            let _ = tokio::time::timeout(IMPATIENCE, sending).await;
+            if settled {
+                count += 1;
+                let is_served = |sent: &Sent| {
+                    sent.id == id && sent.told.as_ref().is_some_and(|told| told.status == 200)
+                };
+                served += u32::from(self.sent.borrow().last().is_some_and(is_served));
+            }
+            tokio::time::sleep(PACE).await;
+        }
+        self.partition(node, Cut::None).await;
+        let enough = PARTITIONED_REQUESTS * 2 / 3;
+        assert!(served >= enough, "node {node} without servers served {served} of {count}");
+    }
+
     /// Once all faults are over, requests are served again at every node.
     async fn recovers(&self) {
         let ends = Instant::now() + RECOVERY;
