An attempt isn't abandoned for a retry that isn't allowed

New on the platform: a sound server may fall silent for a second and go on.

Cause: an attempt that may be repeated is abandoned once its server is silent for too long, and only then is the retry budget asked. It is two retries and a fifth of fresh work, so of many requests that a silent server holds at once most lose their attempt and get no other. Class: something is given up for a replacement that isn't there.

Change: before an attempt is abandoned the scheduler is asked whether a retry would be allowed. If not, a stream goes on waiting for its server, as a broken one is of no use; a request without an answer is given up after 1.5 s or two thirds of its time, whichever is first, so that its caller can still try another node.

Servers that never come back hold a stream beyond the budget until its caller leaves, which is what such a stream's caller had before a retry was known.

--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -87,6 +87,11 @@
         self.driver.scheduler.borrow().send_by(self.job)
     }
 
+    /// Whether the request could be tried again if its attempt were abandoned now.
+    pub fn may_retry(&self) -> bool {
+        self.driver.scheduler.borrow().may_retry(self.job, self.driver.clock.now())
+    }
+
     /// Waits until the scheduler stops the attempt; never returns if it doesn't.
     pub async fn wait_for_stop(&mut self) {
         if let Some(receiver) = &mut self.stop_receiver
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,11 @@
 /// much time.
 const STALL_TARGETS: u32 = 2;
 
+/// Time for which a sound server may be silent.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Part of the time left in which it must answer nevertheless, so that the caller can try again.
+const SILENCE_FRACTION: f64 = 2.0 / 3.0;
+
 /// Answers one request. A node that isn't ready closes each connection after its answer, so that
 /// callers with persistent connections move to other nodes too.
 pub(crate) async fn handle<A: Adapter>(state: Rc<State<A>>, request: Request) -> Answer {
@@ -280,8 +286,14 @@
             from_copy: false,
             send_by: self.submission.send_by(),
         };
-        let sending = attempt::send(&self.state, &self.received, server, &plan);
-        tokio::time::timeout(timeout, sending).await.unwrap_or(Err(AttemptError::TimedOut))
+        let mut sending = pin!(attempt::send(&self.state, &self.received, server, &plan));
+        let mut result = tokio::time::timeout(timeout, &mut sending).await;
+        if result.is_err() && early && !self.submission.may_retry() {
+            // A server that is only silent for a moment still answers, and no other may be sent the request.
+            let tolerance = SILENCE.min(time_left.mul_f64(SILENCE_FRACTION));
+            result = tokio::time::timeout(tolerance.saturating_sub(timeout), &mut sending).await;
+        }
+        result.unwrap_or(Err(AttemptError::TimedOut))
     }
 
     /// Whether a server keeps a copy of the run.
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -78,7 +78,12 @@
         let repeatable = self.active.received.repeatable().is_some();
         let stalled = stall_after(self.active.received.route().target_pause);
         let timeout = if repeatable { time_left.min(stalled) } else { time_left };
-        let next = tokio::time::timeout(timeout, reply.next_chunk()).await;
+        let mut next = tokio::time::timeout(timeout, reply.next_chunk()).await;
+        if next.is_err() && repeatable && !self.active.submission.may_retry() {
+            // No other server may continue the stream, so its own is waited for.
+            let time_left = self.active.received.time_left(&self.active.state);
+            next = tokio::time::timeout(time_left, reply.next_chunk()).await;
+        }
         self.active.stats.end = Some((reply.delimiter(), reply.cut_bytes()));
         next.unwrap_or(Err(AttemptError::TimedOut))
     }
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -51,6 +51,18 @@
         true
     }
 
+    /// Whether a sent request could be tried again if its attempt were abandoned now.
+    pub fn may_retry(&self, job: ids::Job, now: Instant) -> bool {
+        let Some(pending) = self.jobs.get(job) else { return false };
+        let class = self.classes.get(pending.request.class);
+        let max_attempts = class.map_or(1, |class| class.attempts);
+        let budget = self.retry_budgets.get(pending.request.model);
+        let affordable = !self.switches.is_on(Mechanism::RetryBudget)
+            || budget.is_none_or(|budget| budget.holds(1.0));
+        let allowed = pending.request.idempotent && pending.attempts < max_attempts;
+        allowed && affordable && now < pending.latest_send
+    }
+
     /// Whether a request is tried again after its attempt ended; takes the retry from the budget.
     fn claim_retry(&mut self, job: ids::Job, ending: Ending, now: Instant) -> bool {
         let pending = &self.jobs[job];
--- a/components/policy/src/bucket.rs
+++ b/components/policy/src/bucket.rs
@@ -32,9 +32,14 @@
         if self.capacity > 0.0 { self.balance / self.capacity } else { 0.0 }
     }
 
+    /// Whether the balance covers an amount.
+    pub(crate) fn holds(&self, amount: f64) -> bool {
+        self.balance >= amount
+    }
+
     /// Takes an amount if the balance covers it; returns whether it did.
     pub(crate) fn try_take(&mut self, amount: f64) -> bool {
-        if self.balance < amount {
+        if !self.holds(amount) {
             return false;
         }
         self.balance -= amount;
