--- a/components/forward/src/hop.rs
+++ b/components/forward/src/hop.rs
@@ -33,7 +33,7 @@
 /// Path on the listener for peers.
 pub(crate) const PATH: &str = "/hop";
 /// Header of the peer's answer with its [`Origin`]. A peer that doesn't know the path sends none.
-const ORIGIN: HeaderName = HeaderName::from_static("x-origin");
+const ORIGIN: HeaderName = HeaderName::from_static("x-hop-origin");
 /// Bytes of a message beyond the body and the head of its request.
 const MESSAGE_OVERHEAD: usize = 4 << 10;
 /// Time beyond its time limit in which the peer itself answers that none came.
--- a/components/forward/src/reach.rs
+++ b/components/forward/src/reach.rs
@@ -61,10 +61,14 @@
 pub(crate) fn record_unreached<A: Adapter>(state: &State<A>, server: &Entry) {
     let (key, service, count) = {
         let mut registry = state.registry.borrow_mut();
+        let service = registry.service_key(&server.service);
+        if state.reach.borrow().is_lost(service) {
+            return;
+        }
         let servers = registry.servers();
         let count = servers.filter(|(_, entry)| entry.service == server.service).count();
         let Some(key) = registry.server_by_wire_key(wire::key(&server.name)) else { return };
-        (key, registry.service_key(&server.service), count)
+        (key, service, count)
     };
     let now = state.clock.now();
     if state.reach.borrow_mut().record_unreached(service, key, count, now) {
