Attempts that reach no server earn no retries

Found while reading what a node without a way to servers does. A request's first attempt adds its part to the retry budget when it is sent. An attempt that found no connection isn't counted as one, so the next was the first again and added the part again: a request with 137 such attempts earned 27 retries, up to the budget's capacity, without one arrival at a server. A request that then goes on to a peer earned its part at both nodes.

Change: what the first attempt added is taken back when it turns out that it reached no server or wasn't sent.

The test failed before: one retry after 50 such attempts, none allowed.

--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -59,6 +59,7 @@
             pool,
             stage: Stage::Unqueued,
             attempts: 0,
+            earned: 0.0,
             stops: 0,
             stopping: false,
             ahead_of_turn: false,
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -26,6 +26,9 @@
             return false;
         };
         self.release_slot(job, server, ending, now);
+        if matches!(ending, Ending::Unreached | Ending::Expired) {
+            self.return_earned_retry(job);
+        }
         if !self.claim_retry(job, ending, now) {
             self.remove_job(job);
             return false;
@@ -51,6 +54,15 @@
         true
     }
 
+    /// Takes back what the first attempt of a request added to the retry budget, as it reached no server.
+    fn return_earned_retry(&mut self, job: ids::Job) {
+        let pending = &mut self.jobs[job];
+        if pending.attempts == 1 {
+            let (model, earned) = (pending.request.model, std::mem::take(&mut pending.earned));
+            self.retry_budget(model).overdraw(earned);
+        }
+    }
+
     /// Whether a sent request could be tried again if its attempt were abandoned now.
     pub fn may_retry(&self, job: ids::Job, now: Instant) -> bool {
         let Some(pending) = self.jobs.get(job) else { return false };
--- a/components/policy/src/bucket.rs
+++ b/components/policy/src/bucket.rs
@@ -16,9 +16,11 @@
         Bucket { balance: capacity, capacity, last_refill: None }
     }
 
-    /// Adds an amount, up to the capacity.
-    pub(crate) fn add(&mut self, amount: f64) {
-        self.balance = (self.balance + amount).min(self.capacity);
+    /// Adds an amount, up to the capacity; returns how much was added.
+    pub(crate) fn add(&mut self, amount: f64) -> f64 {
+        let before = self.balance;
+        self.balance = (before + amount).min(self.capacity);
+        self.balance - before
     }
 
     /// Adds the amount due since the last refill; `rate` is per second.
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -394,7 +394,7 @@
         }
         if first {
             let earned = f64::from(self.limits.retry_percent) / 100.0;
-            self.retry_budget(model).add(earned);
+            self.jobs[job].earned = self.retry_budget(model).add(earned);
         }
         if let Some(entry) = self.in_flight.entry(workspace) {
             *entry.or_default() += 1;
--- a/components/policy/src/pending.rs
+++ b/components/policy/src/pending.rs
@@ -55,6 +55,8 @@
     pub(crate) pool: Key,
     pub(crate) stage: Stage,
     pub(crate) attempts: u8,
+    /// What its first attempt added to the retry budget.
+    pub(crate) earned: f64,
     pub(crate) stops: u8,
     pub(crate) stopping: bool,
     /// It was sent out of order because its class had gone unserved for its longest wait.
--- a/components/policy/tests/budget.rs
+++ b/components/policy/tests/budget.rs
@@ -153,3 +153,31 @@
     let retries = events.iter().filter(|event| **event == Event::Retry).count();
     assert!((80..=88).contains(&retries), "{retries} retries of 400 requests by 4 nodes");
 }
+
+/// Guards against retries that are paid for by attempts which reached no server. A node without a way to servers
+/// makes many of them; afterwards it would send more retries than the fleet is allowed.
+#[test]
+fn attempts_that_reach_no_server_earn_no_retries() {
+    let mut node = new_node();
+    let mut events = vec![];
+    for _ in 0..BURST {
+        run_request(&mut node, 1, &mut events);
+    }
+    let request = node.request(0, 0, Duration::from_secs(60));
+    let job = node.scheduler.submit(request, node.now);
+    let mut unreached = 0;
+    while unreached < 50 {
+        let mut actions = vec![];
+        node.scheduler.poll(node.now, &mut actions);
+        node.now += Duration::from_millis(200);
+        if !actions.is_empty() {
+            unreached += 1;
+            assert!(node.scheduler.attempt_ended(job, Ending::Unreached, node.now));
+        }
+    }
+    node.scheduler.withdraw(job, node.now);
+    events.clear();
+    run_request(&mut node, 1, &mut events);
+    let retries = events.iter().filter(|event| **event == Event::Retry).count();
+    assert_eq!(retries, 0, "no request was sent since the budget was used up");
+}
