Requests that are bound to regions go only to peers in these regions

Found by reading the promises beside the hop: "no node passes a body on to another" was what kept a bound request in its regions. With the hop, a node would have passed it on to any peer, which holds its body, wherever that is.

Change: a node says with its address in which failure domain it is, seeds name both, and a request goes only to peers in regions in which it may be served. Without such a peer it is refused as not run.

--- a/components/forward/src/peers.rs
+++ b/components/forward/src/peers.rs
@@ -8,9 +8,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use catalog::Residency;
 use clock::Clock;
 use rand::seq::IteratorRandom;
-use wire::gossip::{Report, Summary};
+use wire::gossip::{Peer, Report, Summary};
 
 use crate::adapter::Adapter;
 use crate::mechanism::Mechanism;
@@ -31,7 +32,7 @@
 /// A node that reports to this seed.
 #[derive(Debug)]
 struct Reporter {
-    address: SocketAddr,
+    location: Peer,
     reported: Instant,
     wanted_peers: Option<Instant>,
 }
@@ -48,11 +49,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     reporters: RefCell<HashMap<String, Reporter>>,
-    named: RefCell<Vec<(SocketAddr, Instant)>>,
+    named: RefCell<Vec<(Peer, Instant)>>,
     /// When a request last needed a peer.
     demanded: Cell<Option<Instant>>,
-    /// A seed asked for the address of this node.
-    address_wanted: Cell<bool>,
+    /// A seed asked where this node is.
+    location_wanted: Cell<bool>,
     /// Number of requests passed on, by which they take turns at the peers.
     turns: Cell<usize>,
 }
@@ -69,20 +70,29 @@
 
     /// Removes a peer that didn't serve a request; a seed may name it again.
     pub(crate) fn remove(&self, peer: SocketAddr) {
-        self.named.borrow_mut().retain(|(known, _)| *known != peer);
+        self.named.borrow_mut().retain(|(known, _)| known.address != peer);
     }
 
-    fn add(&self, peers: &[SocketAddr], now: Instant) {
+    fn add(&self, peers: &[Peer], now: Instant) {
         let mut named = self.named.borrow_mut();
         named.retain(|(known, at)| now < *at + PEERS_LIFETIME && !peers.contains(known));
-        named.extend(peers.iter().map(|peer| (*peer, now)));
+        named.extend(peers.iter().map(|peer| (peer.clone(), now)));
         let excess = named.len().saturating_sub(2 * MAX_PEERS);
         named.drain(..excess);
     }
 
-    /// The peers that may take a request, beginning with another one for each request.
-    pub(crate) fn for_request<A: Adapter>(&self, state: &State<A>) -> Vec<SocketAddr> {
-        let mut peers = self.candidates(state);
+    /// The peers that may take a request, beginning with another one for each request. They are in regions in which
+    /// it may be served.
+    pub(crate) fn for_request<A: Adapter>(
+        &self,
+        state: &State<A>,
+        residency: &Residency,
+    ) -> Vec<SocketAddr> {
+        let node = state.node();
+        let region = |peer: &Peer| node.domains.get(&peer.domain).map_or("", String::as_str);
+        let candidates = self.candidates(state).into_iter();
+        let allowed = candidates.filter(|peer| residency.allows(region(peer)));
+        let mut peers: Vec<_> = allowed.map(|peer| peer.address).collect();
         let turn = self.turns.replace(self.turns.get().wrapping_add(1));
         let count = peers.len().max(1);
         peers.rotate_left(turn % count);
@@ -90,26 +100,32 @@
     }
 
     /// All peers that reach servers as far as this node knows, in a fixed order.
-    fn candidates<A: Adapter>(&self, state: &State<A>) -> Vec<SocketAddr> {
+    fn candidates<A: Adapter>(&self, state: &State<A>) -> Vec<Peer> {
         let (now, own) = (state.clock.now(), state.node().peers);
         let named = self.named.borrow();
         let named =
-            named.iter().filter(|(_, at)| now < *at + PEERS_LIFETIME).map(|(peer, _)| *peer);
+            named.iter().filter(|(_, at)| now < *at + PEERS_LIFETIME).map(|(peer, _)| peer.clone());
         let reporters = self.reporters.borrow();
         let usable = reporters.values().filter(|reporter| reporter.is_usable(now));
-        let mut peers: Vec<_> = named.chain(usable.map(|reporter| reporter.address)).collect();
-        peers.retain(|peer| *peer != own);
+        let mut peers: Vec<_> =
+            named.chain(usable.map(|reporter| reporter.location.clone())).collect();
+        peers.retain(|peer| peer.address != own);
         peers.sort();
         peers.dedup();
         peers
     }
 }
 
-/// Adds to a report whether this node wants peers, and its address if the seed asked for it.
+/// Adds to a report whether this node wants peers, and where it is if the seed asked for that.
 pub(crate) fn add_to_report<A: Adapter>(state: &State<A>, report: Report) -> Report {
     let wants_peers = wants_peers(state);
-    let address = state.peers.address_wanted.take().then(|| state.node().peers);
-    Report { wants_peers, address, ..report }
+    let location = state.peers.location_wanted.take().then(|| own_location(state));
+    Report { wants_peers, location, ..report }
+}
+
+fn own_location<A: Adapter>(state: &State<A>) -> Peer {
+    let node = state.node();
+    Peer { address: node.peers, domain: node.domain.clone() }
 }
 
 fn wants_peers<A: Adapter>(state: &State<A>) -> bool {
@@ -119,8 +135,8 @@
 
 /// Takes the peers over that a seed names.
 pub(crate) fn apply_summary<A: Adapter>(state: &State<A>, summary: &Summary) {
-    if summary.wants_address {
-        state.peers.address_wanted.set(true);
+    if summary.wants_location {
+        state.peers.location_wanted.set(true);
     }
     if !summary.peers.is_empty() {
         state.peers.add(&summary.peers, state.clock.now());
@@ -134,19 +150,21 @@
     reporters.retain(|_, reporter| now < reporter.reported + REPORT_LIFETIME);
     if let Some(reporter) = reporters.get_mut(&report.from) {
         reporter.reported = now;
-        reporter.address = report.address.unwrap_or(reporter.address);
+        if let Some(location) = &report.location {
+            reporter.location = location.clone();
+        }
         if report.wants_peers {
             reporter.wanted_peers = Some(now);
         }
-    } else if let Some(address) = report.address
+    } else if let Some(location) = report.location.clone()
         && reporters.len() < MAX_REPORTERS
     {
         let wanted_peers = report.wants_peers.then_some(now);
-        reporters.insert(report.from.clone(), Reporter { address, reported: now, wanted_peers });
+        reporters.insert(report.from.clone(), Reporter { location, reported: now, wanted_peers });
     }
 }
 
-/// Names peers in the answer to a report, if its node wants some, and asks for its address if it isn't known.
+/// Names peers in the answer to a report, if its node wants some, and asks where that is if it isn't known.
 pub(crate) fn add_to_summary<A: Adapter>(
     state: &State<A>,
     from: &str,
@@ -155,17 +173,17 @@
     summary: Summary,
 ) -> Summary {
     let reporters = state.peers.reporters.borrow();
-    let known = reporters.get(from).map(|reporter| reporter.address);
-    let wants_address = known.is_none() && !from_seed && state.switches.is_on(Mechanism::Hop);
+    let known = reporters.get(from).map(|reporter| reporter.location.address);
+    let wants_location = known.is_none() && !from_seed && state.switches.is_on(Mechanism::Hop);
     if !wants_peers {
-        return Summary { wants_address, ..summary };
+        return Summary { wants_location, ..summary };
     }
     drop(reporters);
     let mut peers = state.peers.candidates(state);
     if !self::wants_peers(state) {
-        peers.push(state.node().peers);
+        peers.push(own_location(state));
     }
-    peers.retain(|peer| Some(*peer) != known);
+    peers.retain(|peer| Some(peer.address) != known);
     let peers = peers.into_iter().choose_multiple(&mut rand::rng(), MAX_PEERS);
-    Summary { peers, wants_address, ..summary }
+    Summary { peers, wants_location, ..summary }
 }
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -505,7 +505,8 @@
     /// When none did and nothing ran, the request, which waits for a server of this node again.
     async fn pass_on(&mut self, mut waiting: Waiting) -> Result<Passed, Waiting> {
         self.state.peers.demand(self.state.clock.now());
-        let peers = self.state.peers.for_request(&self.state);
+        let residency = self.received.found.residency();
+        let peers = self.state.peers.for_request(&self.state, &residency);
         if peers.is_empty() {
             return Err(waiting);
         }
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -66,9 +66,9 @@
         /// Whether the node can't reach the servers of a service and asks for peers that do.
         #[serde(rename = "u", default, skip_serializing_if = "is_false")]
         pub wants_peers: bool,
-        /// Address of the node's listener for peers, once the seed has asked for it.
+        /// Where the node is, once the seed has asked for it.
         #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
-        pub address: Option<SocketAddr>,
+        pub location: Option<Peer>,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -118,12 +118,12 @@
         /// Recent work of all nodes at engines.
         #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
         pub work: Option<Work>,
-        /// Peers that reach servers, by the addresses of their listeners for peers, if the node asked for them.
+        /// Peers that reach servers, if the node asked for them.
         #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
-        pub peers: Vec<SocketAddr>,
-        /// Whether the seed doesn't know the address of the node.
+        pub peers: Vec<Peer>,
+        /// Whether the seed doesn't know where the node is.
         #[serde(rename = "i", default, skip_serializing_if = "is_false")]
-        pub wants_address: bool,
+        pub wants_location: bool,
     }
 
     /// A request during which servers crashed. An array on the wire.
@@ -156,6 +156,33 @@
     }
 }
 
+derives::data! {
+    /// A node to which requests can be passed on. An array on the wire.
+    #[derive(Eq, PartialOrd, Ord, Serialize, Deserialize)]
+    #[serde(from = "PeerRow", into = "PeerRow")]
+    pub struct Peer {
+        /// Address of its listener for peers.
+        pub address: SocketAddr,
+        /// Failure domain that it is in.
+        pub domain: String,
+    }
+}
+
+/// A [`Peer`] on the wire: its fields by position.
+type PeerRow = (SocketAddr, String);
+
+impl From<PeerRow> for Peer {
+    fn from((address, domain): PeerRow) -> Self {
+        Peer { address, domain }
+    }
+}
+
+impl From<Peer> for PeerRow {
+    fn from(peer: Peer) -> Self {
+        (peer.address, peer.domain)
+    }
+}
+
 row! {
     /// A crash of a server while it ran a request.
     pub struct Crash {
--- a/components/wire/tests/garbage.rs
+++ b/components/wire/tests/garbage.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use proptest::sample::Index;
 use proptest::test_runner::{Config, RngSeed};
-use wire::{Frame, Handover, InFlight, KeyedCall, handover};
+use wire::{Frame, Handover, InFlight, KeyedCall, handover, hop};
 
 fn config() -> Config {
     Config {
@@ -31,6 +31,7 @@
         Frame::decode(bytes).is_ok(),
         KeyedCall::decode(bytes).is_ok(),
         Handover::decode(bytes).is_ok(),
+        hop::Request::decode(bytes).is_ok(),
     ];
     accepted.into_iter().filter(|accepted| *accepted).count()
 }
