A peer's refusal doesn't hide an earlier attempt that may have run

A read was sent to a server that hung, its node then lost its way to the servers, and a peer's server declined it: the caller was told 503, not run, though the first server had run it. The peer knows of its own attempts only, and its refusal was passed on as it was.

Change: where an earlier attempt at the first node may have run, a peer's refusal is answered as unknown (502). It concerns requests that may run more than once only; no other is sent on after an attempt that may have run.

The test failed before: 503 with one run.

--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -382,9 +382,8 @@
         self.ended.set(true);
         self.state.metrics.count_outcome(route, outcome);
         let millis = |time: Duration| time.as_millis() as u64;
-        let server_entry = self.server.as_ref();
         let silent_ms =
-            server_entry.and_then(|server| reach::silence_ms(&self.state, &server.service));
+            self.server.as_ref().and_then(|server| reach::silence_ms(&self.state, &server.service));
         let Stats {
             first_event,
             longest_pause,
@@ -547,6 +546,10 @@
                 sending.complete();
                 self.relay_whole(whole)
             }
+            // The peer knows of its own attempts only.
+            hop::Reply::Whole(Origin::NotRun, _) if self.may_have_run => {
+                self.answer_without_reply(Outcome::Unknown, false)
+            }
             hop::Reply::Whole(origin, whole) => {
                 self.record_outcome(origin.as_str(), whole.status.as_u16());
                 whole.into_response()
