Log the software version of servers, and which streams are resumed

The record of streams that went on at another software version couldn't be explained from the nodes' own output: no line named an engine's version, a stream that was resumed within an answer, or a caller that takes a stream up.

--- a/components/catalog/src/membership.rs
+++ b/components/catalog/src/membership.rs
@@ -22,6 +22,8 @@
         pub name: String,
         /// Service that it belongs to.
         pub service: String,
+        /// Version of its software. A stream that one version began can't be continued by another.
+        pub version: String,
         /// IP address and port.
         pub address: String,
         /// Failure domain that it is in.
--- a/components/catalog/tests/membership.rs
+++ b/components/catalog/tests/membership.rs
@@ -8,6 +8,7 @@
     Change::Listed(Entry {
         name: name.to_string(),
         service: "a".to_string(),
+        version: "v1".to_string(),
         address: "10.0.0.1:80".to_string(),
         domain: "riga-a".to_string(),
         slots: 8,
--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -45,6 +45,8 @@
         pub prompt: Prompt,
         /// Id of the last event that the caller has received, if it resumes a stream.
         pub last_event_id: Option<u64>,
+        /// Id of the try that brought the first event of that stream, if the caller names it.
+        pub resumes: Option<String>,
     }
 
     /// Values that the proxy adds to the caller's headers in one attempt.
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -407,7 +407,8 @@
                     if each {
                         log::info!(
                             server = name.as_str(), service = entry.service.as_str(),
-                            address = entry.address.as_str(), leaving = entry.leaving;
+                            version = entry.version.as_str(), address = entry.address.as_str(),
+                            leaving = entry.leaving;
                             "server listed"
                         );
                     }
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -6,6 +6,7 @@
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use bytes::Bytes;
+use catalog::Entry;
 use clock::Clock;
 use futures_util::stream;
 use lifecycle::{Ended, Orphaned, Streaming};
@@ -140,6 +141,15 @@
         }
     }
 
+    /// Logs that another server continues the answer.
+    fn log_resumed(&self, server: &Entry, after_event: Option<u64>) {
+        log::info!(
+            request = self.active.received.call.id.as_str(), server = server.name.as_str(),
+            version = server.version.as_str(), after_event = after_event;
+            "stream resumed at another server"
+        );
+    }
+
     /// Resumes an interrupted answer at another server; returns false if that isn't possible.
     async fn resume(&mut self, error: AttemptError) -> bool {
         let Some(mut life) = self.life.take() else { return false };
@@ -175,6 +185,7 @@
                 Ok(Reply::Partial(reply)) => {
                     self.reply = Some(reply);
                     self.life = Some(life);
+                    self.log_resumed(&server, last);
                     return true;
                 }
                 Ok(Reply::Whole(whole)) => {
