An interrupted stream is resumed only at servers of the version that began it

Callers got complete answers joined from two software versions: a node that resumed a stream within one answer took any server of the service, since it read the entries of servers without their versions. The class: a choice among servers that are taken for alike, though the first of them has written what the next must fit.

The version is one more part of a pool's scope, so the rest of a stream waits for, and is sent to, servers of its version only. With none left it ends at once. A server whose entry now has another version than when the request was sent may have begun the stream with either, so it isn't resumed. Copies of runs are kept by, and cached prefixes fetched from, servers of the same version. A server that has just begun to leave takes the rest of its version's streams for a second if no other one is left.

--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -109,6 +109,12 @@
         self.driver.scheduler.borrow_mut().record_tokens(self.job, count, now);
     }
 
+    /// Restricts the request, whose stream has begun, to the servers of the version that began it.
+    pub fn restrict_to_version(&self, version: ids::Version) {
+        let now = self.driver.clock.now();
+        self.driver.scheduler.borrow_mut().restrict_to_version(self.job, version, now);
+    }
+
     /// Moves the request to the engine that keeps a copy of its run, once its server has ended; returns that
     /// engine. If there is none, the attempt has yet to be ended.
     pub fn continue_at_backup(&mut self) -> Option<ids::Server> {
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -137,6 +137,11 @@
 }
 
 impl PartialReply {
+    /// The server that sends the answer.
+    pub(crate) fn server(&self) -> &Rc<Entry> {
+        &self.server
+    }
+
     /// Id of the last event that [`PartialReply::next_chunk`] returned or will return next.
     pub(crate) fn last_event_id(&self) -> Option<u64> {
         self.splitter.as_ref().and_then(Splitter::last_id)
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -266,6 +266,7 @@
         idempotent: found.route.kind.is_repeatable(),
         region: state.region,
         regions: registry.allowed_regions(&residency),
+        version: None,
     };
     Ok((request, registry.service_key(service)))
 }
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -3,12 +3,12 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use catalog::{Entry, Match, Residency, Route, Settings};
 use policy::Scheduler;
 use policy::membership::Batch;
-use slotmap::SlotMap;
+use slotmap::{SecondaryMap, SlotMap};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A class with waiting requests is served at least once in this time.
@@ -23,6 +23,10 @@
 /// Time before an engine receives the first token that it copies from another: some round trips.
 const FETCH_SETUP: Duration = Duration::from_millis(5);
 
+/// Time for which a server that has begun to leave is still sent the rest of streams: it serves for longer than this,
+/// also if its entry came late.
+const RESUMES_WHILE_LEAVING: Duration = Duration::from_secs(1);
+
 /// Route and workspace tier of a class.
 type ClassName = (String, u8);
 
@@ -59,6 +63,11 @@
     by_region: HashMap<String, ids::Region>,
     domains: SlotMap<ids::Domain, ()>,
     by_domain: HashMap<String, ids::Domain>,
+    versions: SlotMap<ids::Version, ()>,
+    /// By service and version.
+    by_version: HashMap<(String, String), ids::Version>,
+    /// Until when servers that have begun to leave may still be sent the rest of streams.
+    resumes_until: SecondaryMap<ids::Server, Instant>,
 }
 
 impl Registry {
@@ -116,6 +125,18 @@
         *self.by_model.entry(name).or_insert_with(|| self.models.insert(()))
     }
 
+    /// Key of the version of a server's software, which is created if it is new.
+    pub(crate) fn version_key(&mut self, entry: &Entry) -> ids::Version {
+        let name = (entry.service.clone(), entry.version.clone());
+        *self.by_version.entry(name).or_insert_with(|| self.versions.insert(()))
+    }
+
+    /// Whether a server is still of the version that it had when a request was sent to it, as far as is known.
+    pub(crate) fn has_version_of(&self, sent_to: &Entry) -> bool {
+        let known = self.by_name.get(&sent_to.name).map(|key| &self.servers[*key]);
+        known.is_none_or(|known| known.version == sent_to.version)
+    }
+
     /// Registers a new or changed server with the scheduler.
     pub(crate) fn set_server(
         &mut self,
@@ -123,7 +144,10 @@
         entry: &Rc<Entry>,
         regions: &BTreeMap<String, String>,
         evacuated: bool,
+        now: Instant,
     ) -> ids::Server {
+        let known = self.by_name.get(&entry.name).map(|key| &self.servers[*key]);
+        let begins_to_leave = entry.leaving && known.is_some_and(|known| !known.leaving);
         let restarted = |key: &ids::Server| self.servers[*key].started != entry.started;
         if self.by_name.get(&entry.name).is_some_and(restarted) {
             // Its cache and its requests are gone, and statistics of the previous start don't apply.
@@ -138,8 +162,13 @@
             }
         };
         self.servers[key] = entry.clone();
+        if begins_to_leave {
+            self.resumes_until.insert(key, now + RESUMES_WHILE_LEAVING);
+        }
+        let resumes_until = self.resumes_until.get(key).copied().filter(|_| entry.leaving);
         let region = regions.get(&entry.domain).cloned().unwrap_or_default();
-        let terms = self.server_terms(entry, &region, evacuated);
+        let terms =
+            policy::Server { resumes_until, ..self.server_terms(entry, &region, evacuated) };
         self.by_wire_key.insert(wire::key(&entry.name), key);
         batch.set(key, terms);
         key
@@ -157,6 +186,8 @@
             slots: entry.slots,
             models,
             leaving: entry.leaving,
+            version: self.version_key(entry),
+            resumes_until: None,
             evacuated,
             resumes: true,
             prefill_rate: entry.engine.then_some(PREFILL_TOKENS_PER_SECOND),
@@ -174,6 +205,7 @@
     pub(crate) fn remove_server(&mut self, batch: &mut Batch<'_>, name: &str) {
         let Some(key) = self.by_name.remove(name) else { return };
         self.servers.remove(key);
+        self.resumes_until.remove(key);
         self.by_wire_key.remove(&wire::key(name));
         batch.remove(key);
     }
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -307,7 +307,8 @@
         self.state.crashes.begin_attempt(self.received.fingerprint).ok()?;
         let backup = self.stats.expected?.backup?;
         let server = self.state.registry.borrow().server(backup).cloned()?;
-        if !self.may_serve(&server) {
+        let ended = self.server.as_ref()?;
+        if !self.may_serve(&server) || server.version != ended.version {
             return None;
         }
         self.submission.continue_at_backup()?;
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -393,6 +393,7 @@
         if servers.is_empty() {
             return listed;
         }
+        let now = self.clock.now();
         let membership = self.membership.borrow();
         let mut registry = self.registry.borrow_mut();
         let mut scheduler = self.driver.scheduler.borrow_mut();
@@ -414,7 +415,7 @@
                     }
                     let evacuated = self.evacuations.contains(&entry.domain);
                     let domains = &self.node().domains;
-                    let key = registry.set_server(&mut batch, entry, domains, evacuated);
+                    let key = registry.set_server(&mut batch, entry, domains, evacuated, now);
                     listed.push((key, entry.clone()));
                 }
                 None => {
@@ -449,7 +450,8 @@
         let mut scheduler = self.driver.scheduler.borrow_mut();
         let domains = &self.node().domains;
         let mut batch = scheduler.change_servers();
-        let set = |entry| registry.set_server(&mut batch, entry, domains, in_force);
+        let now = self.clock.now();
+        let set = |entry| registry.set_server(&mut batch, entry, domains, in_force, now);
         let changed: Vec<_> = entries.iter().map(set).collect();
         drop(batch);
         let returned = if in_force { vec![] } else { changed };
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -2,6 +2,7 @@
 //! interrupted, it is resumed at another server where its route allows that.
 
 use std::io;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
@@ -31,6 +32,8 @@
     active: ActiveRequest<A>,
     life: Option<lifecycle::Request<Streaming>>,
     reply: Option<Box<PartialReply>>,
+    /// The server that began the answer, as it was when the request was sent to it.
+    began: Rc<Entry>,
     /// When the last chunk with events was passed on.
     last_chunk: Option<Instant>,
     /// Tokens passed on in an answer that hasn't ended regularly.
@@ -45,8 +48,9 @@
         life: lifecycle::Request<Streaming>,
         reply: Box<PartialReply>,
     ) -> Self {
+        let began = reply.server().clone();
         let (life, reply) = (Some(life), Some(reply));
-        Relay { active, life, reply, last_chunk: None, tokens: 0, broken: false }
+        Relay { active, life, reply, began, last_chunk: None, tokens: 0, broken: false }
     }
 
     /// The next bytes for the caller; none after the regular end of the answer. An error closes the
@@ -141,6 +145,23 @@
         }
     }
 
+    /// Restricts the rest of the answer to the version that began it; returns false if that isn't certain, because
+    /// the server has started again with other software.
+    fn restrict_to_version(&mut self) -> bool {
+        let ActiveRequest { state, received, submission, .. } = &mut self.active;
+        let mut registry = state.registry.borrow_mut();
+        if !registry.has_version_of(&self.began) {
+            log::warn!(
+                request = received.call.id.as_str(), server = self.began.name.as_str(),
+                version = self.began.version.as_str();
+                "stream isn't resumed: its server has started again with another version"
+            );
+            return false;
+        }
+        submission.restrict_to_version(registry.version_key(&self.began));
+        true
+    }
+
     /// Logs that another server continues the answer.
     fn log_resumed(&self, server: &Entry, after_event: Option<u64>) {
         log::info!(
@@ -171,7 +192,8 @@
             }
             let ending = error.ending();
             let enabled = self.active.state.switches.is_on(Mechanism::Resumption);
-            let resumable = enabled && !matches!(error, AttemptError::OutOfOrder(_));
+            let in_order = !matches!(error, AttemptError::OutOfOrder(_));
+            let resumable = enabled && in_order && self.restrict_to_version();
             let Some(proof) = self.active.received.repeatable().filter(|_| resumable) else {
                 self.active.submission.end_attempt(ending);
                 break;
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -13,6 +13,8 @@
     pub struct Server;
     /// A model name.
     pub struct Model;
+    /// A version of the software of one service's servers.
+    pub struct Version;
     /// A region.
     pub struct Region;
     /// A failure domain.
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -189,6 +189,8 @@
             fetch: None,
             cold_time: None,
             backups: false,
+            version: ids::Version::default(),
+            resumes_until: None,
         };
         scheduler.set_server(*key, server);
     }
--- a/components/policy/examples/patterns/driver/simulation.rs
+++ b/components/policy/examples/patterns/driver/simulation.rs
@@ -289,6 +289,7 @@
             idempotent: class.idempotent,
             region: self.keys.regions[region_of_node(call.node)],
             regions: None,
+            version: None,
         };
         let (class, node, now) = (call.class, call.node, self.now_instant());
         self.gaps[class].since.get_or_insert(self.now);
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -80,7 +80,7 @@
         self.last_tick.get_or_insert(now);
         let configured =
             self.classes.contains_key(class) && self.workspaces.contains_key(workspace);
-        if !configured || !self.has_open_server(pool) {
+        if !configured || !self.has_open_server(pool, now) {
             self.refused.push((job, Refusal::NoServer, NO_SERVER_RETRY_AFTER));
             return job;
         }
@@ -97,8 +97,9 @@
     }
 
     /// Whether any server of a pool takes new work.
-    pub(crate) fn has_open_server(&self, pool: Key) -> bool {
-        self.pools[pool].servers.iter().any(|key| !self.servers[*key].leaving())
+    pub(crate) fn has_open_server(&self, pool: Key, now: Instant) -> bool {
+        let pool = &self.pools[pool];
+        pool.servers.iter().any(|key| self.takes_work(pool, &self.servers[*key], now))
     }
 
     /// Tokens still to come of an answer, at a quantile of the length estimate.
--- a/components/policy/src/backup.rs
+++ b/components/policy/src/backup.rs
@@ -5,7 +5,8 @@
 //!
 //! A copy takes memory of an engine and a link's time in proportion to the whole context, and it protects a run
 //! for as long as that generates tokens. So only runs that generate many tokens for the context they hold get
-//! one. It is held in the same region, where the request may be, and in another failure domain.
+//! one. It is held in the same region, where the request may be, in another failure domain, and by a server of the
+//! same version.
 
 use std::time::Instant;
 
@@ -36,7 +37,8 @@
         let source = &self.servers[server].terms;
         let apart = |member: &&Member| {
             let terms = &self.servers[member.server].terms;
-            terms.region == source.region && terms.domain != source.domain
+            let apart = terms.region == source.region && terms.domain != source.domain;
+            apart && terms.version == source.version
         };
         let candidates = self.candidates(pool, pending, [None; 2]);
         let able = candidates.members.iter().copied().filter(apart).filter(|member| {
--- a/components/policy/src/cache/tests.rs
+++ b/components/policy/src/cache/tests.rs
@@ -22,6 +22,7 @@
         idempotent: true,
         region: ids::Region::default(),
         regions: None,
+        version: None,
     }
 }
 
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -203,7 +203,7 @@
     }
 
     fn choose_server(&mut self, job: ids::Job, overdue: bool, now: Instant) -> Choice {
-        if !self.has_open_server(self.jobs[job].pool) {
+        if !self.has_open_server(self.jobs[job].pool, now) {
             return Choice::NoServer;
         }
         if self.prefill_rates_known(&self.jobs[job]) {
@@ -261,7 +261,7 @@
             if !has_slot && !exceeds_share {
                 continue;
             }
-            if !self.accepts(state, pending, overdue)
+            if !self.accepts(state, pending, overdue, now)
                 || (!all_ejected && self.is_excluded(*key, now))
             {
                 continue;
@@ -315,10 +315,16 @@
 
     /// Whether a server takes a request's tier now: it isn't leaving, and no higher tier waits for it at a
     /// peer unless the request's class is overdue.
-    fn accepts(&self, state: &server::State, pending: &Pending, overdue: bool) -> bool {
+    fn accepts(
+        &self,
+        state: &server::State,
+        pending: &Pending,
+        overdue: bool,
+        now: Instant,
+    ) -> bool {
         let peer_waits =
             state.peer_waiting_tier(self.switches).is_some_and(|waiting| waiting < pending.tier);
-        !state.leaving() && (!peer_waits || overdue)
+        self.takes_work(&self.pools[pending.pool], state, now) && (!peer_waits || overdue)
     }
 
     /// Whether a request may take a slot beyond this node's share: it is of the highest tier and its
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -197,7 +197,7 @@
         let avoided =
             pending.avoid == Some(member.server) && self.pools[pending.pool].members.len() > 1;
         let available = state.has_free_slot(self.switches) && state.has_permit(now);
-        available && !state.leaving() && !avoided
+        available && self.takes_work(&self.pools[pending.pool], state, now) && !avoided
     }
 
     /// The two engines that have most likely cached a request's prefix, by rendezvous hashing: of its
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -45,6 +45,7 @@
 mod status;
 mod terms;
 mod throttle;
+mod versions;
 
 pub use action::{Action, Ending, Policy, Refusal};
 pub use brittle::brittle_share;
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -75,13 +75,19 @@
     pub(crate) servers: Vec<ids::Server>,
     /// Regions in which they may be served; all if it is `None`.
     pub(crate) regions: Option<Vec<ids::Region>>,
+    /// Version that began their streams, if they resume streams.
+    pub(crate) version: Option<ids::Version>,
 }
 
 impl Scope {
     /// Whether a request may be sent to a server.
     pub(crate) fn contains(&self, key: ids::Server, terms: &Server) -> bool {
         let listed = self.servers.is_empty() || self.servers.contains(&key);
-        listed && terms.models.contains(&self.model) && self.allows_region(terms.region)
+        let same_version = self.version.is_none_or(|version| version == terms.version);
+        listed
+            && same_version
+            && terms.models.contains(&self.model)
+            && self.allows_region(terms.region)
     }
 
     /// Whether a request, or what is cached of it, may be in a region.
@@ -107,7 +113,7 @@
     pub(crate) scope: Scope,
     /// Sorted.
     pub(crate) servers: Vec<ids::Server>,
-    /// The servers that take new work, by region and rank.
+    /// The servers that take new work, and in the pool of a version those that are leaving, by region and rank.
     pub(crate) members: Vec<Member>,
     /// Members of each region, as a range of their indices.
     pub(crate) region_ranges: Vec<(ids::Region, Range<usize>)>,
@@ -163,7 +169,8 @@
         let in_scope = all.iter().filter(|(key, state)| self.scope.contains(*key, &state.terms));
         self.servers = in_scope.map(|(key, _)| key).collect();
         self.servers.sort_unstable();
-        self.members = rank_members(all, &self.servers);
+        let open = |state: &server::State| !state.leaving() || self.scope.version.is_some();
+        self.members = rank_members(all, &self.servers, open);
         self.positions.clear();
         self.region_ranges.clear();
         for (index, member) in self.members.iter().enumerate() {
@@ -267,12 +274,13 @@
     }
 }
 
-/// The servers of a pool that take new work, each with its rank within its region.
+/// The servers of a pool that may take work, each with its rank within its region.
 fn rank_members(
     all: &SecondaryMap<ids::Server, server::State>,
     servers: &[ids::Server],
+    is_open: impl Fn(&server::State) -> bool,
 ) -> Vec<Member> {
-    let open = servers.iter().filter(|key| !all[**key].leaving());
+    let open = servers.iter().filter(|key| is_open(&all[**key]));
     let mut open: Vec<_> = open.map(|key| (&all[*key].terms, *key)).collect();
     open.sort_by_cached_key(|(terms, _)| (terms.region, mix64(terms.salt)));
     let mut ranked: Vec<Member> = vec![];
--- a/components/policy/src/prefix.rs
+++ b/components/policy/src/prefix.rs
@@ -39,6 +39,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Source {
     server: ids::Server,
+    version: ids::Version,
     /// Tokens at the start of the prompt that it caches.
     tokens: u32,
 }
@@ -94,7 +95,7 @@
         let in_region =
             |source: &ids::Server| self.servers[*source].terms.region == pending.request.region;
         let complete = usable.max_by_key(in_region);
-        let complete = complete.map(|server| Source { server, tokens: shared });
+        let complete = complete.map(|server| self.source(server, shared));
         let source = complete.or_else(|| self.partial_source(pending, scope, now));
         let source = source.filter(|_| self.switches.is_on(Mechanism::PrefixFetch));
         Copies { preferred, known, source }
@@ -124,11 +125,15 @@
                     && self.servers[*server].terms.region == pending.request.region
                     && self.prefixes.has_prefilled(parts, *server, now)
             })?;
-            Some(Source { server, tokens: parts.iter().map(|part| part.tokens).sum() })
+            Some(self.source(server, parts.iter().map(|part| part.tokens).sum()))
         });
         sources.next()
     }
 
+    fn source(&self, server: ids::Server, tokens: u32) -> Source {
+        Source { server, version: self.servers[server].terms.version, tokens }
+    }
+
     /// Tokens of a prompt's prefix that an engine is known to cache.
     fn cached_tokens(&self, pending: &Pending, server: ids::Server, now: Instant) -> u32 {
         if !self.switches.is_on(Mechanism::PrefixIndex) {
@@ -160,8 +165,11 @@
         };
         let missing = time(cached.min(shared), shared);
         let known = self.cached_tokens(pending, server, now);
-        let source =
-            copies.source.filter(|source| source.server != server && source.tokens > known);
+        // What one version has cached isn't known to be of use to another.
+        let version = self.servers[server].terms.version;
+        let source = copies.source.filter(|source| {
+            source.server != server && source.version == version && source.tokens > known
+        });
         let fetch = source.and_then(|source| Some((source, self.fetch_seconds(source, server)?)));
         let fetch = fetch.filter(|(source, seconds)| {
             *seconds < time(cached.min(source.tokens), source.tokens) * FETCH_FRACTION
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -354,6 +354,7 @@
             model: request.model,
             servers: servers.unwrap_or_default(),
             regions: request.regions.clone(),
+            version: request.version,
         };
         if let Some(key) = self.pool_index.get(&scope) {
             return *key;
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -99,6 +99,12 @@
         unused || self.report.as_ref().is_some_and(|report| report.leaving)
     }
 
+    /// Whether it is leaving, but may still be sent the rest of a stream that its version began.
+    pub(crate) fn may_resume(&self, now: Instant) -> bool {
+        let in_time = self.terms.resumes_until.is_some_and(|until| now < until);
+        in_time && !self.terms.evacuated
+    }
+
     /// Requests that it runs at once, by settings and report.
     pub(crate) fn slots(&self) -> u32 {
         let reported = self.report.as_ref().map_or(u32::MAX, |report| report.slots.max(1));
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -48,6 +48,10 @@
         pub models: Vec<ids::Model>,
         /// It takes no new work.
         pub leaving: bool,
+        /// Version of its software; only servers of the version that began a stream continue it.
+        pub version: ids::Version,
+        /// Until when it may be sent the rest of streams that its version began, if it is leaving.
+        pub resumes_until: Option<Instant>,
         /// Its failure domain is evacuated: it takes no new work, and nothing is copied from it.
         pub evacuated: bool,
         /// It can continue an answer that another server began.
@@ -185,6 +189,8 @@
         pub region: ids::Region,
         /// Regions in which it may be served; all if it is `None`.
         pub regions: Option<Vec<ids::Region>>,
+        /// The version that began its stream, if it resumes one.
+        pub version: Option<ids::Version>,
     }
 }
 
--- /dev/null
+++ b/components/policy/src/versions.rs
@@ -0,0 +1,45 @@
+//! Keeps streams at the version of the servers' software that began them.
+//!
+//! Load pattern: servers are replaced by those of another version, a few at a time, while servers crash and callers
+//! resume streams. What two versions write doesn't fit together, so each resumed stream needs one of the servers of
+//! its version, which may be the last ones and about to leave.
+
+use std::time::Instant;
+
+use crate::pending::Stage;
+use crate::pool::Pool;
+use crate::scheduler::Scheduler;
+use crate::server;
+
+impl Scheduler {
+    /// Whether a server takes work of a pool. One that is leaving takes the rest of streams that its version began, if
+    /// no other server of that version is left.
+    pub(crate) fn takes_work(&self, pool: &Pool, state: &server::State, now: Instant) -> bool {
+        if !state.leaving() {
+            return true;
+        }
+        let all_leave = || pool.servers.iter().all(|key| self.servers[*key].leaving());
+        pool.scope.version.is_some() && state.may_resume(now) && all_leave()
+    }
+
+    /// Restricts a sent request, whose stream has begun, to the servers of the version that began it.
+    ///
+    /// ```
+    /// let mut scheduler = policy::Scheduler::new();
+    /// let (job, version) = (ids::Job::default(), ids::Version::default());
+    /// scheduler.restrict_to_version(job, version, std::time::Instant::now());
+    /// ```
+    pub fn restrict_to_version(&mut self, job: ids::Job, version: ids::Version, now: Instant) {
+        let Some(pending) = self.jobs.get_mut(job) else { return };
+        let is_sent = matches!(pending.stage, Stage::Sent(_));
+        if !is_sent || pending.request.version == Some(version) {
+            return;
+        }
+        pending.request.version = Some(version);
+        let request = pending.request.clone();
+        let pool = self.get_or_create_pool(&request, now);
+        let previous = std::mem::replace(&mut self.jobs[job].pool, pool);
+        self.pools[previous].jobs -= 1;
+        self.pools[pool].jobs += 1;
+    }
+}
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -55,6 +55,8 @@
         fetch: None,
         cold_time: None,
         backups: false,
+        version: ids::Version::default(),
+        resumes_until: None,
     }
 }
 
@@ -99,6 +101,7 @@
             idempotent: class != 1,
             region: ids::Region::default(),
             regions: None,
+            version: None,
         }
     }
 }
--- a/components/router/src/callers.rs
+++ b/components/router/src/callers.rs
@@ -122,6 +122,7 @@
                 idempotent: class.idempotent,
                 region: settings.region_names.key(&state.node.region).unwrap_or_default(),
                 regions: settings.allowed_regions(class_key, workspace_key),
+                version: None,
             },
             body,
         },
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -363,6 +363,7 @@
         idempotent: false,
         region: settings.region_names.key(&state.node.region).unwrap_or_default(),
         regions: settings.allowed_regions(class_key, workspace),
+        version: None,
     };
     Some(Job {
         lifecycle: lifecycle::Request::new(id).admit(),
