A stream that a caller takes up goes on at the version that began it, at any node

Callers that took a stream up at another node got the rest from any software version: that node knew neither which version began the stream nor that it mattered, and the node that knew was often dead. The class: a fact that later steps of one request depend on, kept by one process only.

While several versions of a service serve, the node that begins a stream tells four keepers, which every node derives from the stream's id by rendezvous hashing over a list of nodes that seeds pass on; the node at which a caller takes the stream up asks them. No event waits for that, except for the first events of a version that came within the last two seconds. What no node knows is concluded only where all that answer have seen one version; else the caller is refused at once, as not run. A server that starts again with other software under its name makes its streams uncertain. Nothing is sent while one version serves.

--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -111,14 +111,17 @@
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = cold::add_to_report(&state, report);
         let report = peers::add_to_report(&state, report);
-        let report = Report { work: Some(state.own_work()), ..report };
+        let members = state.resumption.members.borrow().digest();
+        let report = Report { work: Some(state.own_work()), members, ..report };
         let answer = post_report(&state, seed, NODE_PATH, report).await;
         let now = state.clock.now();
         let latency = answer.as_ref().ok().map(|_| now.saturating_duration_since(asked));
         seeds.record_answer(seed, latency, now);
         state.nearest_seed.set(seeds.nearest());
         let pause = match answer {
-            Ok(summary) => {
+            Ok(mut summary) => {
+                let members = std::mem::take(&mut summary.members);
+                state.resumption.apply_members(members, now);
                 let pause = Duration::from_millis(summary.pause_ms.into()).max(MIN_REPORT_PAUSE);
                 apply_cached_parts(&state, &summary.parts);
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
@@ -155,6 +158,7 @@
         let report = own_report(&state, &mut sent, None);
         state.gossip.aggregate.borrow_mut().add_report(report, now);
         refresh_sums(&state);
+        state.resumption.refresh_members(peers::own_location(&state), now);
         state.set_fleet_work(state.fleet_work());
         let summary = state.gossip.aggregate.borrow().fleet_summary(&name, view.position(), now);
         apply_cached_parts(&state, &summary.parts);
@@ -177,14 +181,17 @@
         let known = state.gossip.aggregate.borrow().seed_position(&name);
         let work = state.own_work().plus(state.work_reports.sum(state.clock.now()));
         let from = state.node().name.clone();
-        let report = Report { from, known, work: Some(work), ..Report::default() };
+        let members = state.resumption.members.borrow().cluster_digest(&name);
+        let report = Report { from, known, work: Some(work), members, ..Report::default() };
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = peers::add_to_report(&state, report);
         let answer = post_report(&state, seed, SEED_PATH, report).await;
         let now = state.clock.now();
         match answer {
-            Ok(summary) => {
+            Ok(mut summary) => {
+                let members = std::mem::take(&mut summary.members);
+                state.resumption.members.borrow_mut().set_cluster(&name, members, now);
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
                 limits::apply_summary(&state, &mut limit_cursor, &summary);
                 peers::apply_summary(&state, &summary);
@@ -239,7 +246,7 @@
         reports.record(&report.from, work, now);
     }
     let (cold, permits_wanted) = (std::mem::take(&mut report.cold), report.permits_wanted);
-    let wants_peers = report.wants_peers;
+    let (wants_peers, members_known) = (report.wants_peers, report.members);
     if !from_seed {
         peers::record_report(state, &report);
         state.gossip.aggregate.borrow_mut().add_report(report, now);
@@ -266,6 +273,12 @@
         summary.work = Some(state.fleet_work());
     }
     summary = peers::add_to_summary(state, &from, from_seed, wants_peers, summary);
+    let members = state.resumption.members.borrow();
+    summary.members = if from_seed {
+        members.own_cluster(members_known)
+    } else {
+        members.list_for(members_known)
+    };
     summary.pause_ms = state.gossip.pace.borrow().pause(aggregate.node_count()).as_millis() as u32;
     let body = summary.encode();
     if !from_seed && !summary.complete {
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -5,7 +5,7 @@
 
 use actix_http::Request;
 use bytes::{Bytes, BytesMut};
-use catalog::{Denied, Match, Settings};
+use catalog::{Denied, Kind, Match, Settings};
 use clock::Clock;
 use futures_util::StreamExt;
 use xxhash_rust::xxh3::xxh3_64;
@@ -68,6 +68,11 @@
         self.time_limit.saturating_sub(state.elapsed_since(self.arrived))
     }
 
+    /// Whether its answer is a stream that another server may continue.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.route().kind == Kind::Stream { resumable: true }
+    }
+
     /// Proof that the request may run more than once, if its route allows that.
     pub(crate) fn repeatable(&self) -> Option<lifecycle::Repeatable> {
         let may_have_run = self.hop.is_some_and(|hop| hop.may_have_run);
@@ -238,7 +243,9 @@
 ) -> Result<(policy::Request, ids::Model), Error> {
     // The last part belongs to this request or session; the parts before it are shared.
     let shared = call.prompt.parts.len().checked_sub(2).map(|index| call.prompt.parts[index].id);
-    let session = shared.unwrap_or_else(|| xxh3_64(call.id.as_bytes()));
+    // Each try of a stream goes to the service that began it.
+    let begun_by = call.resumes.as_ref().unwrap_or(&call.id);
+    let session = shared.unwrap_or_else(|| xxh3_64(begun_by.as_bytes()));
     let service = found.route.service(session).ok_or(Error::NoRoute)?;
     let residency = found.residency();
     if residency.regions().is_some() {
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -24,6 +24,7 @@
 mod reach;
 mod registry;
 mod replica;
+mod resumption;
 mod serve;
 mod source;
 mod state;
@@ -87,6 +88,7 @@
         }
         follow::start(&state);
         reach::start(&state);
+        resumption::start(&state);
         if state.switches.is_on(Mechanism::LoadGossip) {
             gossip::start(&state);
         }
--- a/components/forward/src/peers.rs
+++ b/components/forward/src/peers.rs
@@ -123,7 +123,7 @@
     Report { wants_peers, location, ..report }
 }
 
-fn own_location<A: Adapter>(state: &State<A>) -> Peer {
+pub(crate) fn own_location<A: Adapter>(state: &State<A>) -> Peer {
     let node = state.node();
     Peer { address: node.peers, domain: node.domain.clone() }
 }
@@ -156,6 +156,7 @@
         if report.wants_peers {
             reporter.wanted_peers = Some(now);
         }
+        state.resumption.members.borrow_mut().record(reporter.location.clone(), now);
     } else if let Some(location) = report.location.clone()
         && reporters.len() < MAX_REPORTERS
     {
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -64,8 +64,7 @@
     domains: SlotMap<ids::Domain, ()>,
     by_domain: HashMap<String, ids::Domain>,
     versions: SlotMap<ids::Version, ()>,
-    /// By service and version.
-    by_version: HashMap<(String, String), ids::Version>,
+    by_version: HashMap<origins::Version, ids::Version>,
     /// Until when servers that have begun to leave may still be sent the rest of streams.
     resumes_until: SecondaryMap<ids::Server, Instant>,
 }
@@ -127,8 +126,17 @@
 
     /// Key of the version of a server's software, which is created if it is new.
     pub(crate) fn version_key(&mut self, entry: &Entry) -> ids::Version {
-        let name = (entry.service.clone(), entry.version.clone());
-        *self.by_version.entry(name).or_insert_with(|| self.versions.insert(()))
+        self.version(origins::Version::of(&entry.service, &entry.version))
+    }
+
+    /// Key of a version, which is created if it is new.
+    pub(crate) fn version(&mut self, version: origins::Version) -> ids::Version {
+        *self.by_version.entry(version).or_insert_with(|| self.versions.insert(()))
+    }
+
+    /// The entry of the server with a name.
+    pub(crate) fn entry(&self, name: &str) -> Option<&Rc<Entry>> {
+        self.servers.get(*self.by_name.get(name)?)
     }
 
     /// Whether a server is still of the version that it had when a request was sent to it, as far as is known.
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::intake::{self, Received};
 use crate::mechanism::Mechanism;
 use crate::reach;
+use crate::resumption;
 use crate::state::{OpenRequest, State};
 use crate::stream::{self, Relay};
 
@@ -140,9 +141,14 @@
 
 pub(crate) async fn serve<A: Adapter>(
     state: Rc<State<A>>,
-    received: Received,
+    mut received: Received,
     open: OpenRequest<A>,
 ) -> Answer {
+    if let Err(error) = resumption::restrict(&state, &mut received).await {
+        state.metrics.count_refusal(error.as_str());
+        state.metrics.count_outcome(&received.route().name, error.as_str());
+        return error.response();
+    }
     let mut waiting = Waiting::Queued(lifecycle::Request::new(ids::Request::new()).admit().queue());
     let submission = Submission::new(&state.driver, received.request.clone());
     let sent = state.clock.now();
@@ -184,7 +190,12 @@
             .send_attempt(sending.attempt(), &server, active.received.call.last_event_id)
             .await
         {
-            Ok(reply) => return active.relay(sending, reply),
+            Ok(reply) => {
+                if let Reply::Partial(reply) = &reply {
+                    resumption::begin(&active.state, &active.received, reply.server()).await;
+                }
+                return active.relay(sending, reply);
+            }
             Err(error) => error,
         };
         let _ = active.record_failure(sending.attempt(), &server, &error);
@@ -441,6 +452,9 @@
             Refusal::NoServer if self.received.request.regions.is_some() => {
                 "no backend server in its regions may take it"
             }
+            Refusal::NoServer if self.received.request.version.is_some() => {
+                "no backend server of the version that began its stream is left"
+            }
             Refusal::NoServer => "no backend server may take it",
             Refusal::Quarantined => "servers ended under it",
         };
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -27,6 +27,7 @@
 use crate::peers::Peers;
 use crate::registry::Registry;
 use crate::replica::Replica;
+use crate::resumption::Resumption;
 use crate::source::{Delegates, Sources};
 use crate::updates::{self, WorkReports};
 
@@ -115,6 +116,8 @@
     pub(crate) seed_work_reports: WorkReports,
     /// Exchange of engine loads between nodes.
     pub(crate) gossip: Gossip,
+    /// The versions that began streams.
+    pub(crate) resumption: Resumption,
     pub(crate) crossing: Crossing,
     /// Rate limits that servers have stated.
     pub(crate) rate_limits: Limits,
@@ -189,6 +192,7 @@
             work_reports: WorkReports::default(),
             seed_work_reports: WorkReports::default(),
             gossip,
+            resumption: Resumption::new(clock.now()),
             crossing: Crossing::new(clock.now()),
             rate_limits: Limits::default(),
             cold_permits: cold::Permits::new(Timestamp {
@@ -342,6 +346,7 @@
             return;
         }
         self.newest_invalid.set(false);
+        self.resumption.apply_settings(&settings);
         self.registry
             .borrow_mut()
             .apply_settings(&mut self.driver.scheduler.borrow_mut(), &settings);
@@ -403,7 +408,9 @@
             log::info!(servers = servers.len(); "servers listed or gone");
         }
         for name in servers {
-            match membership.get(&name) {
+            let (before, after) = (registry.entry(&name), membership.get(&name));
+            self.resumption.apply_server(before.map(Rc::as_ref), after.map(Rc::as_ref), now);
+            match after {
                 Some(entry) => {
                     if each {
                         log::info!(
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -127,6 +127,7 @@
         let life = self.life.take()?;
         self.active.submission.end_attempt(Ending::Completed);
         self.tokens = 0;
+        self.active.state.resumption.end(&self.active.received.call);
         if let Some(reply) = self.reply.take() {
             let status = reply.status.as_u16();
             reply.release_connection(&self.active.state);
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -18,6 +18,7 @@
 use crate::answer::Answer;
 use crate::gossip;
 use crate::hop;
+use crate::resumption;
 use crate::state::State;
 
 /// Path on the listener for peers at which a node asks for updates.
@@ -178,6 +179,9 @@
     if request.method() == Method::POST && path == hop::PATH {
         return hop::answer(state, request).await;
     }
+    if request.method() == Method::POST && path == resumption::PATH {
+        return resumption::answer(state, request).await;
+    }
     let known = [UPDATES_PATH, READY_PATH, WORK_PATH].contains(&path.as_str());
     if request.method() != Method::POST || !known {
         return status(StatusCode::NOT_FOUND);
--- /dev/null
+++ b/components/origins/src/lib.rs
@@ -0,0 +1,22 @@
+//! Remembers which version of a service's software began each stream, so that any node of a fleet can continue it at
+//! that version, also after the node that began it has ended.
+//!
+//! Nothing is stored for this. While servers of several versions serve side by side, the node that begins a stream
+//! tells a few others, its keepers, which every node derives from the stream's id. A node at which a caller takes a
+//! stream up asks them. What nobody knows is concluded only where one version has served; it is never guessed.
+//!
+//! The crate does no I/O and reads no clock.
+
+mod census;
+mod evidence;
+mod id;
+mod members;
+mod outbox;
+mod table;
+
+pub use census::Census;
+pub use evidence::Evidence;
+pub use id::{Stream, Version};
+pub use members::{ASKED, COPIES, MAX_MEMBERS, Members};
+pub use outbox::Outbox;
+pub use table::{Origin, Record, Table};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -31,6 +31,7 @@
     failed_attempts: IntCounterVec,
     cold_permits: IntCounterVec,
     continuations: IntCounterVec,
+    taken_up: IntCounterVec,
     bound_requests: IntCounter,
     evacuated_domains: IntGauge,
     wasted_tokens: IntCounterVec,
@@ -112,6 +113,11 @@
             "Streams whose server ended and that were sent to the copy of their run, by result",
             &["result"],
         );
+        let taken_up = counter(
+            "godwitlever_streams_taken_up_total",
+            "Streams that callers took up, by who knew the version that began them",
+            &["origin"],
+        );
         let bound_requests = IntCounter::new(
             "godwitlever_bound_requests_total",
             "Requests that may be served in some regions only",
@@ -133,6 +139,7 @@
             failed_attempts,
             cold_permits,
             continuations,
+            taken_up,
             bound_requests,
             evacuated_domains: gauge(
                 "godwitlever_evacuated_domains",
@@ -199,6 +206,11 @@
         self.continuations.with_label_values(&[result]).inc();
     }
 
+    /// Counts a stream that its caller takes up, by who knew the version that began it.
+    pub fn count_taken_up(&self, origin: &str) {
+        self.taken_up.with_label_values(&[origin]).inc();
+    }
+
     /// Counts a request that may be served in some regions only.
     pub fn count_bound_request(&self) {
         self.bound_requests.inc();
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -69,6 +69,9 @@
         /// Where the node is, once the seed has asked for it.
         #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
         pub location: Option<Peer>,
+        /// Digest of the list of nodes that the node has, or that it has of a seed's; 0 if it has none.
+        #[serde(rename = "d", default, skip_serializing_if = "is_zero_digest")]
+        pub members: u32,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -124,6 +127,10 @@
         /// Whether the seed doesn't know where the node is.
         #[serde(rename = "i", default, skip_serializing_if = "is_false")]
         pub wants_location: bool,
+        /// The nodes of the fleet, or those that report to a seed, if the list differs from the one that the asking
+        /// node has.
+        #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+        pub members: Vec<Peer>,
     }
 
     /// A request during which servers crashed. An array on the wire.
@@ -227,6 +234,10 @@
     *number == 0
 }
 
+fn is_zero_digest(digest: &u32) -> bool {
+    *digest == 0
+}
+
 /// A [`Load`] on the wire: its fields by position.
 type Row = (u32, Vec<u32>, Vec<u32>, Vec<u32>, Option<u32>);
 
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod gossip;
 pub mod hop;
 mod idempotency;
+pub mod origins;
 pub mod updates;
 
 pub use idempotency::{Handover, KeyedCall};
--- /dev/null
+++ b/components/wire/src/origins.rs
@@ -0,0 +1,64 @@
+//! Messages in which nodes tell and ask each other which software version began a stream.
+
+use serde::{Deserialize, Serialize};
+
+use crate::is_false;
+
+derives::data! {
+    /// Streams that a node has begun, and its question for one that a caller takes up.
+    #[derive(Default, Serialize, Deserialize)]
+    pub struct Message {
+        /// Streams that the node has begun.
+        #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+        pub told: Vec<Row>,
+        /// A stream that is asked for.
+        #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+        pub asked: Option<Asked>,
+    }
+
+    /// The answer to a [`Message`].
+    #[derive(Default, Serialize, Deserialize)]
+    pub struct Answer {
+        /// Random number that identifies the process that answers.
+        #[serde(rename = "b")]
+        pub boot: u32,
+        /// Whether the node knows the stream that was asked for.
+        #[serde(rename = "k", default, skip_serializing_if = "is_false")]
+        pub known: bool,
+        /// The version that began it; none if that is uncertain.
+        #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+        pub version: Option<u32>,
+        /// Time over which the node has followed the list of servers, in milliseconds.
+        #[serde(rename = "c", default)]
+        pub covered_ms: u32,
+        /// Versions of the service that it has seen.
+        #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+        pub seen: Vec<u32>,
+    }
+}
+
+row! {
+    /// A stream and the version that began it.
+    pub struct Row {
+        /// Hash of the id of the try that began the stream.
+        pub stream: u64,
+        /// Hash of the names of the service and the version; none if it is uncertain which one began the stream.
+        pub version: Option<u32>,
+        /// Time for which the stream may be taken up, in milliseconds.
+        pub lifetime_ms: u32,
+    }
+}
+
+row! {
+    /// A question for a stream.
+    pub struct Asked {
+        /// Hash of the id of the try that began the stream.
+        pub stream: u64,
+        /// [`crate::key`] of the name of its service.
+        pub service: u32,
+        /// Longest life of a stream, in milliseconds.
+        pub lifetime_ms: u32,
+    }
+}
+
+messages!(Message, Answer);
