The last engines of a version keep room for the streams that only they can continue

While a version leaves, nearly all streams began at its engines and nearly all engines are of another. New streams filled the last of them as well, so that a resumed stream waited while new ones began at once elsewhere.

New requests leave a quarter of the slots free at the engines of a version that has two or fewer left, if another version has more.

--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -117,6 +117,8 @@
     pub(crate) members: Vec<Member>,
     /// Members of each region, as a range of their indices.
     pub(crate) region_ranges: Vec<(ids::Region, Range<usize>)>,
+    /// Number of servers that take new work, by version.
+    versions: SecondaryMap<ids::Version, usize>,
     /// Index of each member.
     positions: SecondaryMap<ids::Server, usize>,
     /// How many of the members requests are concentrated on.
@@ -149,6 +151,7 @@
             servers: vec![],
             members: vec![],
             region_ranges: vec![],
+            versions: SecondaryMap::new(),
             positions: SecondaryMap::new(),
             active: Active::default(),
             ticks_left: 0,
@@ -171,6 +174,12 @@
         self.servers.sort_unstable();
         let open = |state: &server::State| !state.leaving() || self.scope.version.is_some();
         self.members = rank_members(all, &self.servers, open);
+        self.versions.clear();
+        for state in self.servers.iter().map(|key| &all[*key]).filter(|state| !state.leaving()) {
+            if let Some(count) = self.versions.entry(state.terms.version) {
+                *count.or_default() += 1;
+            }
+        }
         self.positions.clear();
         self.region_ranges.clear();
         for (index, member) in self.members.iter().enumerate() {
@@ -183,6 +192,12 @@
         self.ticks_left = 0;
     }
 
+    /// Number of servers of a version that take new work, and of the version that has most.
+    pub(crate) fn version_sizes(&self, version: ids::Version) -> (usize, usize) {
+        let most = self.versions.values().copied().max().unwrap_or_default();
+        (self.versions.get(version).copied().unwrap_or_default(), most)
+    }
+
     /// Whether the pool's servers include this one.
     pub(crate) fn has_server(&self, server: ids::Server) -> bool {
         self.servers.binary_search(&server).is_ok()
--- a/components/policy/src/slots.rs
+++ b/components/policy/src/slots.rs
@@ -172,7 +172,7 @@
 
     /// Slots of an engine that requests of a priority or a higher one occupy or wait for, as far as
     /// known.
-    fn occupied_slots(&self, state: &server::State, priority: u8, now: Instant) -> f64 {
+    pub(crate) fn occupied_slots(&self, state: &server::State, priority: u8, now: Instant) -> f64 {
         state.occupied.sum_up_to(priority) + state.prefill.peer_occupied(priority, now)
     }
 
--- a/components/policy/src/versions.rs
+++ b/components/policy/src/versions.rs
@@ -11,7 +11,24 @@
 use crate::scheduler::Scheduler;
 use crate::server;
 
+/// A version has few servers left if it has at most so many, and another has more.
+const FEW_SERVERS: usize = 2;
+/// Part of their slots that is kept free for streams that only they can continue.
+const RESERVED_SLOTS: f64 = 0.25;
+
 impl Scheduler {
+    /// Whether an engine keeps room for resumed streams if it takes a request of a pool: new requests leave some slots
+    /// of the last engines of a version free, as they can go to the others.
+    pub(crate) fn leaves_reserve(&self, pool: &Pool, state: &server::State, now: Instant) -> bool {
+        let (own, most) = pool.version_sizes(state.terms.version);
+        if pool.scope.version.is_some() || own > FEW_SERVERS || own >= most {
+            return true;
+        }
+        let slots = f64::from(state.slots());
+        let occupied = self.occupied_slots(state, u8::MAX, now);
+        occupied + 1.0 <= (slots * (1.0 - RESERVED_SLOTS)).max(1.0)
+    }
+
     /// Whether a server takes work of a pool. One that is leaving takes the rest of streams that its version began, if
     /// no other server of that version is left.
     pub(crate) fn takes_work(&self, pool: &Pool, state: &server::State, now: Instant) -> bool {
--- a/components/policy/tests/backup.rs
+++ b/components/policy/tests/backup.rs
@@ -36,8 +36,6 @@
             domain: self.domains[index % DOMAINS],
             region: self.regions[index % 2],
             backups: true,
-            version: ids::Version::default(),
-            resumes_until: None,
             ..server(index as u64 + 1, SLOTS, self.fixture.model)
         };
         change(&mut terms);
--- a/components/policy/tests/residency.rs
+++ b/components/policy/tests/residency.rs
@@ -37,8 +37,6 @@
             leaving,
             prefill_rate: Some(PREFILL_RATE),
             backups: true,
-            version: ids::Version::default(),
-            resumes_until: None,
             region: self.regions[index % REGIONS],
             domain: self.domains[index / REGIONS],
             ..server(index as u64 + 1, slots, self.fixture.model)
