The own interface resumes a stream only with the version of the models that began it

The version that the settings want of a server has a key, by which the rest of a stream is restricted, as on the platform. Its test fails without the change (two servers run the stream) and passes with it.

--- a/components/router/src/scheduler.rs
+++ b/components/router/src/scheduler.rs
@@ -101,7 +101,7 @@
         fetch: None,
         cold_time: None,
         backups: false,
-        version: ids::Version::default(),
+        version: server.version_key,
         resumes_until: None,
     }
 }
--- a/components/router/src/stream.rs
+++ b/components/router/src/stream.rs
@@ -159,6 +159,7 @@
             error.record(&self.submission, lifecycle.id(), lifecycle.attempt());
             self.submission.state.metrics.count_failed_attempt(&self.payload.class.name);
             let point = self.source.checkpoint();
+            self.submission.restrict_to_version();
             let (Some(proof), Some(point)) = (self.payload.repeatable(), point) else {
                 self.submission.end_attempt(error.final_ending());
                 break;
--- a/components/router/src/submission.rs
+++ b/components/router/src/submission.rs
@@ -23,6 +23,8 @@
     workspace: ids::Workspace,
     /// When the last attempt was sent.
     sent: Instant,
+    /// Version of the models of the server that it was sent to.
+    version: Option<ids::Version>,
 }
 
 impl Submission {
@@ -31,7 +33,14 @@
         let sent = state.clock.now();
         let (class, workspace) = (payload.request.class, payload.request.workspace);
         let content = payload.content_hash();
-        Submission { state: state.clone(), inner, content, class, workspace, sent }
+        Submission { state: state.clone(), inner, content, class, workspace, sent, version: None }
+    }
+
+    /// Restricts the request, whose stream has begun, to servers with the version of the models that began it.
+    pub(crate) fn restrict_to_version(&self) {
+        if let Some(version) = self.version {
+            self.inner.restrict_to_version(version);
+        }
     }
 
     /// Waits until the scheduler selects a server for the request.
@@ -63,6 +72,7 @@
             return Err(refused);
         }
         self.sent = self.state.clock.now();
+        self.version = Some(server.version_key);
         Ok(server)
     }
 
--- a/components/settings/src/effective.rs
+++ b/components/settings/src/effective.rs
@@ -90,6 +90,8 @@
         pub leaving: bool,
         /// Version of the models it should hold.
         pub version: Option<String>,
+        /// Key of that version; all servers without one have the same.
+        pub version_key: ids::Version,
         /// Adapters it should hold.
         pub adapters: Vec<String>,
         /// Phases of an answer that it runs.
@@ -182,6 +184,8 @@
     pub region_names: Names<ids::Region>,
     /// Names of failure domains.
     pub domain_names: Names<ids::Domain>,
+    /// Versions of models.
+    pub version_names: Names<ids::Version>,
     /// Classes.
     pub classes: SecondaryMap<ids::Class, Rc<Class>>,
     /// Workspaces.
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -118,6 +118,23 @@
     assert!(heads[2].contains("connection: close"));
 }
 
+/// An engine resets a stream in the middle, and the other has another version of the models. Guards against an answer
+/// that is joined from two versions.
+#[actix_rt::test]
+async fn a_stream_isnt_resumed_at_another_version() {
+    tokio::time::pause();
+    for (versions, servers) in [(["7", "7"], 2), (["7", "8"], 1)] {
+        let steps = |n| {
+            if n == 0 { script("reset in the middle", Kind::Stream) } else { resumed(0) }
+        };
+        let lines = versions.map(|version| format!("resumes = true\nversion = \"{version}\""));
+        let site = Pair::with_each(&lines, steps).await;
+        let told = site.call(Kind::Stream).await;
+        assert_eq!(told.outcome, "complete", "{versions:?}: {}", told.text);
+        assert_eq!(site.servers_used(), servers, "{versions:?}");
+    }
+}
+
 /// An engine crashes in the middle of a stream, and another that can goes on with it. The caller
 /// reads one stream with each token once.
 #[actix_rt::test]
--- a/tests/faults/site.rs
+++ b/tests/faults/site.rs
@@ -69,6 +69,14 @@
 
     /// As [`Pair::start`], with further lines for each server's branch.
     pub async fn with(lines: &str, script: impl Fn(u64) -> Vec<Step> + 'static) -> Self {
+        Self::with_each(&[lines.to_string(), lines.to_string()], script).await
+    }
+
+    /// As [`Pair::with`], with lines of its own for each server.
+    pub async fn with_each(
+        lines: &[String; 2],
+        script: impl Fn(u64) -> Vec<Step> + 'static,
+    ) -> Self {
         let script = Rc::new(script);
         let count = Rc::new(Cell::new(0));
         let mut servers = vec![];
@@ -77,7 +85,7 @@
             let (script, count) = (script.clone(), count.clone());
             let numbered = move |_| script(count.replace(count.get() + 1));
             let server = Raw::start(numbered).await.unwrap();
-            tree.push_str(&branches(index, &server.address(), lines));
+            tree.push_str(&branches(index, &server.address(), &lines[index]));
             servers.push(server);
         }
         Self::before(&tree, servers).await
@@ -97,6 +105,11 @@
         told(&session(self.router.caller_address(), &bytes(kind)).await)
     }
 
+    /// Number of servers that ran a request.
+    pub fn servers_used(&self) -> usize {
+        self.servers.iter().filter(|server| server.total() > 0).count()
+    }
+
     /// How often requests were run, over both servers.
     pub fn runs(&self) -> u32 {
         self.servers.iter().map(Raw::total).sum()
