Soak: releases that overlap, servers that restart under old names, and callers that take streams up

Three callers take streams up at other nodes, naming the try that began them, while servers of a service are replaced by those of the next version, two at a time, and one in three releases reuses an old name.

--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -18,9 +18,12 @@
     UNFRAMED_HEAD, configuration, server_entry, stream_event, success_response,
 };
 use crate::nodes::Node;
+use crate::versions::{self, Versions};
 
 const NODES: usize = 4;
 const CALLERS: usize = 6;
+/// Callers that take streams up.
+const RESUMING_CALLERS: usize = 3;
 /// Key that is taken away in the middle.
 const BRIEF: &str = "k-brief";
 /// A request with a withdrawn key may run if it was sent before this, after the withdrawal.
@@ -94,6 +97,7 @@
     stores: Stores,
     servers: Vec<Raw>,
     brittle: Brittle,
+    versions: Versions,
     /// Ways of the nodes to the store, and of all nodes to the servers.
     links: Vec<Link>,
     /// Paths of each node to the servers, where nodes can be partitioned from them; else none.
@@ -113,7 +117,7 @@
             line.to_string()
         }
     };
-    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n") + BRITTLE_ROUTE
+    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n") + BRITTLE_ROUTE + versions::ROUTE
 }
 
 /// What a server does with a request: mostly what it should.
@@ -193,6 +197,7 @@
             seed,
             nodes: Node::fleet(seed, &addresses, partitioned),
             brittle: Brittle::start(&stores).await,
+            versions: Versions::start(&stores).await,
             stores,
             paths,
             servers,
@@ -302,8 +307,36 @@
     /// Callers send all the while, each its requests one after the other.
     pub async fn callers(&self, time: Duration) {
         let callers = (0..CALLERS).map(|number| self.caller(number, time));
-        let poison = self.poison(time);
-        tokio::join!(futures_util::future::join_all(callers), poison);
+        let resuming = (0..RESUMING_CALLERS).map(|number| self.resuming_caller(number, time));
+        tokio::join!(
+            futures_util::future::join_all(callers),
+            futures_util::future::join_all(resuming),
+            self.poison(time),
+            self.releases(time)
+        );
+    }
+
+    /// Servers of streams are replaced by those of the next version, again and again.
+    async fn releases(&self, time: Duration) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ 3);
+        let start = Instant::now();
+        while start.elapsed() < time {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(300..1_500))).await;
+            self.versions.release(&self.stores, &mut rng).await;
+        }
+    }
+
+    /// A caller takes up its streams at other nodes when they break off.
+    async fn resuming_caller(&self, number: usize, time: Duration) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ 4 ^ (number as u64) << 8);
+        let callers: Vec<_> = self.nodes.iter().map(|node| node.callers).collect();
+        let (start, mut count) = (Instant::now(), 0);
+        while start.elapsed() < time {
+            count += 1;
+            let id = format!("{}-s{number}-{count}", self.seed);
+            self.versions.call(&callers, &id, &mut rng).await;
+            tokio::time::sleep(Duration::from_millis(rng.random_range(1..30))).await;
+        }
     }
 
     /// A request that crashes servers comes again and again, at any node, beside others to the same servers.
@@ -374,7 +407,8 @@
             refused += u32::from(promised);
         }
         assert!(whole > 0, "nobody was served");
-        format!("{} requests, {whole} whole, {refused} refused", sent.len())
+        let streams = self.versions.check();
+        format!("{} requests, {whole} whole, {refused} refused; {streams}", sent.len())
     }
 
     /// Once all faults are over, nodes together hold back what crashes servers, and keep to a server's limit.
