A server that is listed again with another version makes its streams uncertain, also if it was gone

Found by reading: a server whose entry lapsed, and which came back under its name with other software, left streams that this node still received from it bound to its former version.

--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -146,7 +146,11 @@
 ) -> Answer {
     if let Err(error) = resumption::restrict(&state, &mut received).await {
         state.metrics.count_refusal(error.as_str());
-        state.metrics.count_outcome(&received.route().name, error.as_str());
+        log::info!(
+            request = received.call.id.as_str(), path = received.call.path.as_str(),
+            outcome = error.as_str(), cause:% = error, revision = received.revision,
+            age_ms = state.proof_age_ms(); "not taken in"
+        );
         return error.response();
     }
     let mut waiting = Waiting::Queued(lifecycle::Request::new(ids::Request::new()).admit().queue());
--- a/components/origins/src/table.rs
+++ b/components/origins/src/table.rs
@@ -133,11 +133,16 @@
         self.streams.get(&stream)?.own.map(|(service, _)| service)
     }
 
-    /// Marks the streams that this node is receiving from a server as uncertain; returns them.
-    pub fn mark_uncertain(&mut self, server: u32) -> Vec<Stream> {
-        let from_server = |known: &Known| known.own.is_some_and(|(_, own)| own == server);
+    /// Marks the streams that this node is receiving from a server as uncertain, if they count as begun by another
+    /// version than the one of which the server is listed now; returns them. The server has started again, before or
+    /// after it began them.
+    pub fn mark_uncertain(&mut self, server: u32, listed: Version) -> Vec<Stream> {
+        let contradicted = |known: &Known| {
+            let from_server = known.own.is_some_and(|(_, own)| own == server);
+            from_server && known.origin != Origin::Version(listed)
+        };
         let mut marked = vec![];
-        for (stream, known) in self.streams.iter_mut().filter(|(_, known)| from_server(known)) {
+        for (stream, known) in self.streams.iter_mut().filter(|(_, known)| contradicted(known)) {
             known.origin = Origin::Uncertain;
             marked.push(*stream);
         }
