--- a/tests/faults/site.rs
+++ b/tests/faults/site.rs
@@ -81,11 +81,11 @@
         let count = Rc::new(Cell::new(0));
         let mut servers = vec![];
         let mut tree = TREE.to_string();
-        for index in 0..2 {
+        for (index, lines) in lines.iter().enumerate() {
             let (script, count) = (script.clone(), count.clone());
             let numbered = move |_| script(count.replace(count.get() + 1));
             let server = Raw::start(numbered).await.unwrap();
-            tree.push_str(&branches(index, &server.address(), &lines[index]));
+            tree.push_str(&branches(index, &server.address(), lines));
             servers.push(server);
         }
         Self::before(&tree, servers).await
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -15,9 +15,6 @@
 
 /// Service of these servers.
 const SERVICE: &str = "versions";
-/// A route to them, to append to the others.
-pub const ROUTE: &str = r#",
-{"name":"versions","host":"desk.example","pathPrefix":"/versions/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":500,"priority":2,"service":"versions","maxAttempts":3,"eventGapMs":300,"streamResumption":true}"#;
 /// Servers of each version.
 const SERVERS: usize = 2;
 /// Versions that serve side by side.
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -15,10 +15,10 @@
 use crate::fixture::store::{Mode, Store};
 use crate::fixture::{
     API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, RESPONSE_HEAD, ROUTES, Reply,
-    UNFRAMED_HEAD, configuration, server_entry, stream_event, success_response,
+    UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, server_entry, stream_event, success_response,
 };
 use crate::nodes::Node;
-use crate::versions::{self, Versions};
+use crate::versions::Versions;
 
 const NODES: usize = 4;
 const CALLERS: usize = 6;
@@ -117,7 +117,7 @@
             line.to_string()
         }
     };
-    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n") + BRITTLE_ROUTE + versions::ROUTE
+    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n") + BRITTLE_ROUTE + VERSIONS_ROUTE
 }
 
 /// What a server does with a request: mostly what it should.
