--- a/components/origins/examples/cost.rs
+++ b/components/origins/examples/cost.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use origins::{COPIES, Members, Origin, Stream, Table, Version};
+use origins::{Members, Origin, Stream, Table, Version};
 use wire::gossip::Peer;
 use wire::origins::{Answer, Asked, Message, Row};
 
@@ -63,7 +63,8 @@
             }
         }
         let most = messages.values().max().copied().unwrap_or_default() as f64 / SECONDS as f64;
-        let mean = (rate * COPIES) as f64 / messages.len() as f64;
+        let sent: usize = messages.values().sum();
+        let mean = sent as f64 / (messages.len() * SECONDS) as f64;
         let records = (most * LIFETIME.as_secs_f64()) as usize;
         let listed = members.list_for(0);
         let list: usize = listed.iter().map(|peer| 12 + peer.domain.len()).sum();
