A stream is uncertain if the list of servers was corrected before its first event

Found by reading the diff: the version was taken from the entry as it was when the request was sent, so a list that was corrected between that and the first event bound the stream to the version that the server no longer had.

--- a/components/forward/src/resumption/telling.rs
+++ b/components/forward/src/resumption/telling.rs
@@ -96,7 +96,8 @@
     }
     let (resumption, now) = (&state.resumption, state.clock.now());
     let stream = stream_of(&received.call);
-    let origin = Origin::Version(version_of(server));
+    let is_certain = state.registry.borrow().has_version_of(server);
+    let origin = if is_certain { Origin::Version(version_of(server)) } else { Origin::Uncertain };
     let expires = now + received.time_left(state) + EXPIRY_MARGIN;
     let (service, name) = (wire::key(&server.service), wire::key(&server.name));
     let record = Record { stream, origin, expires };
