--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod platform;
 mod raw;
+pub mod versions;
 
 pub use crate::engine::{Engine, Fault, Pace};
 pub use crate::link::{Link, Way};
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -4,13 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fakes::versions::{Caller, RESUMED, rest, written_by};
 use fakes::{Raw, Step};
 use rand::Rng;
 use rand::rngs::SmallRng;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
-use crate::fixture::{API_KEY, ATTEMPT_ID, STREAM_HEAD, http_chunk, server_entry};
+use crate::fixture::{API_KEY, ATTEMPT_ID, STREAM_HEAD, server_entry};
 use crate::world::Stores;
 
 /// Service of these servers.
@@ -45,6 +44,8 @@
     begun: Cell<u32>,
     taken_up: Cell<u32>,
     went_on: Cell<u32>,
+    /// Of those taken up.
+    refused: Cell<u32>,
     joined: Cell<u32>,
 }
 
@@ -52,16 +53,6 @@
     count.set(count.get() + 1);
 }
 
-fn event(id: u32, version: usize) -> String {
-    http_chunk(&format!("id: {id}\ndata: w{id}-{version};\n\n"))
-}
-
-/// The versions that wrote the events in a text.
-fn versions_in(text: &str) -> Vec<&str> {
-    let events = text.split("data: w").skip(1).filter_map(|event| event.split_once(';'));
-    events.filter_map(|(event, _)| Some(event.split_once('-')?.1)).collect()
-}
-
 impl Versions {
     pub async fn start(stores: &Stores) -> Self {
         let versions = Versions::default();
@@ -76,21 +67,12 @@
         let version = self.started.replace(self.started.get() + 1);
         let mut servers = vec![];
         for index in 0..SERVERS {
-            let number = Cell::new(0_u64);
+            let (number, name) = (Cell::new(0_u64), format!("v{version}"));
             let raw = Raw::named(ATTEMPT_ID, move |_| {
                 let count = number.replace(number.get() + 1);
-                let rest = event(2, version) + "0\r\n\r\n";
-                let end = if count % 4 == 3 { Step::Reset } else { Step::Write(rest.clone()) };
-                vec![
-                    Step::Run,
-                    Step::IfHead(
-                        "last-event-id: 1".to_string(),
-                        vec![Step::Write(format!("{STREAM_HEAD}{rest}"))],
-                    ),
-                    Step::Write(format!("{STREAM_HEAD}{}", event(1, version))),
-                    Step::Wait(Duration::from_millis(50 * (count % 5))),
-                    end,
-                ]
+                let end = if count % 4 == 3 { Step::Reset } else { Step::Write(rest(&name)) };
+                let wait = Step::Wait(Duration::from_millis(50 * (count % 5)));
+                fakes::versions::steps(STREAM_HEAD, &name, vec![wait, end])
             });
             let server = Server { raw: raw.await.unwrap(), name: format!("v-{version}-{index}") };
             list(stores, &server, version, "ready");
@@ -129,7 +111,6 @@
     /// Sends a stream and takes it up at other nodes until it ends, as often as a caller does.
     pub async fn call(&self, nodes: &[SocketAddr], id: &str, rng: &mut SmallRng) {
         let (mut text, mut began) = (String::new(), None);
-        add(&self.new);
         for number in 0..TRIES {
             let node = nodes[rng.random_range(0..nodes.len())];
             let leaves = rng.random_range(0..3) == 0;
@@ -137,12 +118,14 @@
             let asked = request(id, &own, began.as_deref());
             let sent = exchange(node, &asked, leaves && began.is_none());
             let got = tokio::time::timeout(PATIENCE, sent).await.unwrap_or_default();
-            let events = versions_in(&got).len();
+            let events = written_by(&got).len();
             if began.is_some() {
                 add(&self.taken_up);
                 self.went_on.set(self.went_on.get() + u32::from(events > 0));
-            } else if events > 0 {
-                add(&self.begun);
+                self.refused.set(self.refused.get() + u32::from(got.contains(" 503 ")));
+            } else {
+                add(&self.new);
+                self.begun.set(self.begun.get() + u32::from(events > 0));
             }
             if events > 0 {
                 text.push_str(&got);
@@ -152,7 +135,7 @@
                 break;
             }
         }
-        let versions = versions_in(&text);
+        let versions = written_by(&text);
         if versions.windows(2).any(|pair| pair[0] != pair[1]) {
             add(&self.joined);
             eprintln!("{id} holds events of versions {versions:?}");
@@ -161,9 +144,12 @@
 
     /// Checks that streams kept to their versions, and that enough of them went on.
     pub fn check(&self) -> String {
-        let [new, begun, taken_up, went_on, joined] =
-            [&self.new, &self.begun, &self.taken_up, &self.went_on, &self.joined].map(Cell::get);
-        let told = format!("{begun} of {new} streams begun, {went_on} of {taken_up} went on");
+        let [new, begun, taken_up, went_on] =
+            [&self.new, &self.begun, &self.taken_up, &self.went_on].map(Cell::get);
+        let (refused, joined) = (self.refused.get(), self.joined.get());
+        let told = format!(
+            "{begun} of {new} tries began a stream, {went_on} of {taken_up} took one up, {refused} refused"
+        );
         assert!(joined <= MAX_JOINED, "{joined} streams of two versions; {told}");
         let share = |part: u32, all: u32| f64::from(part) / f64::from(all.max(1));
         let enough = share(went_on, taken_up) >= share(begun, new) / 2.0;
@@ -181,7 +167,7 @@
 
 /// The try `own` of a stream, which takes it up if another try began it.
 fn request(id: &str, own: &str, began: Option<&str>) -> String {
-    let resumes = |began| format!("resumes: {began}\r\nlast-event-id: 1\r\n");
+    let resumes = |began| format!("resumes: {began}\r\n{RESUMED}");
     let resumes = began.map(resumes).unwrap_or_default();
     format!(
         "POST /versions/a?x={id} HTTP/1.1\r\nhost: desk.example\r\n{ATTEMPT_ID}: {own}\r\n\
@@ -191,15 +177,12 @@
 }
 
 /// Sends a request and reads its answer, or only up to its first event if the caller `leaves` then.
-async fn exchange(node: SocketAddr, text: &str, leaves: bool) -> String {
-    let Ok(mut stream) = TcpStream::connect(node).await else { return String::new() };
-    let mut got = vec![];
-    if stream.write_all(text.as_bytes()).await.is_ok() {
-        while stream.read_buf(&mut got).await.is_ok_and(|count| count > 0) {
-            if leaves && String::from_utf8_lossy(&got).contains("w1-") {
-                break;
-            }
-        }
+async fn exchange(node: SocketAddr, request: &str, leaves: bool) -> String {
+    let Some(mut caller) = Caller::send(node, request).await else { return String::new() };
+    if leaves {
+        caller.read_event().await;
+    } else {
+        caller.read_to_end().await;
     }
-    String::from_utf8_lossy(&got).to_string()
+    caller.text
 }
