--- a/components/origins/src/members.rs
+++ b/components/origins/src/members.rs
@@ -19,6 +19,9 @@
 pub const ASKED: usize = 6;
 /// Nodes that are listed.
 pub const MAX_MEMBERS: usize = 64;
+/// A seed changes a list at most once in this time for each node on it: while hundreds of nodes start, it would else
+/// send a longer one to each of them with every answer.
+const CHANGE_PAUSE_PER_NODE: Duration = Duration::from_millis(50);
 /// Time without a report after which a node is no longer listed. A node that is restarted comes back to its place.
 const MEMBER_LIFETIME: Duration = Duration::from_secs(10);
 
@@ -53,6 +56,8 @@
     reporters: HashMap<SocketAddr, Seen>,
     /// At a seed, what the other seeds last said of theirs.
     clusters: BTreeMap<String, Cluster>,
+    /// When a seed last changed its list.
+    changed: Option<Instant>,
     /// Sorted by address.
     listed: Vec<Peer>,
     /// Hashes of the listed addresses.
@@ -108,13 +113,22 @@
         own
     }
 
-    /// Updates a seed's list from its reporters and those of other seeds; returns whether it changed.
+    /// Updates a seed's list from its reporters and those of other seeds, unless it has just changed; returns whether
+    /// it changes.
     pub fn refresh(&mut self, now: Instant) -> bool {
+        let pause = CHANGE_PAUSE_PER_NODE * self.listed.len() as u32;
+        if self.changed.is_some_and(|changed| now < changed + pause) {
+            return false;
+        }
         self.reporters.retain(|_, seen| now < seen.reported + MEMBER_LIFETIME);
         self.clusters.retain(|_, cluster| now < cluster.confirmed + MEMBER_LIFETIME);
         let mut all = self.own_cluster(0);
         all.extend(self.clusters.values().flat_map(|cluster| &cluster.members).cloned());
-        self.apply(all)
+        let changed = self.apply(all);
+        if changed {
+            self.changed = Some(now);
+        }
+        changed
     }
 
     /// Takes a list over; returns whether it differs from the one before.
