A node asks for the list of nodes only from the seed that it follows

It asks for one while it has none, and else only the nearest seed. A report of an older build asks for none, where it would have been sent one with every answer. The digest of a list is kept, not computed for each answer.

--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -111,7 +111,9 @@
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = cold::add_to_report(&state, report);
         let report = peers::add_to_report(&state, report);
-        let members = state.resumption.members.borrow().digest();
+        // Seeds are compared first, and their lists may differ for a moment: one list is enough until then.
+        let digest = state.resumption.members.borrow().digest();
+        let members = (digest == 0 || seeds.nearest() == Some(seed)).then_some(digest);
         let report = Report { work: Some(state.own_work()), members, ..report };
         let answer = post_report(&state, seed, NODE_PATH, report).await;
         let now = state.clock.now();
@@ -181,7 +183,7 @@
         let known = state.gossip.aggregate.borrow().seed_position(&name);
         let work = state.own_work().plus(state.work_reports.sum(state.clock.now()));
         let from = state.node().name.clone();
-        let members = state.resumption.members.borrow().cluster_digest(&name);
+        let members = Some(state.resumption.members.borrow().cluster_digest(&name));
         let report = Report { from, known, work: Some(work), members, ..Report::default() };
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
@@ -274,10 +276,10 @@
     }
     summary = peers::add_to_summary(state, &from, from_seed, wants_peers, summary);
     let members = state.resumption.members.borrow();
-    summary.members = if from_seed {
-        members.own_cluster(members_known)
-    } else {
-        members.list_for(members_known)
+    summary.members = match members_known {
+        Some(known) if from_seed => members.own_cluster(known),
+        Some(known) => members.list_for(known),
+        None => vec![],
     };
     summary.pause_ms = state.gossip.pace.borrow().pause(aggregate.node_count()).as_millis() as u32;
     let body = summary.encode();
--- a/components/origins/src/members.rs
+++ b/components/origins/src/members.rs
@@ -62,6 +62,8 @@
     listed: Vec<Peer>,
     /// Hashes of the listed addresses.
     hashes: Vec<u64>,
+    /// Digest of the list.
+    digest: u32,
 }
 
 /// Hash of a list by which a node and a seed find out whether theirs is the same; 0 for an empty one.
@@ -138,6 +140,7 @@
             return false;
         }
         self.hashes = members.iter().map(hash).collect();
+        self.digest = digest(&members);
         self.listed = members;
         true
     }
@@ -149,7 +152,7 @@
 
     /// Digest of the list.
     pub fn digest(&self) -> u32 {
-        digest(&self.listed)
+        self.digest
     }
 
     /// Whether a node is listed.
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -69,9 +69,10 @@
         /// Where the node is, once the seed has asked for it.
         #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
         pub location: Option<Peer>,
-        /// Digest of the list of nodes that the node has, or that it has of a seed's; 0 if it has none.
-        #[serde(rename = "d", default, skip_serializing_if = "is_zero_digest")]
-        pub members: u32,
+        /// Digest of the list of nodes that the node has, or that it has of a seed's; 0 if it has none. None if the
+        /// answer needn't hold a list.
+        #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+        pub members: Option<u32>,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -234,10 +235,6 @@
     *number == 0
 }
 
-fn is_zero_digest(digest: &u32) -> bool {
-    *digest == 0
-}
-
 /// A [`Load`] on the wire: its fields by position.
 type Row = (u32, Vec<u32>, Vec<u32>, Vec<u32>, Option<u32>);
 
