A stream isn't resumed at a server whose version was corrected before its first event

Found by reading the whole change once more: a stream known to have begun at one version was sent to a server that the list gave that version; the list was corrected while the server was silent, and its events were passed on although the node knew of the other version by then.

The version is checked again when the first events of a resumed stream have arrived; they are dropped if it has changed, and the attempt counts as lost.

--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -308,7 +308,12 @@
             let tolerance = SILENCE.min(time_left.mul_f64(SILENCE_FRACTION));
             result = tokio::time::timeout(tolerance.saturating_sub(timeout), &mut sending).await;
         }
-        result.unwrap_or(Err(AttemptError::TimedOut))
+        let reply = result.unwrap_or(Err(AttemptError::TimedOut))?;
+        if last_event_id.is_some() && !self.state.registry.borrow().has_version_of(server) {
+            let cause = "the server that resumes the stream is of another version than was listed";
+            return Err(AttemptError::Lost(cause.to_string()));
+        }
+        Ok(reply)
     }
 
     /// Whether a server keeps a copy of the run.
