Log and count how often a request reaches a server, and what its retry budget holds

Nothing told the attempts that reached a server, and so cost it something, from those without a connection: both were 'attempt failed'. The line now has arrived and retries_left, ended has arrivals, and godwitlever_arrivals_total counts first and further arrivals by class. For the incident of repeats on a plain service: of its hypotheses, misdirected attempts show as arrived with an unchanged budget.

--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -92,6 +92,11 @@
         self.driver.scheduler.borrow().may_retry(self.job, self.driver.clock.now())
     }
 
+    /// Retries that the service's budget holds now.
+    pub fn retries_left(&self) -> f64 {
+        self.driver.scheduler.borrow().retries_left(self.job)
+    }
+
     /// Waits until the scheduler stops the attempt; never returns if it doesn't.
     pub async fn wait_for_stop(&mut self) {
         if let Some(receiver) = &mut self.stop_receiver
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Whether the server may have received the request, even if it didn't run it.
+    pub(crate) fn may_have_arrived(&self) -> bool {
+        !matches!(self, AttemptError::Unreached(_) | AttemptError::PermitExpired)
+    }
+
     /// How the attempt ended, for the scheduler.
     pub(crate) fn ending(&self) -> Ending {
         match self {
@@ -237,6 +242,8 @@
         state.metrics.add_cold_permits("used", 1);
     }
     let head = request_head(state, received, server, plan);
+    let earlier = received.arrivals.replace(received.arrivals.get() + 1);
+    state.metrics.count_arrival(&received.route().name, earlier > 0);
     let sent = state.clock.now();
     reach::record_sent(state, server);
     let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -1,5 +1,6 @@
 //! Receives a request: matches its route and workspace, checks its size, and reads its body.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     pub(crate) service: ids::Model,
     /// How it came from a peer; none if it came from its caller.
     pub(crate) hop: Option<Hop>,
+    /// Number of times that this node sent it to a server.
+    pub(crate) arrivals: Cell<u32>,
 }
 
 derives::value! {
@@ -153,6 +156,7 @@
         request,
         service,
         hop,
+        arrivals: Cell::new(0),
     })
 }
 
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -374,7 +374,8 @@
         log::log!(
             level,
             request = request, content = self.received.fingerprint_hex(), server = name,
-            attempt = attempt, left_ms = left_ms, cause:% = error; "attempt failed"
+            attempt = attempt, left_ms = left_ms, arrived = error.may_have_arrived(),
+            retries_left = self.submission.retries_left(), cause:% = error; "attempt failed"
         );
         match error {
             AttemptError::ServerError(_) => {
@@ -426,6 +427,7 @@
             outcome = outcome, status = status, took_ms = millis(time),
             ended_by = end.map(|(delimiter, _)| delimiter.as_str()), cut_bytes = end.map(|(_, bytes)| bytes),
             first_ms = first_event.map(millis), pause_ms = millis(*longest_pause), sends = sends,
+            arrivals = received.arrivals.get(),
             sent_ms = sent.map(millis), home = expected.map(|expected| expected.preferred),
             reading_ms = expected.map(|expected| millis(expected.prefill)),
             backlog_ms = expected.map(|expected| millis(expected.backlog)),
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 
 use crate::action::Ending;
+use crate::bucket::Bucket;
 use crate::fair;
 use crate::mechanism::Mechanism;
 use crate::pending::Stage;
@@ -75,6 +76,12 @@
         allowed && affordable && now < pending.latest_send
     }
 
+    /// Retries that the budget for a request's model holds now, which may be a fraction.
+    pub fn retries_left(&self, job: ids::Job) -> f64 {
+        let budget = self.jobs.get(job).and_then(|job| self.retry_budgets.get(job.request.model));
+        budget.map_or(f64::from(self.limits.retry_burst), Bucket::balance)
+    }
+
     /// Whether a request is tried again after its attempt ended; takes the retry from the budget.
     fn claim_retry(&mut self, job: ids::Job, ending: Ending, now: Instant) -> bool {
         let pending = &self.jobs[job];
--- a/components/policy/src/bucket.rs
+++ b/components/policy/src/bucket.rs
@@ -34,6 +34,11 @@
         if self.capacity > 0.0 { self.balance / self.capacity } else { 0.0 }
     }
 
+    /// The balance.
+    pub(crate) fn balance(&self) -> f64 {
+        self.balance
+    }
+
     /// Whether the balance covers an amount.
     pub(crate) fn holds(&self, amount: f64) -> bool {
         self.balance >= amount
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -29,6 +29,7 @@
     mismatched_answers: IntCounter,
     connections: IntCounter,
     failed_attempts: IntCounterVec,
+    arrivals: IntCounterVec,
     cold_permits: IntCounterVec,
     continuations: IntCounterVec,
     taken_up: IntCounterVec,
@@ -103,6 +104,11 @@
             "Attempts at backend servers that brought no answer",
             &["class"],
         );
+        let arrivals = counter(
+            "godwitlever_arrivals_total",
+            "Requests sent to backend servers, by class and whether it was the first time",
+            &["class", "order"],
+        );
         let cold_permits = counter(
             "godwitlever_cold_permits_total",
             "Permits for requests to cold servers, by what became of them",
@@ -137,6 +143,7 @@
         registry.register(Box::new(request_counts.clone())).expect("the metric is registered once");
         Metrics {
             failed_attempts,
+            arrivals,
             cold_permits,
             continuations,
             taken_up,
@@ -226,6 +233,12 @@
         self.failed_attempts.with_label_values(&[class]).inc();
     }
 
+    /// Counts a request that is sent to a backend server, for the first time or again.
+    pub fn count_arrival(&self, class: &str, again: bool) {
+        let order = if again { "repeat" } else { "first" };
+        self.arrivals.with_label_values(&[class, order]).inc();
+    }
+
     /// Adds the tokens that were relayed to the caller in an answer that was never completed.
     pub fn add_wasted_tokens(&self, class: &str, tokens: u64) {
         self.wasted_tokens.with_label_values(&[class]).inc_by(tokens);
