--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod platform;
 mod raw;
+mod repeats;
 pub mod versions;
 
 pub use crate::engine::{Engine, Fault, Pace};
@@ -17,6 +18,7 @@
 pub use crate::plain::Plain;
 pub use crate::platform::{Platform, Stale};
 pub use crate::raw::{Closed, Raw, Seen, Step};
+pub use crate::repeats::Repeats;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU8, Ordering};
--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -47,6 +47,8 @@
         pub head: String,
         /// Its body, if it was run.
         pub body: String,
+        /// When its head was read.
+        pub at: Instant,
     }
 }
 
@@ -212,6 +214,7 @@
         id: id.clone(),
         head: head.to_string(),
         body: String::new(),
+        at: Instant::now(),
     });
     let at = state.seen.borrow().len() - 1;
     let mut steps = VecDeque::from(steps);
