An attempt that another server declined is paid for like any that arrived

Callers saw repeats of desk-app requests beyond the budget. Cause: an attempt that was answered with 421 was booked like one without a connection, so it took nothing from the retry budget, counted as no attempt, and was repeated every 25 ms until the request was too late. After a crash all servers have other names, and while the store can't tell, each attempt ends so. Ejection didn't help: where all servers of a service are ejected, the fault is taken for the node's, and none is left out.

Now each arrival beyond the first is paid before the request is queued again; what an attempt without a connection was sent with goes to the next one. A server whose address has passed to another is left alone at once, alone or with all others, and tried by one request at a time. The property test of fleets now ends attempts in each of seven ways.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -84,7 +84,8 @@
     /// How the attempt ended, for the scheduler.
     pub(crate) fn ending(&self) -> Ending {
         match self {
-            AttemptError::Unreached(_) | AttemptError::Misdirected => Ending::Unreached,
+            AttemptError::Unreached(_) => Ending::Unreached,
+            AttemptError::Misdirected => Ending::Misdirected,
             AttemptError::PermitExpired => Ending::Expired,
             AttemptError::Declined(_) => Ending::NotRun,
             AttemptError::ServerError(_) => Ending::ServerError,
--- a/components/policy/src/action.rs
+++ b/components/policy/src/action.rs
@@ -29,6 +29,9 @@
         /// The request never reached the server. It cost no server anything, so it counts neither as an
         /// attempt nor against the retry budget.
         Unreached,
+        /// Another server received it at this server's address, and declined it. It counts against the retry
+        /// budget, but not as an attempt.
+        Misdirected,
         /// It wasn't sent because the permit for its server expired before. This is no fault of the server.
         Expired,
         /// It may have run, and the answer is missing or incomplete.
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -3,6 +3,10 @@
 //! Load pattern: servers that refuse connections or fail. Without a retry budget, each request is tried
 //! as often as its class allows while no server can answer it, and servers that recover are flooded
 //! with retries. Without the idempotency check, a charge may run twice.
+//!
+//! Each time that a server receives a request again is paid from the budget before the request is queued again.
+//! An attempt that reached no server uses nothing up: what it was sent with, as the first or as a paid retry,
+//! goes to the next one.
 
 use std::time::{Duration, Instant};
 
@@ -29,6 +33,8 @@
         self.release_slot(job, server, ending, now);
         if matches!(ending, Ending::Unreached | Ending::Expired) {
             self.return_earned_retry(job);
+        } else {
+            self.jobs[job].reached = true;
         }
         if !self.claim_retry(job, ending, now) {
             self.remove_job(job);
@@ -42,7 +48,7 @@
             self.enqueue(job, now);
             return true;
         }
-        if matches!(ending, Ending::Unreached | Ending::Expired) {
+        if matches!(ending, Ending::Unreached | Ending::Expired | Ending::Misdirected) {
             pending.attempts -= 1;
         }
         let doublings = u32::from(pending.attempts.saturating_sub(1)).min(8);
@@ -55,12 +61,12 @@
         true
     }
 
-    /// Takes back what the first attempt of a request added to the retry budget, as it reached no server.
+    /// Takes back what a request added to the retry budget, if none of its attempts has reached a server.
     fn return_earned_retry(&mut self, job: ids::Job) {
         let pending = &mut self.jobs[job];
-        if pending.attempts == 1 {
-            let (model, earned) = (pending.request.model, std::mem::take(&mut pending.earned));
-            self.retry_budget(model).overdraw(earned);
+        if !pending.reached {
+            let (model, earned) = (pending.request.model, pending.earned.take());
+            self.retry_budget(model).overdraw(earned.unwrap_or_default());
         }
     }
 
@@ -88,14 +94,16 @@
         let repeatable = match ending {
             Ending::Stopped => return true,
             Ending::Unreached | Ending::Expired => return now < pending.latest_send,
-            Ending::NotRun => true,
+            Ending::NotRun | Ending::Misdirected => true,
             Ending::Failed | Ending::Broken | Ending::ServerError => pending.request.idempotent,
             Ending::Completed | Ending::Cancelled => false,
         };
         let model = pending.request.model;
         let max_attempts =
             self.classes.get(pending.request.class).map_or(1, |class| class.attempts);
-        if !repeatable || pending.attempts >= max_attempts || now >= pending.latest_send {
+        let counts = ending != Ending::Misdirected;
+        let exhausted = counts && pending.attempts >= max_attempts;
+        if !repeatable || exhausted || now >= pending.latest_send {
             return false;
         }
         !self.switches.is_on(Mechanism::RetryBudget) || self.retry_budget(model).try_take(1.0)
@@ -114,6 +122,7 @@
         let stalled = ending == Ending::Cancelled && self.stalled(&self.jobs[job], server, now);
         let pending = &mut self.jobs[job];
         let (priority, prefill) = (pending.priority, std::mem::take(&mut pending.prefill));
+        let sent_at = pending.sent_at;
         if let Some(state) = self.servers.get_mut(server) {
             state.record_end(job, priority, now);
             if stalled {
@@ -134,11 +143,12 @@
                 Ending::NotRun | Ending::Unreached | Ending::Failed | Ending::Broken => {
                     state.health.record_failure(now, jitter);
                 }
+                Ending::Misdirected => state.health.record_misdirected(sent_at, now, jitter),
                 Ending::Cancelled | Ending::Stopped | Ending::Expired | Ending::ServerError => {}
             }
         }
         match ending {
-            Ending::Unreached | Ending::Broken => self.record_silence(server),
+            Ending::Unreached | Ending::Misdirected | Ending::Broken => self.record_silence(server),
             Ending::Completed | Ending::NotRun | Ending::ServerError => {
                 self.record_answer(server, now);
             }
@@ -147,7 +157,10 @@
         let pending = &mut self.jobs[job];
         let (class, workspace) = (pending.request.class, pending.request.workspace);
         let used = fair::cost(pending.request.prompt_tokens, pending.produced);
-        let not_run = matches!(ending, Ending::NotRun | Ending::Unreached | Ending::Expired);
+        let not_run = matches!(
+            ending,
+            Ending::NotRun | Ending::Unreached | Ending::Misdirected | Ending::Expired
+        );
         let used = if not_run { 0 } else { used };
         let change = i64::from(used) - i64::from(pending.charged);
         pending.charged = used;
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -263,6 +263,7 @@
             }
             if !self.accepts(state, pending, overdue, now)
                 || (!all_ejected && self.is_excluded(*key, now))
+                || self.is_misdirecting(*key, now)
             {
                 continue;
             }
@@ -356,6 +357,12 @@
         self.is_ejected(server, now) || (self.switches.is_on(Mechanism::Ejection) && testing)
     }
 
+    /// Whether a server gets no requests because another one has its address, as far as is known. Unlike other
+    /// failures, this can't be due to the node.
+    pub(crate) fn is_misdirecting(&self, server: ids::Server, now: Instant) -> bool {
+        self.servers[server].health.is_misdirecting() && self.is_excluded(server, now)
+    }
+
     /// Whether a request may cross the link: it has no healthy server nearby or has waited long enough for
     /// one, and the budget left exceeds the reserve of the tiers above it.
     fn may_cross_link(&self, pending: &Pending, near: bool, now: Instant) -> bool {
@@ -376,7 +383,7 @@
         pending.sent_at = now;
         let (class, workspace, tier) =
             (pending.request.class, pending.request.workspace, pending.tier);
-        let (pool, tokens, first) = (pending.pool, pending.tokens, pending.attempts == 1);
+        let (pool, tokens, first) = (pending.pool, pending.tokens, pending.earned.is_none());
         let (model, priority) = (pending.request.model, pending.priority);
         let bytes =
             pending.request.prompt_tokens * PROMPT_TOKEN_BYTES + tokens * ANSWER_TOKEN_BYTES;
@@ -400,7 +407,7 @@
         }
         if first {
             let earned = f64::from(self.limits.retry_percent) / 100.0;
-            self.jobs[job].earned = self.retry_budget(model).add(earned);
+            self.jobs[job].earned = Some(self.retry_budget(model).add(earned));
         }
         if let Some(entry) = self.in_flight.entry(workspace) {
             *entry.or_default() += 1;
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -175,6 +175,7 @@
             && self.all_excluded(&self.pools[pending.pool], now);
         let usable = members.into_iter().filter(|member| {
             (all_excluded || !self.is_excluded(member.server, now))
+                && !self.is_misdirecting(member.server, now)
                 && self.is_usable(pending, member, now)
         });
         usable.collect()
--- a/components/policy/src/health.rs
+++ b/components/policy/src/health.rs
@@ -7,6 +7,9 @@
 //! that may not be repeated, such as a charge, is lost for good; so its recent failure rate counts against it
 //! beside its load.
 //!
+//! A server has started again under another name, and the list of servers is old: each request for the former
+//! one is declined by the present one at once.
+//!
 //! A server stalls. Its attempts end only as callers give up, and what these attempts showed is lost with
 //! them; so one that ends this way counts as a failure and ejects the server.
 
@@ -31,6 +34,8 @@
     ejected_until: Option<Instant>,
     /// When it was last ejected.
     ejected_at: Option<Instant>,
+    /// Its address belonged to another server at the last attempt.
+    misdirecting: bool,
     /// Failure rate at the last outcome, from 0 to 1.
     failure_rate: f64,
     last_outcome: Option<Instant>,
@@ -41,6 +46,7 @@
     pub(crate) fn record_response(&mut self) {
         self.consecutive_failures = 0;
         self.ejected_until = None;
+        self.misdirecting = false;
     }
 
     /// Records the outcome of an attempt in the failure rate.
@@ -82,6 +88,18 @@
         self.record_failure(now, jitter);
     }
 
+    /// Records that another server has its address, as an attempt showed that was sent at `sent`. This is certain,
+    /// so it ejects the server at once; of attempts that were sent together only the first counts.
+    pub(crate) fn record_misdirected(&mut self, sent: Instant, now: Instant, jitter: f64) {
+        self.misdirecting = true;
+        self.record_stall(sent, now, jitter);
+    }
+
+    /// Whether its address belonged to another server at the last attempt.
+    pub(crate) fn is_misdirecting(&self) -> bool {
+        self.misdirecting
+    }
+
     /// Whether the server is ejected now.
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
--- a/components/policy/src/health/tests.rs
+++ b/components/policy/src/health/tests.rs
@@ -18,3 +18,18 @@
     }
     assert!(health.failure_rate(now) < 0.01);
 }
+
+/// A server has started again under another name. Guards against requests for the former one that are sent to it
+/// again and again.
+#[test]
+fn a_misdirecting_server_is_ejected_at_once() {
+    let (mut health, start) = (Health::default(), Instant::now());
+    health.record_misdirected(start, start, 0.5);
+    assert!(health.is_ejected(start) && health.is_misdirecting());
+    let ejected_until = health.ejected_until;
+    let later = start + Duration::from_millis(10);
+    health.record_misdirected(start - Duration::from_millis(1), later, 0.5);
+    assert_eq!(health.ejected_until, ejected_until, "attempts that were sent together count once");
+    health.record_response();
+    assert!(!health.is_ejected(later) && !health.is_misdirecting());
+}
--- a/components/policy/src/pending.rs
+++ b/components/policy/src/pending.rs
@@ -55,8 +55,10 @@
     pub(crate) pool: Key,
     pub(crate) stage: Stage,
     pub(crate) attempts: u8,
-    /// What its first attempt added to the retry budget.
-    pub(crate) earned: f64,
+    /// What its first attempt added to the retry budget; none while nothing was added.
+    pub(crate) earned: Option<f64>,
+    /// A server received an attempt of it.
+    pub(crate) reached: bool,
     pub(crate) stops: u8,
     pub(crate) stopping: bool,
     /// It was sent out of order because its class had gone unserved for its longest wait.
--- a/components/policy/tests/budget.rs
+++ b/components/policy/tests/budget.rs
@@ -14,12 +14,14 @@
 /// Retries that a node may make at once beyond that percentage.
 const BURST: u32 = 2;
 const MAX_NODES: usize = 40;
+/// Polls of the scheduler, 200 ms apart, for which a request waits while all servers are ejected.
+const MAX_POLLS: usize = 100;
 
 /// An event at one node, or at all of them.
 #[derive(Clone, Debug)]
 enum Step {
-    /// A request arrives, and `failures` of its attempts fail before one succeeds.
-    Request { node: usize, failures: u32 },
+    /// A request arrives, and its attempts end so before one succeeds.
+    Request { node: usize, endings: Vec<Ending> },
     /// The node is killed and restarts without any state.
     Restart { node: usize },
     /// Time passes; an idle node must not save up retries.
@@ -34,10 +36,23 @@
     Restart,
 }
 
+/// How an attempt may end without an answer for the caller.
+fn failure() -> impl Strategy<Value = Ending> {
+    prop_oneof![
+        Just(Ending::Failed),
+        Just(Ending::Broken),
+        Just(Ending::ServerError),
+        Just(Ending::NotRun),
+        Just(Ending::Misdirected),
+        Just(Ending::Unreached),
+        Just(Ending::Expired),
+    ]
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        20 => (0..MAX_NODES, 0..5_u32)
-            .prop_map(|(node, failures)| Step::Request { node, failures }),
+        20 => (0..MAX_NODES, proptest::collection::vec(failure(), 0..5))
+            .prop_map(|(node, endings)| Step::Request { node, endings }),
         1 => (0..MAX_NODES).prop_map(|node| Step::Restart { node }),
         2 => (0..20_000_u64).prop_map(|millis| Step::Wait { millis }),
     ]
@@ -50,30 +65,34 @@
     fixture
 }
 
-/// Submits one request and fails its attempts, until one succeeds or the node doesn't retry.
-fn run_request(node: &mut Fixture, mut failures: u32, events: &mut Vec<Event>) {
+/// Submits one request and ends its attempts so, until one succeeds or the node doesn't retry. An attempt that no
+/// server received is no event.
+fn run_request(node: &mut Fixture, endings: &[Ending], events: &mut Vec<Event>) {
     let request = node.request(0, 0, Duration::from_secs(60));
     let job = node.scheduler.submit(request, node.now);
     let mut kind = Event::First;
-    loop {
+    let mut endings = endings.iter();
+    for _ in 0..MAX_POLLS {
         let mut actions = vec![];
         node.scheduler.poll(node.now, &mut actions);
         let sent = actions
             .iter()
             .any(|action| matches!(action, Action::Send { job: sent, .. } if *sent == job));
         if !sent {
-            // The request is backing off.
+            // The request is backing off, or all servers are ejected.
             node.now += Duration::from_millis(200);
             continue;
         }
-        events.push(kind);
-        kind = Event::Retry;
-        let ending = if failures > 0 { Ending::Failed } else { Ending::Completed };
-        failures = failures.saturating_sub(1);
+        let ending = *endings.next().unwrap_or(&Ending::Completed);
+        if !matches!(ending, Ending::Unreached | Ending::Expired) {
+            events.push(kind);
+            kind = Event::Retry;
+        }
         if !node.scheduler.attempt_ended(job, ending, node.now) {
             return;
         }
     }
+    node.scheduler.withdraw(job, node.now);
 }
 
 /// Applies steps to a fleet and returns the attempts and restarts in order.
@@ -82,8 +101,8 @@
     let mut events = vec![];
     for step in steps {
         match step {
-            Step::Request { node, failures } => {
-                run_request(&mut fleet[node % nodes], failures, &mut events);
+            Step::Request { node, endings } => {
+                run_request(&mut fleet[node % nodes], &endings, &mut events);
             }
             Step::Restart { node: at } => {
                 let now = fleet[at % nodes].now;
@@ -129,8 +148,9 @@
 proptest! {
     #![proptest_config(config(40))]
 
-    /// Servers fail, and nodes are killed and restart, each retrying what failed. Guards against retries of
-    /// the whole fleet that exceed its budget in any window, which would overload the remaining servers.
+    /// Servers fail, decline or have other names, and nodes are killed and restart, each retrying what failed. Guards
+    /// against retries of the whole fleet that exceed its budget in any window, which would overload the
+    /// remaining servers.
     #[test]
     fn a_fleet_keeps_its_budget_in_every_window(
         nodes in 1..=MAX_NODES,
@@ -148,7 +168,8 @@
 /// was retried.
 #[test]
 fn the_budget_is_used_when_all_fails() {
-    let steps = (0..400).map(|node| Step::Request { node, failures: 5 }).collect();
+    let request = |node| Step::Request { node, endings: vec![Ending::Failed; 5] };
+    let steps = (0..400).map(request).collect();
     let events = run_steps(4, steps);
     let retries = events.iter().filter(|event| **event == Event::Retry).count();
     assert!((80..=88).contains(&retries), "{retries} retries of 400 requests by 4 nodes");
@@ -161,7 +182,7 @@
     let mut node = new_node();
     let mut events = vec![];
     for _ in 0..BURST {
-        run_request(&mut node, 1, &mut events);
+        run_request(&mut node, &[Ending::Failed], &mut events);
     }
     let request = node.request(0, 0, Duration::from_secs(60));
     let job = node.scheduler.submit(request, node.now);
@@ -177,7 +198,7 @@
     }
     node.scheduler.withdraw(job, node.now);
     events.clear();
-    run_request(&mut node, 1, &mut events);
+    run_request(&mut node, &[Ending::Failed], &mut events);
     let retries = events.iter().filter(|event| **event == Event::Retry).count();
     assert_eq!(retries, 0, "no request was sent since the budget was used up");
 }
