A request that is passed on brings its earlier attempts along

Found while looking for the cause of repeats elsewhere: a request that a node withdrew, for a peer or to try again itself, was submitted as new. After an attempt that had reached a server it earned a fifth of a retry a second time, and its limit of attempts began anew, so that three servers could get what two may. The message to a peer now holds the attempts and whether a server got one. Evidence: the property test of fleets passes requests on; with the former accounting it fails with 0.2 retries too many at one node.

--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use clock::Clock;
-use policy::{Action, Ending, Expected, Policy, Refusal};
+use policy::{Action, Ending, Expected, Policy, Prior, Refusal};
 use tokio::sync::oneshot;
 
 use crate::Driver;
@@ -128,14 +128,16 @@
     }
 
     /// Takes a waiting request back from the scheduler, which then doesn't assign a server to it until
-    /// [`Submission::resubmit`].
-    pub fn withdraw(&mut self) {
+    /// [`Submission::resubmit`]. Returns what became of it so far.
+    pub fn withdraw(&mut self) -> Prior {
+        let prior = self.driver.scheduler.borrow().prior(self.job);
         if !self.finished && !self.in_flight {
             let now = self.driver.clock.now();
             self.driver.scheduler.borrow_mut().withdraw(self.job, now);
             self.driver.action_senders.borrow_mut().remove(self.job);
             self.finished = true;
         }
+        prior
     }
 
     /// Submits a request again that was withdrawn. Call [`Submission::wait_for_server`] before awaiting anything
--- a/components/forward/src/hop.rs
+++ b/components/forward/src/hop.rs
@@ -17,6 +17,7 @@
 use futures_util::stream;
 use http_client::{Body, Connection, Delimiter};
 use lifecycle::Streaming;
+use policy::Prior;
 use serde_bytes::ByteBuf;
 use wire::hop::Request as Message;
 
@@ -80,6 +81,7 @@
     received: &Received,
     peer: SocketAddr,
     may_have_run: bool,
+    prior: Prior,
 ) -> Result<Reply, AttemptError> {
     let address = peer.to_string();
     let connection = match state.pool.take(&address) {
@@ -90,7 +92,7 @@
         }
     };
     let time_left = received.time_left(state);
-    let message = encode(state, received, may_have_run, time_left);
+    let message = encode(state, received, may_have_run, prior, time_left);
     let mut head = RequestHead::default();
     (head.method, head.uri) = (Method::POST, Uri::from_static(PATH));
     head.headers.insert(actix_http::header::HOST, header_value(address.as_bytes()));
@@ -115,6 +117,7 @@
     state: &State<A>,
     received: &Received,
     may_have_run: bool,
+    prior: Prior,
     time_left: Duration,
 ) -> Vec<u8> {
     let head = received.head.head();
@@ -128,6 +131,8 @@
         revision: received.revision,
         time_left_ms: time_left.as_millis().try_into().unwrap_or(u32::MAX),
         may_have_run,
+        attempts: prior.attempts,
+        reached: prior.reached,
         method: head.method.to_string(),
         target: target.to_string(),
         headers: pairs.collect(),
@@ -249,7 +254,8 @@
     }
     let arrived = state.timestamp();
     let from = message.from.clone();
-    let hop = Hop { revision: message.revision, may_have_run: message.may_have_run };
+    let prior = Prior { attempts: message.attempts, reached: message.reached };
+    let hop = Hop { revision: message.revision, may_have_run: message.may_have_run, prior };
     let time_left = Duration::from_millis(message.time_left_ms.into());
     let body = Bytes::from(message.body.into_vec());
     let Some(head) = decode_head(&message.method, &message.target, &message.headers) else {
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -9,6 +9,7 @@
 use catalog::{Denied, Kind, Match, Settings};
 use clock::Clock;
 use futures_util::StreamExt;
+use policy::Prior;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapter::{Adapter, Call, Malformed};
@@ -53,6 +54,8 @@
         pub(crate) revision: u64,
         /// An earlier attempt may have run it.
         pub(crate) may_have_run: bool,
+        /// Its earlier attempts.
+        pub(crate) prior: Prior,
     }
 }
 
@@ -142,6 +145,7 @@
     let (mut request, service) =
         scheduler_request(state, settings, &call, &found, arrived, time_limit)?;
     request.idempotent &= !hop.is_some_and(|hop| hop.may_have_run);
+    request.prior = hop.map(|hop| hop.prior).unwrap_or_default();
     let fingerprint = fingerprint(&head, &call, &found, &body);
     let revision = settings.revision;
     Ok(Received {
@@ -278,6 +282,7 @@
         region: state.region,
         regions: registry.allowed_regions(&residency),
         version: None,
+        prior: Prior::default(),
     };
     Ok((request, registry.service_key(service)))
 }
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -538,14 +538,16 @@
             return Err(waiting);
         }
         self.peers_tried = Some(self.state.clock.now());
-        self.submission.withdraw();
+        let mut prior = self.submission.withdraw();
         for peer in peers.into_iter().take(MAX_PEERS) {
             let sending = waiting.send();
-            let error = match hop::send(&self.state, &self.received, peer, self.may_have_run).await
-            {
+            let sent = hop::send(&self.state, &self.received, peer, self.may_have_run, prior);
+            let error = match sent.await {
                 Ok(reply) => return Ok(Passed::Reply(sending, peer, reply)),
                 Err(error) => error,
             };
+            // A peer that declines may have reached servers before it lost them.
+            prior.reached |= error.may_have_arrived();
             log::warn!(
                 request = self.received.call.id.as_str(), peer:% = peer, cause:% = error;
                 "a peer gave no answer"
@@ -562,7 +564,7 @@
                 }
             };
         }
-        self.submission.resubmit(self.received.request.clone());
+        self.submission.resubmit(policy::Request { prior, ..self.received.request.clone() });
         Err(waiting)
     }
 
--- a/components/policy/examples/patterns/driver/simulation.rs
+++ b/components/policy/examples/patterns/driver/simulation.rs
@@ -290,6 +290,7 @@
             region: self.keys.regions[region_of_node(call.node)],
             regions: None,
             version: None,
+            prior: policy::Prior::default(),
         };
         let (class, node, now) = (call.class, call.node, self.now_instant());
         self.gaps[class].since.get_or_insert(self.now);
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -40,7 +40,7 @@
 impl Scheduler {
     /// Adds a request: puts it into its queue, or records its refusal.
     pub(crate) fn admit(&mut self, request: Request, now: Instant) -> ids::Job {
-        let (class, workspace) = (request.class, request.workspace);
+        let (class, workspace, prior) = (request.class, request.workspace, request.prior);
         let terms = self.classes.get(class);
         let tier = terms.map_or(u8::MAX, |class| class.tier);
         let priority = terms.map_or(u8::MAX, |class| class.priority);
@@ -58,9 +58,9 @@
             jitter,
             pool,
             stage: Stage::Unqueued,
-            attempts: 0,
-            earned: None,
-            reached: false,
+            attempts: prior.attempts,
+            earned: prior.reached.then_some(0.0),
+            reached: prior.reached,
             stops: 0,
             stopping: false,
             ahead_of_turn: false,
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::mechanism::Mechanism;
 use crate::pending::Stage;
 use crate::scheduler::Scheduler;
+use crate::terms::Prior;
 
 /// Backoff before the second attempt, times a random factor from 0.5 to 1.5; doubles with each further
 /// attempt. A refused connection fails within a millisecond, so the backoff only has to outlast a brief
@@ -82,6 +83,15 @@
         allowed && affordable && now < pending.latest_send
     }
 
+    /// What became of a request so far, for its next submission here or at a peer.
+    pub fn prior(&self, job: ids::Job) -> Prior {
+        let pending = self.jobs.get(job);
+        pending.map_or(Prior::default(), |pending| Prior {
+            attempts: pending.attempts,
+            reached: pending.reached,
+        })
+    }
+
     /// Retries that the budget for a request's model holds now, which may be a fraction.
     pub fn retries_left(&self, job: ids::Job) -> f64 {
         let budget = self.jobs.get(job).and_then(|job| self.retry_budgets.get(job.request.model));
--- a/components/policy/src/cache/tests.rs
+++ b/components/policy/src/cache/tests.rs
@@ -23,6 +23,7 @@
         region: ids::Region::default(),
         regions: None,
         version: None,
+        prior: crate::terms::Prior::default(),
     }
 }
 
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -58,6 +58,7 @@
 pub use scheduler::{RETRY_BURST, Scheduler};
 pub use status::{Status, Unused};
 pub use terms::{
-    Backlog, Cached, Class, Demand, Fetch, Limits, Part, Report, Request, Server, Share, Workspace,
+    Backlog, Cached, Class, Demand, Fetch, Limits, Part, Prior, Report, Request, Server, Share,
+    Workspace,
 };
 pub use throttle::{Issuer, RateLimit, Throttle};
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -191,6 +191,20 @@
         pub regions: Option<Vec<ids::Region>>,
         /// The version that began its stream, if it resumes one.
         pub version: Option<ids::Version>,
+        /// What became of it before, at this node or at a peer that passed it on.
+        pub prior: Prior,
+    }
+}
+
+derives::value! {
+    /// The attempts of a request before it was submitted to a scheduler. If a server received one of them, the next
+    /// one is a repeat, and paid for.
+    #[derive(Default)]
+    pub struct Prior {
+        /// Attempts that count towards the limit of its class.
+        pub attempts: u8,
+        /// A server received one of them.
+        pub reached: bool,
     }
 }
 
--- a/components/policy/tests/budget.rs
+++ b/components/policy/tests/budget.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::Fixture;
-use policy::{Action, Ending, Limits, Policy};
+use policy::{Action, Ending, Limits, Policy, Prior, Request};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -20,8 +20,9 @@
 /// An event at one node, or at all of them.
 #[derive(Clone, Debug)]
 enum Step {
-    /// A request arrives, and its attempts end so before one succeeds.
-    Request { node: usize, endings: Vec<Ending> },
+    /// A request arrives, and its attempts end so before one succeeds. After some of them, the node passes it on to
+    /// another.
+    Request { node: usize, endings: Vec<(Ending, Option<usize>)> },
     /// The node is killed and restarts without any state.
     Restart { node: usize },
     /// Time passes; an idle node must not save up retries.
@@ -50,8 +51,9 @@
 }
 
 fn step() -> impl Strategy<Value = Step> {
+    let ending = (failure(), proptest::option::weighted(0.2, 0..MAX_NODES));
     prop_oneof![
-        20 => (0..MAX_NODES, proptest::collection::vec(failure(), 0..5))
+        20 => (0..MAX_NODES, proptest::collection::vec(ending, 0..5))
             .prop_map(|(node, endings)| Step::Request { node, endings }),
         1 => (0..MAX_NODES).prop_map(|node| Step::Restart { node }),
         2 => (0..20_000_u64).prop_map(|millis| Step::Wait { millis }),
@@ -67,12 +69,22 @@
 
 /// Submits one request and ends its attempts so, until one succeeds or the node doesn't retry. An attempt that no
 /// server received is no event.
-fn run_request(node: &mut Fixture, endings: &[Ending], events: &mut Vec<Event>) {
-    let request = node.request(0, 0, Duration::from_secs(60));
-    let job = node.scheduler.submit(request, node.now);
+fn run_request(
+    fleet: &mut [Fixture],
+    mut at: usize,
+    endings: &[(Ending, Option<usize>)],
+    events: &mut Vec<Event>,
+) {
+    let nodes = fleet.len();
+    let submit = |node: &mut Fixture, prior| {
+        let request = Request { prior, ..node.request(0, 0, Duration::from_secs(60)) };
+        node.scheduler.submit(request, node.now)
+    };
+    let mut job = submit(&mut fleet[at], Prior::default());
     let mut kind = Event::First;
     let mut endings = endings.iter();
     for _ in 0..MAX_POLLS {
+        let node = &mut fleet[at];
         let mut actions = vec![];
         node.scheduler.poll(node.now, &mut actions);
         let sent = actions
@@ -83,7 +95,7 @@
             node.now += Duration::from_millis(200);
             continue;
         }
-        let ending = *endings.next().unwrap_or(&Ending::Completed);
+        let (ending, to) = *endings.next().unwrap_or(&(Ending::Completed, None));
         if !matches!(ending, Ending::Unreached | Ending::Expired) {
             events.push(kind);
             kind = Event::Retry;
@@ -91,7 +103,14 @@
         if !node.scheduler.attempt_ended(job, ending, node.now) {
             return;
         }
+        if let Some(to) = to {
+            let prior = node.scheduler.prior(job);
+            node.scheduler.withdraw(job, node.now);
+            at = to % nodes;
+            job = submit(&mut fleet[at], prior);
+        }
     }
+    let node = &mut fleet[at];
     node.scheduler.withdraw(job, node.now);
 }
 
@@ -102,7 +121,7 @@
     for step in steps {
         match step {
             Step::Request { node, endings } => {
-                run_request(&mut fleet[node % nodes], &endings, &mut events);
+                run_request(&mut fleet, node % nodes, &endings, &mut events);
             }
             Step::Restart { node: at } => {
                 let now = fleet[at % nodes].now;
@@ -148,7 +167,7 @@
 proptest! {
     #![proptest_config(config(40))]
 
-    /// Servers fail, decline or have other names, and nodes are killed and restart, each retrying what failed. Guards
+    /// Servers fail, decline or have other names, and nodes are killed and restart or pass requests on. Guards
     /// against retries of the whole fleet that exceed its budget in any window, which would overload the
     /// remaining servers.
     #[test]
@@ -168,7 +187,7 @@
 /// was retried.
 #[test]
 fn the_budget_is_used_when_all_fails() {
-    let request = |node| Step::Request { node, endings: vec![Ending::Failed; 5] };
+    let request = |node| Step::Request { node, endings: vec![(Ending::Failed, None); 5] };
     let steps = (0..400).map(request).collect();
     let events = run_steps(4, steps);
     let retries = events.iter().filter(|event| **event == Event::Retry).count();
@@ -179,11 +198,12 @@
 /// makes many of them; afterwards it would send more retries than the fleet is allowed.
 #[test]
 fn attempts_that_reach_no_server_earn_no_retries() {
-    let mut node = new_node();
+    let mut fleet = [new_node()];
     let mut events = vec![];
     for _ in 0..BURST {
-        run_request(&mut node, &[Ending::Failed], &mut events);
+        run_request(&mut fleet, 0, &[(Ending::Failed, None)], &mut events);
     }
+    let node = &mut fleet[0];
     let request = node.request(0, 0, Duration::from_secs(60));
     let job = node.scheduler.submit(request, node.now);
     let mut unreached = 0;
@@ -198,7 +218,7 @@
     }
     node.scheduler.withdraw(job, node.now);
     events.clear();
-    run_request(&mut node, &[Ending::Failed], &mut events);
+    run_request(&mut fleet, 0, &[(Ending::Failed, None)], &mut events);
     let retries = events.iter().filter(|event| **event == Event::Retry).count();
     assert_eq!(retries, 0, "no request was sent since the budget was used up");
 }
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -102,6 +102,7 @@
             region: ids::Region::default(),
             regions: None,
             version: None,
+            prior: policy::Prior::default(),
         }
     }
 }
--- a/components/router/src/callers.rs
+++ b/components/router/src/callers.rs
@@ -123,6 +123,7 @@
                 region: settings.region_names.key(&state.node.region).unwrap_or_default(),
                 regions: settings.allowed_regions(class_key, workspace_key),
                 version: None,
+                prior: policy::Prior::default(),
             },
             body,
         },
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -364,6 +364,7 @@
         region: settings.region_names.key(&state.node.region).unwrap_or_default(),
         regions: settings.allowed_regions(class_key, workspace),
         version: None,
+        prior: policy::Prior::default(),
     };
     Some(Job {
         lifecycle: lifecycle::Request::new(id).admit(),
--- a/components/wire/src/hop.rs
+++ b/components/wire/src/hop.rs
@@ -19,6 +19,12 @@
         /// Whether an earlier attempt may have run it.
         #[serde(rename = "a", default)]
         pub may_have_run: bool,
+        /// Attempts that count towards the limit of its route.
+        #[serde(rename = "n", default)]
+        pub attempts: u8,
+        /// Whether a server received one of them.
+        #[serde(rename = "s", default)]
+        pub reached: bool,
         /// Method.
         #[serde(rename = "m")]
         pub method: String,
