Retry budgets are kept by service, not by model

Found while looking for the cause of repeats elsewhere. The bound is on what the servers of a service get, but a node kept a budget for each of its models, each with its own burst: 18 retries of nine requests for nine models, where 3 are allowed, in the new test before the change. The budgets are a module of their own now, policy::retries.

--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -271,6 +271,7 @@
         class,
         workspace,
         model,
+        service: registry.service_key(service),
         prefix: session,
         prompt_tokens: call.prompt.tokens,
         shared: call.prompt.shared_parts().to_vec(),
--- a/components/policy/examples/patterns/driver/simulation.rs
+++ b/components/policy/examples/patterns/driver/simulation.rs
@@ -279,6 +279,7 @@
             class: self.keys.classes[call.class],
             workspace: self.keys.workspaces[call.workspace],
             model: self.keys.model,
+            service: self.keys.model,
             prefix: call.prefix,
             prompt_tokens: call.prompt,
             shared: vec![],
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -13,7 +13,6 @@
 use rand::Rng;
 
 use crate::action::Ending;
-use crate::bucket::Bucket;
 use crate::fair;
 use crate::mechanism::Mechanism;
 use crate::pending::Stage;
@@ -66,8 +65,8 @@
     fn return_earned_retry(&mut self, job: ids::Job) {
         let pending = &mut self.jobs[job];
         if !pending.reached {
-            let (model, earned) = (pending.request.model, pending.earned.take());
-            self.retry_budget(model).overdraw(earned.unwrap_or_default());
+            let (service, earned) = (pending.request.service, pending.earned.take());
+            self.retries.take_back(service, earned.unwrap_or_default());
         }
     }
 
@@ -76,9 +75,8 @@
         let Some(pending) = self.jobs.get(job) else { return false };
         let class = self.classes.get(pending.request.class);
         let max_attempts = class.map_or(1, |class| class.attempts);
-        let budget = self.retry_budgets.get(pending.request.model);
         let affordable = !self.switches.is_on(Mechanism::RetryBudget)
-            || budget.is_none_or(|budget| budget.holds(1.0));
+            || self.retries.balance(pending.request.service) >= 1.0;
         let allowed = pending.request.idempotent && pending.attempts < max_attempts;
         allowed && affordable && now < pending.latest_send
     }
@@ -92,10 +90,10 @@
         })
     }
 
-    /// Retries that the budget for a request's model holds now, which may be a fraction.
+    /// Retries that the budget for a request's service holds now, which may be a fraction; 0 if the scheduler
+    /// doesn't know the request.
     pub fn retries_left(&self, job: ids::Job) -> f64 {
-        let budget = self.jobs.get(job).and_then(|job| self.retry_budgets.get(job.request.model));
-        budget.map_or(f64::from(self.limits.retry_burst), Bucket::balance)
+        self.jobs.get(job).map_or(0.0, |pending| self.retries.balance(pending.request.service))
     }
 
     /// Whether a request is tried again after its attempt ended; takes the retry from the budget.
@@ -108,7 +106,7 @@
             Ending::Failed | Ending::Broken | Ending::ServerError => pending.request.idempotent,
             Ending::Completed | Ending::Cancelled => false,
         };
-        let model = pending.request.model;
+        let service = pending.request.service;
         let max_attempts =
             self.classes.get(pending.request.class).map_or(1, |class| class.attempts);
         let counts = ending != Ending::Misdirected;
@@ -116,7 +114,7 @@
         if !repeatable || exhausted || now >= pending.latest_send {
             return false;
         }
-        !self.switches.is_on(Mechanism::RetryBudget) || self.retry_budget(model).try_take(1.0)
+        !self.switches.is_on(Mechanism::RetryBudget) || self.retries.try_pay(service)
     }
 
     /// Frees the slot of an ended attempt, updates the server's health, and corrects the charge to the
--- a/components/policy/src/backup.rs
+++ b/components/policy/src/backup.rs
@@ -81,9 +81,9 @@
         if !in_time || !self.can_take_over(pending, member, now) {
             return None;
         }
-        let model = pending.request.model;
+        let service = pending.request.service;
         let limited = self.switches.is_on(Mechanism::RetryBudget);
-        if limited && !self.retry_budget(model).try_take(1.0) {
+        if limited && !self.retries.try_pay(service) {
             return None;
         }
         self.release_slot(job, ended, Ending::Broken, now);
--- a/components/policy/src/bucket.rs
+++ b/components/policy/src/bucket.rs
@@ -39,14 +39,9 @@
         self.balance
     }
 
-    /// Whether the balance covers an amount.
-    pub(crate) fn holds(&self, amount: f64) -> bool {
-        self.balance >= amount
-    }
-
     /// Takes an amount if the balance covers it; returns whether it did.
     pub(crate) fn try_take(&mut self, amount: f64) -> bool {
-        if !self.holds(amount) {
+        if self.balance < amount {
             return false;
         }
         self.balance -= amount;
--- a/components/policy/src/cache/tests.rs
+++ b/components/policy/src/cache/tests.rs
@@ -12,6 +12,7 @@
         class: ids::Class::default(),
         workspace: ids::Workspace::default(),
         model: ids::Model::default(),
+        service: ids::Model::default(),
         prefix: LONG,
         prompt_tokens: 9_000,
         shared: vec![Part { id: 1, tokens: 400 }, Part { id: LONG, tokens: 6_000 }],
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -384,7 +384,7 @@
         let (class, workspace, tier) =
             (pending.request.class, pending.request.workspace, pending.tier);
         let (pool, tokens, first) = (pending.pool, pending.tokens, pending.earned.is_none());
-        let (model, priority) = (pending.request.model, pending.priority);
+        let (service, priority) = (pending.request.service, pending.priority);
         let bytes =
             pending.request.prompt_tokens * PROMPT_TOKEN_BYTES + tokens * ANSWER_TOKEN_BYTES;
         let charge = fair::cost(pending.request.prompt_tokens, pending.produced + tokens);
@@ -406,8 +406,7 @@
             self.link_budget.overdraw(f64::from(bytes));
         }
         if first {
-            let earned = f64::from(self.limits.retry_percent) / 100.0;
-            self.jobs[job].earned = Some(self.retry_budget(model).add(earned));
+            self.jobs[job].earned = Some(self.retries.earn(service));
         }
         if let Some(entry) = self.in_flight.entry(workspace) {
             *entry.or_default() += 1;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -37,6 +37,7 @@
 mod queue;
 mod quota;
 mod reach;
+mod retries;
 mod sampling;
 mod scheduler;
 mod server;
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::pick::Candidate;
 use crate::pool::{Key, Pool, Scope};
 use crate::prefill::FirstToken;
+use crate::retries::Retries;
 use crate::server;
 use crate::slots;
 use crate::terms::{Class, Demand, Fetch, Limits, Report, Request, Share, Workspace};
@@ -52,7 +53,7 @@
     pub(crate) fair: Counters,
     pub(crate) lengths: Lengths,
     /// By model, so that requests to one service don't earn retries at another.
-    pub(crate) retry_budgets: SecondaryMap<ids::Model, Bucket>,
+    pub(crate) retries: Retries,
     pub(crate) link_budget: Bucket,
     pub(crate) limits: Limits,
     pub(crate) prefixes: cache::Index,
@@ -113,6 +114,7 @@
     /// assert_eq!(scheduler.waiting(), 0);
     /// ```
     pub fn with_seed(seed: u64) -> Self {
+        let limits = Limits { retry_percent: 10, retry_burst: RETRY_BURST, link_bytes: 1 << 20 };
         Scheduler {
             classes: SecondaryMap::new(),
             workspaces: SecondaryMap::new(),
@@ -124,9 +126,9 @@
             in_flight: SecondaryMap::new(),
             fair: Counters::default(),
             lengths: Lengths::default(),
-            retry_budgets: SecondaryMap::new(),
+            retries: Retries::new(&limits),
             link_budget: Bucket::new(0.0),
-            limits: Limits { retry_percent: 10, retry_burst: RETRY_BURST, link_bytes: 1 << 20 },
+            limits,
             prefixes: cache::Index::default(),
             send_rate: slots::SendRate::default(),
             peer_send_rate: slots::PeerRate::default(),
@@ -171,9 +173,7 @@
     /// Sets the limits of the deployment. A change refills the link budget, and a change of the retry
     /// burst refills the retry budgets.
     pub fn set_limits(&mut self, limits: Limits) {
-        if limits.retry_burst != self.limits.retry_burst {
-            self.retry_budgets.clear();
-        }
+        self.retries.set_limits(&limits);
         if limits != self.limits || self.link_budget.fill_ratio() == 0.0 {
             self.link_budget = Bucket::new(limits.link_bytes as f64 * LINK_BURST_SECONDS);
         }
@@ -264,15 +264,6 @@
         self.lengths.remove_workspace(key);
     }
 
-    /// Retry budget of the requests for a model; starts full.
-    pub(crate) fn retry_budget(&mut self, model: ids::Model) -> &mut Bucket {
-        let burst = f64::from(self.limits.retry_burst);
-        if !self.retry_budgets.contains_key(model) {
-            self.retry_budgets.insert(model, Bucket::new(burst));
-        }
-        &mut self.retry_budgets[model]
-    }
-
     /// Number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -169,6 +169,8 @@
         pub workspace: ids::Workspace,
         /// The model or plain service it asks for.
         pub model: ids::Model,
+        /// The service as a whole, whose retry budget it uses.
+        pub service: ids::Model,
         /// Hash of the start of the prompt, by which requests are sent to a server that caches it.
         pub prefix: u64,
         /// Length of the prompt in tokens, estimated.
--- a/components/policy/tests/budget.rs
+++ b/components/policy/tests/budget.rs
@@ -14,6 +14,8 @@
 /// Retries that a node may make at once beyond that percentage.
 const BURST: u32 = 2;
 const MAX_NODES: usize = 40;
+/// Models of a service.
+const MODELS: usize = 9;
 /// Polls of the scheduler, 200 ms apart, for which a request waits while all servers are ejected.
 const MAX_POLLS: usize = 100;
 
@@ -222,3 +224,31 @@
     let retries = events.iter().filter(|event| **event == Event::Retry).count();
     assert_eq!(retries, 0, "no request was sent since the budget was used up");
 }
+
+/// Requests for each model of a service fail. Guards against a budget for each model, which allows the servers of the
+/// service several times the retries that they may get.
+#[test]
+fn the_models_of_a_service_share_its_budget() {
+    let mut node = new_node();
+    let models: Vec<ids::Model> = common::new_keys(MODELS);
+    for key in &node.servers {
+        let terms = policy::Server { models: models.clone(), ..common::server(1, 100, node.model) };
+        node.scheduler.set_server(*key, terms);
+    }
+    let mut retries = 0;
+    for model in models {
+        let request = Request { model, ..node.request(0, 0, Duration::from_secs(60)) };
+        let job = node.scheduler.submit(request, node.now);
+        node.scheduler.poll(node.now, &mut vec![]);
+        while node.scheduler.attempt_ended(job, Ending::NotRun, node.now) {
+            retries += 1;
+            let mut actions = vec![];
+            while actions.is_empty() {
+                node.now += Duration::from_millis(200);
+                node.scheduler.poll(node.now, &mut actions);
+            }
+        }
+    }
+    let allowed = BURST as usize + MODELS * PERCENT as usize / 100;
+    assert!(retries <= allowed, "{retries} retries, {allowed} allowed");
+}
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -91,6 +91,7 @@
             class: self.classes[class],
             workspace: self.workspaces[workspace],
             model: self.model,
+            service: self.model,
             prefix: workspace as u64,
             prompt_tokens: 100,
             shared: vec![],
--- a/components/router/src/callers.rs
+++ b/components/router/src/callers.rs
@@ -112,6 +112,7 @@
                 class: class_key,
                 workspace: workspace_key,
                 model,
+                service: model,
                 prefix: relay::prefix_hash(&body),
                 prompt_tokens: relay::estimate_tokens(&body),
                 shared: vec![],
--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -353,6 +353,7 @@
         class: class_key,
         workspace,
         model,
+        service: model,
         prefix: relay::prefix_hash(&keyed.body),
         prompt_tokens: relay::estimate_tokens(&keyed.body),
         shared: vec![],
