A node that starts is granted no retries, and the fleet's slack is divided by its size

Found while looking for the cause of repeats elsewhere. Now a node's budget holds its part of the slack that the platform states, and begins empty. At seven nodes it holds 5.8 in place of 2, so more of what is allowed can be used: at least half of it in the test.

--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -60,6 +60,10 @@
         pub grace_s: f64,
         /// Retries as a fraction of first attempts.
         pub repeats: f64,
+        /// Further retries of all nodes together, for one service in any ten seconds; a small number for each node
+        /// if it isn't given.
+        #[serde(default)]
+        pub retry_slack: Option<f64>,
         /// Requests that may reach a cold server in a second, as a multiple of those that it tolerates.
         #[serde(default = "default_cold_overshoot")]
         pub cold_overshoot: f64,
@@ -80,6 +84,9 @@
 const MAX_COLD_OVERSHOOT: f64 = 100.0;
 const MAX_COLD_SLACK: f64 = 100_000.0;
 
+/// Largest number of retries that a fleet may make at once.
+const MAX_RETRY_SLACK: f64 = 1_000_000.0;
+
 fn default_cold_overshoot() -> f64 {
     DEFAULT_COLD_OVERSHOOT
 }
@@ -159,6 +166,9 @@
         if !(0.0..=1.0).contains(&node.promises.repeats) {
             return Err(value("promises.repeats is out of range", "a part from 0 to 1"));
         }
+        if !node.promises.retry_slack.is_none_or(|slack| (0.0..=MAX_RETRY_SLACK).contains(&slack)) {
+            return Err(value("promises.retry_slack is out of range", "retries from 0 to 1000000"));
+        }
         if !(node.room.link_mbps > 0.0 && node.room.link_mbps.is_finite()) {
             return Err(value("room.link_mbps is out of range", "more than 0 Mbit/s"));
         }
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -47,8 +47,7 @@
 }
 
 /// Retries that a node may send at once to one service, beyond those that its first attempts have
-/// earned. The retries of all nodes together are bounded by their first attempts and by this burst
-/// per node, also right after a node's restart; no node needs to know how many others there are.
+/// earned, if its settings don't state the slack of all nodes together.
 const RETRY_BURST: u32 = 2;
 /// Bytes per second that a node may send to another region: practically unlimited. The platform doesn't
 /// state the link's bandwidth, and a budget that is too small would keep requests from the only
@@ -156,7 +155,7 @@
             ..listen::Limits::default()
         };
         let gossip = Gossip::new(rand::random(), node.room.link_bytes_per_second());
-        Rc::new(State {
+        let state = Rc::new(State {
             freshness: RefCell::new(Freshness::new(node.max_proof_age())),
             node: RefCell::new(Rc::new(node)),
             switches,
@@ -204,7 +203,9 @@
             body_bytes: Cell::new(0),
             open_requests: RefCell::default(),
             request_ended: Notify::new(),
-        })
+        });
+        state.apply_retry_slack();
+        state
     }
 
     /// The node's own settings.
@@ -216,6 +217,7 @@
     pub(crate) fn reload(&self, node: Node) {
         self.freshness.borrow_mut().set_max_age(node.max_proof_age());
         *self.node.borrow_mut() = Rc::new(node);
+        self.apply_retry_slack();
         let all = self.membership.borrow().iter().map(|entry| entry.name.clone()).collect();
         self.register_servers(all);
         self.driver.run_actions();
@@ -270,9 +272,20 @@
         self.own_work().plus(self.work_reports.sum(now)).plus(self.seed_work_reports.sum(now))
     }
 
+    /// Sets this node's part of the retries that the nodes may make at once, if the node's settings state them.
+    fn apply_retry_slack(&self) {
+        if let Some(slack) = self.node().promises.retry_slack {
+            let capacity = policy::retry_capacity(slack, limits::assumed_nodes(self));
+            self.driver.scheduler.borrow_mut().set_retry_capacity(capacity);
+        }
+    }
+
     /// Applies the work of all nodes, as summed by this node or the peer that it asks.
     pub(crate) fn set_fleet_work(&self, work: Work) {
-        self.fleet_nodes.set(work.nodes.max(1));
+        let nodes = work.nodes.max(1);
+        if self.fleet_nodes.replace(nodes) != nodes {
+            self.apply_retry_slack();
+        }
         let bounded = self.switches.is_on(Own::RegionalAffinity);
         let crosses = !bounded || self.crossing.update_allowed(work.kib_per_s);
         self.driver.scheduler.borrow_mut().set_cross_region(crosses);
--- a/components/policy/src/bucket.rs
+++ b/components/policy/src/bucket.rs
@@ -16,6 +16,17 @@
         Bucket { balance: capacity, capacity, last_refill: None }
     }
 
+    /// An empty bucket.
+    pub(crate) fn empty(capacity: f64) -> Self {
+        Bucket { balance: 0.0, capacity, last_refill: None }
+    }
+
+    /// Changes the capacity; a balance above it is lost.
+    pub(crate) fn set_capacity(&mut self, capacity: f64) {
+        self.capacity = capacity;
+        self.balance = self.balance.min(capacity);
+    }
+
     /// Adds an amount, up to the capacity; returns how much was added.
     pub(crate) fn add(&mut self, amount: f64) -> f64 {
         let before = self.balance;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -56,6 +56,7 @@
 pub use quarantine::{Crash, Evidence, Quarantine};
 pub use quota::Wait;
 pub use reach::Reach;
+pub use retries::retry_capacity;
 pub use scheduler::{RETRY_BURST, Scheduler};
 pub use status::{Status, Unused};
 pub use terms::{
--- a/components/policy/src/retries.rs
+++ b/components/policy/src/retries.rs
@@ -5,11 +5,13 @@
 //! for it, and a slack for the whole fleet.
 //!
 //! Each first attempt earns its part of a retry. A budget holds no more than the node's part of the slack, so that
-//! nothing is saved up beyond it.
+//! nothing is saved up beyond it. Where the slack is known, a budget begins empty: one that begins full would be
+//! granted anew with each start of the node, and nobody counts the starts of all nodes.
 
 use slotmap::SecondaryMap;
 
 use crate::bucket::Bucket;
+use crate::scheduler::Scheduler;
 use crate::terms::Limits;
 
 /// The retry budgets of one node.
@@ -20,11 +22,33 @@
     earned: f64,
     /// The most that a budget holds.
     capacity: f64,
+    /// Budgets begin empty.
+    begins_empty: bool,
+}
+
+/// Part of the fleet's slack that the nodes use together. The rest is for nodes of which others don't know yet, and
+/// for requests that were sent long after they arrived.
+const USED_SLACK: f64 = 0.75;
+
+/// The most that a node's budget holds in a fleet of so many nodes with a slack for all. The last retry that a node
+/// can save up is its own also where the slack has less than one for each.
+///
+/// ```
+/// assert_eq!(policy::retry_capacity(56.0, 7), 6.0);
+/// assert_eq!(policy::retry_capacity(640.0, 584), 1.0);
+/// ```
+pub fn retry_capacity(slack: f64, nodes: u32) -> f64 {
+    (slack * USED_SLACK / f64::from(nodes.max(1))).max(1.0)
 }
 
 impl Retries {
     pub(crate) fn new(limits: &Limits) -> Self {
-        let mut retries = Retries { budgets: SecondaryMap::new(), earned: 0.0, capacity: 0.0 };
+        let mut retries = Retries {
+            budgets: SecondaryMap::new(),
+            earned: 0.0,
+            capacity: 0.0,
+            begins_empty: false,
+        };
         retries.set_limits(limits);
         retries
     }
@@ -33,7 +57,7 @@
     pub(crate) fn set_limits(&mut self, limits: &Limits) {
         self.earned = f64::from(limits.retry_percent) / 100.0;
         let capacity = f64::from(limits.retry_burst);
-        if capacity != self.capacity {
+        if capacity != self.capacity && !self.begins_empty {
             self.capacity = capacity;
             self.budgets.clear();
         }
@@ -41,7 +65,9 @@
 
     fn budget(&mut self, service: ids::Model) -> &mut Bucket {
         if !self.budgets.contains_key(service) {
-            self.budgets.insert(service, Bucket::new(self.capacity));
+            let empty = self.begins_empty;
+            let bucket = if empty { Bucket::empty } else { Bucket::new };
+            self.budgets.insert(service, bucket(self.capacity));
         }
         &mut self.budgets[service]
     }
@@ -64,6 +90,22 @@
 
     /// Retries that a budget holds, which may be a fraction.
     pub(crate) fn balance(&self, service: ids::Model) -> f64 {
-        self.budgets.get(service).map_or(self.capacity, Bucket::balance)
+        let unused = if self.begins_empty { 0.0 } else { self.capacity };
+        self.budgets.get(service).map_or(unused, Bucket::balance)
+    }
+}
+
+impl Scheduler {
+    /// Sets the most that each retry budget holds, in place of the burst of the limits. Budgets begin empty from now
+    /// on, and those that hold more lose the rest.
+    ///
+    /// ```
+    /// let mut scheduler = policy::Scheduler::new();
+    /// scheduler.set_retry_capacity(policy::retry_capacity(54.0, 7));
+    /// ```
+    pub fn set_retry_capacity(&mut self, capacity: f64) {
+        self.retries.capacity = capacity;
+        self.retries.begins_empty = true;
+        self.retries.budgets.values_mut().for_each(|budget| budget.set_capacity(capacity));
     }
 }
--- a/components/policy/tests/budget.rs
+++ b/components/policy/tests/budget.rs
@@ -252,3 +252,44 @@
     let allowed = BURST as usize + MODELS * PERCENT as usize / 100;
     assert!(retries <= allowed, "{retries} retries, {allowed} allowed");
 }
+
+/// Fleets of these sizes have these slacks.
+const SLACKS: [(usize, f64); 4] = [(7, 54.0), (71, 176.0), (295, 630.0), (584, 640.0)];
+/// First attempts of each node in one window.
+const FIRSTS: usize = 40;
+
+/// The retries of one window in a fleet with a slack, of which each node starts so many times, and what is allowed.
+fn retries_with_starts(nodes: usize, slack: f64, starts: usize) -> (f64, f64) {
+    let mut events = vec![];
+    for start in 0..nodes * starts {
+        let mut before = vec![];
+        let mut node = new_node();
+        node.scheduler.set_retry_capacity(policy::retry_capacity(slack, nodes as u32));
+        let mut node = [node];
+        for _ in 0..FIRSTS / starts {
+            // What the first process saves up is earned before the window.
+            let first = start % starts == 0;
+            run_request(&mut node, 0, &[], if first { &mut before } else { &mut events });
+        }
+        for _ in 0..FIRSTS / starts {
+            run_request(&mut node, 0, &[(Ending::Failed, None); 2], &mut events);
+        }
+    }
+    let retries = events.iter().filter(|event| **event == Event::Retry).count() as f64;
+    let firsts = events.len() as f64 - retries;
+    (retries, slack + firsts * f64::from(PERCENT) / 100.0)
+}
+
+/// All nodes are killed and start again several times within one window, while every attempt fails. Guards against
+/// budgets that each start grants anew.
+#[test]
+fn starts_of_nodes_grant_no_retries() {
+    for (nodes, slack) in SLACKS {
+        for starts in [1, 2, 4] {
+            let (retries, allowed) = retries_with_starts(nodes, slack, starts);
+            assert!(retries <= allowed, "{nodes} nodes, {starts} starts: {retries} of {allowed}");
+        }
+        let (used, allowed) = retries_with_starts(nodes, slack, 1);
+        assert!(used >= allowed / 2.0, "{nodes} nodes: {used} of {allowed}");
+    }
+}
