Log the shared parts of prompts, and whether a failed attempt's answer had begun

For the incident of crashing prompts: a line named a prompt by a hash of the whole request only, so that requests with a part in common couldn't be told apart from others.

--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -69,6 +69,12 @@
         format!("{:016x}", self.fingerprint)
     }
 
+    /// The parts of its prompt that other requests share, as written in logs: their ids in order.
+    pub(crate) fn shared_parts(&self) -> String {
+        let ids = self.call.prompt.shared_parts().iter().map(|part| format!("{:x}", part.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
     /// Time left until the answer must end.
     pub(crate) fn time_left<A: Adapter>(&self, state: &State<A>) -> Duration {
         self.time_limit.saturating_sub(state.elapsed_since(self.arrived))
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -373,7 +373,8 @@
         }
         log::log!(
             level,
-            request = request, content = self.received.fingerprint_hex(), server = name,
+            request = request, content = self.received.fingerprint_hex(),
+            parts = self.received.shared_parts(), began = self.stats.first_event.is_some(), server = name,
             attempt = attempt, left_ms = left_ms, arrived = error.may_have_arrived(),
             retries_left = self.submission.retries_left(), cause:% = error; "attempt failed"
         );
@@ -420,6 +421,7 @@
         let route_terms = received.route();
         log::info!(
             request = received.call.id.as_str(), content = received.fingerprint_hex(),
+            parts = received.shared_parts(),
             peer = peer.map(|peer| peer.to_string()), unreached = unreached.get(), silent_ms = silent_ms,
             route = route, tier = received.found.tier(),
             server = server, version = self.server.as_ref().map(|server| server.version.as_str()),
