--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -164,6 +164,8 @@
             Ok((stream, _)) = socket.accept() => stream,
             _ = crashed.changed() => return,
         };
+        // Otherwise the kernel holds small writes back for 40 ms of real time, which is seconds of virtual time.
+        let _ = stream.set_nodelay(true);
         let (state, mut crashed) = (state.clone(), state.crashed.subscribe());
         actix_rt::spawn(async move {
             state.open.set(state.open.get() + 1);
