Crashes are counted by the parts of prompts, and what only comes with a bad part is left alone

Callers saw a quarter of serial-arc fail, up to three quarters at times: one part of prompts ended 74 servers in two series, each cutting dozens of streams. Cause: evidence was kept by the content of a whole request, and no two of these requests are alike, so no node ever had two crashes against the same thing.

Evidence is now kept for each part that prompts share as well, in the same table and messages. The start of an answer clears the parts of its prompt; a crash accuses those of the requests whose answer hadn't begun. After three crashes without one, policy::culprits takes the narrowest explanation: requests are blocked that have all parts which were in every crashed prompt with the suspect, less those that answers cleared; broader parts are excused by it.

--- a/components/driver/src/crashes.rs
+++ b/components/driver/src/crashes.rs
@@ -12,7 +12,7 @@
 
 use clock::Clock;
 use http_client::Connection;
-use policy::{Crash, Quarantine, Refusal};
+use policy::{Crash, Quarantine, Refusal, Subject};
 use tokio::sync::oneshot;
 
 use crate::submission::Refused;
@@ -36,7 +36,7 @@
 /// A request whose connection ended early.
 #[derive(Debug)]
 struct Interrupted {
-    content: u64,
+    subject: Subject,
     sent: Instant,
     at: Instant,
     /// Receives whether the server has crashed.
@@ -57,7 +57,7 @@
     ///
     /// ```
     /// let crashes = driver::Crashes::new(7, clock::Runtime::new());
-    /// assert!(crashes.begin_attempt(1).is_ok());
+    /// assert!(crashes.begin_attempt(&1.into()).is_ok());
     /// ```
     pub fn new(seed: u64, clock: clock::Runtime) -> Rc<Self> {
         let quarantine = RefCell::new(Quarantine::new(seed));
@@ -65,17 +65,18 @@
     }
 
     /// Records that the connection of a request, which was sent at `sent`, ended early. Starts a probe of
-    /// its server, unless one is in progress; the receiver gets whether the server has crashed.
+    /// its server, unless one is in progress; the receiver gets whether the server has crashed. The parts of its
+    /// prompt aren't to blame if its answer had begun: pass [`Subject::whole`] then.
     pub fn record_lost_connection(
         self: &Rc<Self>,
         server: Target,
-        content: u64,
+        subject: Subject,
         sent: Instant,
     ) -> oneshot::Receiver<bool> {
         let mut probes = self.probes.borrow_mut();
         let first = !probes.contains_key(&server.address);
         let (result, receiver) = oneshot::channel();
-        let interrupted = Interrupted { content, sent, at: self.clock.now(), result };
+        let interrupted = Interrupted { subject, sent, at: self.clock.now(), result };
         probes.entry(server.address.clone()).or_default().push(interrupted);
         if first {
             actix_rt::spawn(self.clone().probe(server));
@@ -104,11 +105,12 @@
         // Without a key, each detected crash counts as one of another process.
         let instance = server.instance.unwrap_or_else(rand::random);
         let (mut quarantine, now) = (self.quarantine.borrow_mut(), self.clock.now());
-        for &Interrupted { content, sent, at, .. } in interrupted {
-            let blocked_before = quarantine.blocked_for(content, now);
-            quarantine.record_crash(content, Crash { instance, sent, at }, now);
-            if let (None, Some(blocked)) = (blocked_before, quarantine.blocked_for(content, now)) {
-                let (content, blocked_ms) = (format!("{content:016x}"), blocked.as_millis() as u64);
+        for Interrupted { subject, sent, at, .. } in interrupted {
+            let blocked_before = quarantine.blocked_for(subject, now);
+            quarantine.record_crash(subject, Crash { instance, sent: *sent, at: *at }, now);
+            if let (None, Some(blocked)) = (blocked_before, quarantine.blocked_for(subject, now)) {
+                let content = format!("{:016x}", subject.content);
+                let blocked_ms = blocked.as_millis() as u64;
                 log::warn!(
                     content = content.as_str(), held_ms = blocked_ms;
                     "request blocked: servers crashed while they ran it"
@@ -123,12 +125,17 @@
         self.quarantine.borrow_mut().record_completion(content, self.clock.now());
     }
 
+    /// Records that the answer to a request began.
+    pub fn record_beginning(&self, subject: &Subject) {
+        self.quarantine.borrow_mut().record_beginning(subject, self.clock.now());
+    }
+
     /// Checks whether a request may wait for a server.
     ///
     /// # Errors
     /// When it is blocked.
-    pub fn check_quarantine(&self, content: u64) -> Result<(), Refused> {
-        match self.quarantine.borrow().blocked_for(content, self.clock.now()) {
+    pub fn check_quarantine(&self, subject: &Subject) -> Result<(), Refused> {
+        match self.quarantine.borrow().blocked_for(subject, self.clock.now()) {
             Some(retry_after) => Err(Refused { refusal: Refusal::Quarantined, retry_after }),
             None => Ok(()),
         }
@@ -139,8 +146,8 @@
     ///
     /// # Errors
     /// When it is blocked.
-    pub fn begin_attempt(&self, content: u64) -> Result<(), Refused> {
-        let result = self.quarantine.borrow_mut().begin_attempt(content, self.clock.now());
+    pub fn begin_attempt(&self, subject: &Subject) -> Result<(), Refused> {
+        let result = self.quarantine.borrow_mut().begin_attempt(subject, self.clock.now());
         result.map_err(|retry_after| Refused { refusal: Refusal::Quarantined, retry_after })
     }
 }
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -313,6 +313,10 @@
     };
     if reply.splitter.is_some() {
         reply.first = reply.next_chunk().await?;
+        if reply.first.as_ref().is_some_and(|chunk| chunk.events > 0) {
+            received.began.set(true);
+            state.crashes.record_beginning(&received.subject);
+        }
         return Ok(Reply::Partial(Box::new(reply)));
     }
     if success && received.route().kind.is_stream() {
--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -241,7 +241,8 @@
     };
     let now = state.clock.now();
     let (from, known) = (report.from.clone(), report.known);
-    let (suspects, suspects_known) = (std::mem::take(&mut report.suspects), report.suspects_known);
+    let evidence = suspects::from_wire(&report.suspects, &report.companions, now);
+    let suspects_known = report.suspects_known;
     let (limits, limits_known) = (std::mem::take(&mut report.limits), report.limits_known);
     if let Some(work) = report.work {
         let reports = if from_seed { &state.seed_work_reports } else { &state.work_reports };
@@ -262,7 +263,7 @@
     };
     summary = suspects::merge_and_add_to_summary(
         state,
-        (&suspects, suspects_known),
+        (evidence, suspects_known),
         known,
         from_seed,
         summary,
--- a/components/forward/src/gossip/suspects.rs
+++ b/components/forward/src/gossip/suspects.rs
@@ -4,6 +4,7 @@
 //! their seed, which passes on to nodes those with at least two crashes. A single crash is no reason to
 //! quarantine a request, and a loss of many servers makes hundreds of such suspects.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use clock::Clock;
@@ -26,8 +27,8 @@
     let (now, quarantine) = (state.clock.now(), state.crashes.quarantine.borrow());
     let (evidence, version) = quarantine.changes_since(cursor.acknowledged(), 1);
     cursor.begin_report(version);
-    let suspects = evidence.iter().map(|evidence| to_wire(evidence, now)).collect();
-    Report { suspects, suspects_known: cursor.received(), ..report }
+    let (suspects, companions) = to_wire(evidence, now);
+    Report { suspects, companions, suspects_known: cursor.received(), ..report }
 }
 
 /// Merges the evidence in a seed's answer.
@@ -35,38 +36,46 @@
     cursor.record_answer(summary.position.boot, summary.suspects_version);
     let mut quarantine = state.crashes.quarantine.borrow_mut();
     let before = quarantine.version();
-    merge_evidence(&mut quarantine, &summary.suspects, state.clock.now());
+    let evidence = from_wire(&summary.suspects, &summary.companions, state.clock.now());
+    merge_evidence(&mut quarantine, evidence, state.clock.now());
     cursor.skip_learned(before, quarantine.version());
 }
 
 /// Merges the evidence that a node or another seed reports, and adds to the answer what it may not have.
 pub(super) fn merge_and_add_to_summary<A: Adapter>(
     state: &State<A>,
-    (suspects, known): (&[Suspect], u64),
+    (evidence, known): (Vec<Evidence>, u64),
     at: Option<Position>,
     from_seed: bool,
     summary: Summary,
 ) -> Summary {
     let now = state.clock.now();
     let mut quarantine = state.crashes.quarantine.borrow_mut();
-    merge_evidence(&mut quarantine, suspects, now);
+    merge_evidence(&mut quarantine, evidence, now);
     let known = at.filter(|at| at.boot == summary.position.boot).map_or(0, |_| known);
     let min_crashes = if from_seed { 1 } else { NODE_THRESHOLD };
     let (evidence, suspects_version) = quarantine.changes_since(known, min_crashes);
-    let suspects = evidence.iter().map(|evidence| to_wire(evidence, now)).collect();
-    Summary { suspects, suspects_version, ..summary }
+    let (suspects, companions) = to_wire(evidence, now);
+    Summary { suspects, companions, suspects_version, ..summary }
 }
 
-fn merge_evidence(quarantine: &mut Quarantine, suspects: &[Suspect], now: Instant) {
-    for suspect in suspects {
-        if let Some(evidence) = from_wire(suspect, now) {
-            quarantine.merge(evidence, now);
-        }
+fn merge_evidence(quarantine: &mut Quarantine, evidence: Vec<Evidence>, now: Instant) {
+    for evidence in evidence {
+        quarantine.merge(evidence, now);
     }
 }
 
+/// Companions of parts, as messages hold them.
+type Companions = Vec<(u64, Vec<u64>)>;
+
 /// Evidence in the form in which it is sent. Times are sent as ages, since the clocks of nodes differ.
-fn to_wire(evidence: &Evidence, now: Instant) -> Suspect {
+fn to_wire(evidence: Vec<Evidence>, now: Instant) -> (Vec<Suspect>, Companions) {
+    let suspects = evidence.iter().map(|evidence| suspect(evidence, now)).collect();
+    let parts = evidence.into_iter().filter(|evidence| !evidence.companions.is_empty());
+    (suspects, parts.map(|evidence| (evidence.content, evidence.companions)).collect())
+}
+
+fn suspect(evidence: &Evidence, now: Instant) -> Suspect {
     let age = |at: Instant| {
         let age = now.saturating_duration_since(at).as_millis();
         u32::try_from(age).unwrap_or(u32::MAX)
@@ -83,8 +92,23 @@
     }
 }
 
-/// Evidence from another node; none if it is older than this node's clock can represent.
-fn from_wire(suspect: &Suspect, now: Instant) -> Option<Evidence> {
+/// Evidence from another node, without what is older than this node's clock can represent.
+pub(super) fn from_wire(
+    suspects: &[Suspect],
+    companions: &[(u64, Vec<u64>)],
+    now: Instant,
+) -> Vec<Evidence> {
+    let companions: HashMap<_, _> = companions.iter().map(|(part, all)| (*part, all)).collect();
+    let evidence = suspects.iter().filter_map(|suspect| evidence(suspect, now));
+    let with_companions = |evidence: Evidence| {
+        let known = companions.get(&evidence.content);
+        let companions = known.map(|all| all.to_vec()).unwrap_or_default();
+        Evidence { companions, ..evidence }
+    };
+    evidence.map(with_companions).collect()
+}
+
+fn evidence(suspect: &Suspect, now: Instant) -> Option<Evidence> {
     let at = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
     let crash = |crash: &gossip::Crash| {
         let (sent, at) = (at(crash.sent_ms)?, at(crash.crashed_ms)?);
@@ -92,5 +116,5 @@
     };
     let crashes = suspect.crashes.iter().map(crash).collect::<Option<_>>()?;
     let completed = suspect.completed_ms.and_then(at);
-    Some(Evidence { content: suspect.content, crashes, completed })
+    Some(Evidence { content: suspect.content, crashes, completed, companions: vec![] })
 }
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -9,7 +9,7 @@
 use catalog::{Denied, Kind, Match, Settings};
 use clock::Clock;
 use futures_util::StreamExt;
-use policy::Prior;
+use policy::{Prior, Subject};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapter::{Adapter, Call, Malformed};
@@ -36,8 +36,8 @@
     pub(crate) arrived: Timestamp,
     /// Time from its arrival within which the answer must end.
     pub(crate) time_limit: Duration,
-    /// Hash of its content and workspace, the same for each try of the caller.
-    pub(crate) fingerprint: u64,
+    /// Hash of its content and workspace, the same for each try of the caller, and the parts of its prompt.
+    pub(crate) subject: Subject,
     pub(crate) request: policy::Request,
     /// Key that stands for the service as a whole that serves it.
     pub(crate) service: ids::Model,
@@ -45,6 +45,8 @@
     pub(crate) hop: Option<Hop>,
     /// Number of times that this node sent it to a server.
     pub(crate) arrivals: Cell<u32>,
+    /// A server began to answer it.
+    pub(crate) began: Cell<bool>,
 }
 
 derives::value! {
@@ -66,7 +68,7 @@
 
     /// The fingerprint as written in logs.
     pub(crate) fn fingerprint_hex(&self) -> String {
-        format!("{:016x}", self.fingerprint)
+        format!("{:016x}", self.subject.content)
     }
 
     /// The parts of its prompt that other requests share, as written in logs: their ids in order.
@@ -152,7 +154,8 @@
         scheduler_request(state, settings, &call, &found, arrived, time_limit)?;
     request.idempotent &= !hop.is_some_and(|hop| hop.may_have_run);
     request.prior = hop.map(|hop| hop.prior).unwrap_or_default();
-    let fingerprint = fingerprint(&head, &call, &found, &body);
+    let shared = call.prompt.shared_parts().iter().map(|part| part.id);
+    let subject = Subject::new(fingerprint(&head, &call, &found, &body), shared);
     let revision = settings.revision;
     Ok(Received {
         call,
@@ -162,11 +165,12 @@
         revision,
         arrived,
         time_limit,
-        fingerprint,
+        subject,
         request,
         service,
         hop,
         arrivals: Cell::new(0),
+        began: Cell::new(false),
     })
 }
 
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -169,7 +169,7 @@
         may_have_run: false,
         error_reply: None,
     };
-    if let Err(refused) = active.state.crashes.check_quarantine(active.received.fingerprint) {
+    if let Err(refused) = active.state.crashes.check_quarantine(&active.received.subject) {
         return active.refuse(waiting, refused);
     }
     loop {
@@ -230,7 +230,7 @@
                 self.submission.end_attempt(Ending::Cancelled);
                 return Err(Refused { refusal: Refusal::Late, ..Refused::NO_SERVER });
             }
-            if let Err(refused) = self.state.crashes.begin_attempt(self.received.fingerprint) {
+            if let Err(refused) = self.state.crashes.begin_attempt(&self.received.subject) {
                 self.submission.end_attempt(Ending::Cancelled);
                 return Err(refused);
             }
@@ -324,7 +324,7 @@
     /// Moves the request to the server that keeps a copy of its run; none if that one may not be sent the
     /// request. The server that ran it must have ended.
     pub(crate) fn continue_at_backup(&mut self) -> Option<Rc<Entry>> {
-        self.state.crashes.begin_attempt(self.received.fingerprint).ok()?;
+        self.state.crashes.begin_attempt(&self.received.subject).ok()?;
         let backup = self.stats.expected?.backup?;
         let server = self.state.registry.borrow().server(backup).cloned()?;
         let ended = self.server.as_ref()?;
@@ -374,18 +374,20 @@
         log::log!(
             level,
             request = request, content = self.received.fingerprint_hex(),
-            parts = self.received.shared_parts(), began = self.stats.first_event.is_some(), server = name,
+            parts = self.received.shared_parts(), began = self.received.began.get(), server = name,
             attempt = attempt, left_ms = left_ms, arrived = error.may_have_arrived(),
             retries_left = self.submission.retries_left(), cause:% = error; "attempt failed"
         );
         match error {
             AttemptError::ServerError(_) => {
-                self.state.crashes.record_completion(self.received.fingerprint);
+                self.state.crashes.record_completion(self.received.subject.content);
                 None
             }
             AttemptError::Lost(_) if self.should_be_running(name) => {
-                let (target, content) = (crash_target(server), self.received.fingerprint);
-                Some(self.state.crashes.record_lost_connection(target, content, self.sent))
+                let (target, subject) = (crash_target(server), &self.received.subject);
+                let began = self.received.began.get();
+                let subject = if began { subject.whole() } else { subject.clone() };
+                Some(self.state.crashes.record_lost_connection(target, subject, self.sent))
             }
             _ => None,
         }
@@ -491,8 +493,11 @@
     /// Passes a complete answer on.
     fn relay_whole(&mut self, whole: WholeReply) -> Answer {
         let outcome = Outcome::Complete.as_str();
+        if whole.status.is_success() {
+            self.state.crashes.record_beginning(&self.received.subject);
+        }
         self.record_outcome(outcome, whole.status.as_u16());
-        self.state.crashes.record_completion(self.received.fingerprint);
+        self.state.crashes.record_completion(self.received.subject.content);
         let workspace =
             self.received.found.workspace.as_ref().map_or("", |workspace| &workspace.name);
         let time = self.state.elapsed_since(self.received.arrived);
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -131,7 +131,7 @@
         if let Some(reply) = self.reply.take() {
             let status = reply.status.as_u16();
             reply.release_connection(&self.active.state);
-            self.active.state.crashes.record_completion(self.active.received.fingerprint);
+            self.active.state.crashes.record_completion(self.active.received.subject.content);
             self.active.record_outcome(life.complete().as_str(), status);
         }
         None
--- a/components/policy/src/quarantine.rs
+++ b/components/policy/src/quarantine.rs
@@ -8,13 +8,20 @@
 //! three distinct times; servers that crash together may have a cause in common, so they count once. A
 //! complete answer proves that a request is harmless, and voids the crashes before it. When its block ends, a
 //! request gets one trial attempt, and a crash then blocks it for longer.
+//!
+//! The same evidence is kept of the parts that prompts share ([`crate::culprits`]). The start of an answer proves
+//! that the parts of its prompt are harmless.
 
+use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
 use std::time::{Duration, Instant};
 
-/// Distinct crashes from which on a request is blocked.
-const BLOCK_THRESHOLD: usize = 3;
+use crate::culprits::{self, Candidate, Rule};
+use crate::pick::mix64;
+
+/// Distinct crashes from which on a request or part is blocked.
+pub(crate) const BLOCK_THRESHOLD: usize = 3;
 /// Servers that crash within this time of each other count as one crash, if the request was at all of them.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
 /// Least time since its last crash for which a request is blocked. Each node draws a factor from 1 to 2, so
@@ -32,10 +39,14 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 /// Requests for which evidence is kept at once.
 const MAX_SUSPECTS: usize = 2_048;
+/// Suspects that are removed at once from a full table; comparing all of them for each new one takes long.
+const EVICTED: usize = MAX_SUSPECTS / 8;
 /// Crashes that are kept for one request, the latest ones.
 const MAX_CRASHES: usize = 8;
 /// Suspects in one message to another node.
 const PAGE_SIZE: usize = 128;
+/// Keeps the keys of parts apart from those of whole requests.
+const PART_SALT: u64 = 0x9e37_79b9_7f4a_7c15;
 
 derives::data! {
     /// A server crashed while it ran a request.
@@ -49,15 +60,51 @@
         pub at: Instant,
     }
 
-    /// The crashes that a request may have caused, and the complete answer that speaks against that.
+    /// The crashes that a request, or a part of prompts, may have caused, and the answer that speaks against that.
     #[derive(Eq)]
     pub struct Evidence {
-        /// Hash of its content.
+        /// Hash of the request's content, or key of the part.
         pub content: u64,
         /// Crashes of servers that were running it.
         pub crashes: Vec<Crash>,
-        /// When it last got a complete answer.
+        /// When a request last got a complete answer; when an answer to a prompt with the part last began.
         pub completed: Option<Instant>,
+        /// Keys of the parts that were in all prompts with the part that servers were running as they crashed, itself
+        /// among them; empty for a request.
+        pub companions: Vec<u64>,
+    }
+
+    /// What a request is known by.
+    #[derive(Eq)]
+    pub struct Subject {
+        /// Hash of its content.
+        pub content: u64,
+        /// Keys of the parts of its prompt that other requests share.
+        pub parts: Vec<u64>,
+    }
+}
+
+impl Subject {
+    /// A request with this content, and the ids of the parts of its prompt that other requests share.
+    ///
+    /// ```
+    /// assert_eq!(policy::Subject::new(7, []), 7.into());
+    /// ```
+    pub fn new(content: u64, parts: impl IntoIterator<Item = u64>) -> Self {
+        let key = |id| mix64(id ^ PART_SALT);
+        Subject { content, parts: parts.into_iter().map(key).collect() }
+    }
+
+    /// The same request without its parts, for evidence that concerns it as a whole only.
+    #[must_use]
+    pub fn whole(&self) -> Self {
+        self.content.into()
+    }
+}
+
+impl From<u64> for Subject {
+    fn from(content: u64) -> Self {
+        Subject { content, parts: vec![] }
     }
 }
 
@@ -69,12 +116,26 @@
     }
 }
 
-/// A request that was running on servers when they crashed.
+/// Number of crashes that can't share a cause outside of what they are counted for. They are ordered by time.
+pub(crate) fn count_distinct<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    let (mut count, mut last_counted): (usize, Option<&Crash>) = (0, None);
+    for crash in crashes {
+        if last_counted.is_none_or(|last| crash.is_distinct_from(last)) {
+            count += 1;
+            last_counted = Some(crash);
+        }
+    }
+    count
+}
+
+/// A request or part that was running on servers when they crashed.
 #[derive(Debug, Default)]
 struct Suspect {
     /// The latest ones, ordered by time.
     crashes: Vec<Crash>,
     completed: Option<Instant>,
+    /// As in [`Evidence`].
+    companions: Vec<u64>,
     /// When its last trial attempt after a block began; none once it completed.
     trial_started: Option<Instant>,
     /// Version of the table at its last change.
@@ -84,16 +145,13 @@
 impl Suspect {
     /// The number of distinct crashes since the last complete answer, and the time of the last crash.
     fn distinct_crashes(&self) -> (usize, Option<Instant>) {
-        let not_voided = |crash: &&Crash| Some(crash.at) > self.completed;
-        let (mut count, mut last_counted): (usize, Option<&Crash>) = (0, None);
-        for crash in self.crashes.iter().filter(not_voided) {
-            if last_counted.is_none_or(|last| crash.is_distinct_from(last)) {
-                count += 1;
-                last_counted = Some(crash);
-            }
-        }
-        let last = self.crashes.iter().rfind(not_voided).map(|crash| crash.at);
-        (count, last)
+        let last = self.counted_crashes().last().map(|crash| crash.at);
+        (count_distinct(self.counted_crashes()), last)
+    }
+
+    /// The crashes since the last complete answer.
+    fn counted_crashes(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| Some(crash.at) > self.completed)
     }
 
     /// The end of its block; none if it isn't blocked. `random` is the node's number from 0 to 1 for it.
@@ -130,12 +188,29 @@
         let voided = |crash: &Crash| crash.at <= at && Some(crash.at) > before;
         self.crashes.iter().any(voided)
     }
+
+    /// Keeps those companions that further prompts have too; returns whether any was dropped. After an answer that
+    /// voids all crashes, those of further prompts count alone.
+    fn restrict_companions(&mut self, companions: Vec<u64>) -> bool {
+        if companions.is_empty() {
+            return false;
+        }
+        if self.companions.is_empty() || self.counted_crashes().next().is_none() {
+            self.companions = companions;
+            return true;
+        }
+        let before = self.companions.len();
+        self.companions.retain(|part| companions.contains(part));
+        self.companions.len() != before
+    }
 }
 
-/// The requests that may crash servers, by the hash of their content.
+/// The requests and parts of prompts that may crash servers.
 #[derive(Debug)]
 pub struct Quarantine {
     suspects: HashMap<u64, Suspect>,
+    /// The prompts that are blocked for their parts; computed when they are asked for after a change.
+    rules: OnceCell<Vec<Rule>>,
     version: u64,
     seed: u64,
     last_sweep: Option<Instant>,
@@ -146,29 +221,42 @@
     ///
     /// ```
     /// let quarantine = policy::Quarantine::new(7);
-    /// assert_eq!(quarantine.blocked_for(1, std::time::Instant::now()), None);
+    /// assert_eq!(quarantine.blocked_for(&1.into(), std::time::Instant::now()), None);
     /// ```
     pub fn new(seed: u64) -> Self {
-        Quarantine { suspects: HashMap::new(), version: 0, seed, last_sweep: None }
+        let (suspects, rules) = (HashMap::new(), OnceCell::new());
+        Quarantine { suspects, rules, version: 0, seed, last_sweep: None }
     }
 
-    /// Records that a server crashed while it ran a request.
+    /// Records that a server crashed while it ran a request. Its parts are accused too, so if its answer had begun,
+    /// pass [`Subject::whole`].
     ///
     /// ```
     /// use std::time::{Duration, Instant};
     ///
-    /// use policy::{Crash, Quarantine};
+    /// use policy::{Crash, Quarantine, Subject};
     ///
     /// let (mut quarantine, start) = (Quarantine::new(7), Instant::now());
     /// for server in 0..3 {
-    ///     assert_eq!(quarantine.blocked_for(1, start), None);
+    ///     let request = Subject::new(server.into(), [0xbad]);
+    ///     assert_eq!(quarantine.blocked_for(&request, start), None);
     ///     let at = start + Duration::from_secs(server.into());
-    ///     quarantine.record_crash(1, Crash { instance: server, sent: start, at }, at);
+    ///     quarantine.record_crash(&request, Crash { instance: server, sent: start, at }, at);
     /// }
-    /// assert!(quarantine.blocked_for(1, start + Duration::from_secs(3)).is_some());
+    /// let another = Subject::new(9, [0xbad]);
+    /// assert!(quarantine.blocked_for(&another, start + Duration::from_secs(3)).is_some());
     /// ```
-    pub fn record_crash(&mut self, content: u64, crash: Crash, now: Instant) {
-        self.merge(Evidence { content, crashes: vec![crash], completed: None }, now);
+    pub fn record_crash(&mut self, subject: &Subject, crash: Crash, now: Instant) {
+        let evidence = |content, companions| Evidence {
+            content,
+            crashes: vec![crash],
+            completed: None,
+            companions,
+        };
+        self.merge(evidence(subject.content, vec![]), now);
+        for part in &subject.parts {
+            self.merge(evidence(*part, subject.parts.clone()), now);
+        }
     }
 
     /// Records that a request got a complete answer, be it a success or an error: its server survived it.
@@ -184,11 +272,70 @@
         if suspect.record_completion(now) {
             self.version += 1;
             suspect.version = self.version;
+            self.rules = OnceCell::new();
+        }
+    }
+
+    /// Records that the answer to a request began: its server has survived the parts of its prompt.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use policy::{Crash, Quarantine, Subject};
+    ///
+    /// let (mut quarantine, at) = (Quarantine::new(7), Instant::now());
+    /// let bad = Subject::new(1, [0xc0, 0xbad]);
+    /// quarantine.record_crash(&bad, Crash { instance: 3, sent: at, at }, at);
+    /// quarantine.record_beginning(&Subject::new(2, [0xc0]), at + Duration::from_secs(1));
+    /// assert_eq!(quarantine.version(), 4, "it clears one of three suspects");
+    /// ```
+    pub fn record_beginning(&mut self, subject: &Subject, now: Instant) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        for part in &subject.parts {
+            self.record_completion(*part, now);
         }
     }
 
-    /// The time for which a request is still blocked; none if it isn't.
-    pub fn blocked_for(&self, content: u64, now: Instant) -> Option<Duration> {
+    /// The time for which a request is still blocked, by its content or a part of its prompt; none if it isn't.
+    pub fn blocked_for(&self, subject: &Subject, now: Instant) -> Option<Duration> {
+        let by_parts =
+            self.rules_for(subject).filter_map(|rule| self.key_blocked_for(rule.part, now));
+        by_parts.chain(self.key_blocked_for(subject.content, now)).max()
+    }
+
+    /// The rules that concern a request.
+    fn rules_for<'a>(&'a self, subject: &'a Subject) -> impl Iterator<Item = &'a Rule> {
+        let rules = if subject.parts.is_empty() { &[] } else { self.rules() };
+        rules.iter().filter(|rule| rule.matches(&subject.parts))
+    }
+
+    fn rules(&self) -> &[Rule] {
+        self.rules.get_or_init(|| culprits::rules(self.candidates()))
+    }
+
+    /// The parts that were in enough crashes to be the cause.
+    fn candidates(&self) -> Vec<Candidate<'_>> {
+        let accused = self.suspects.iter().filter(|(_, suspect)| {
+            !suspect.companions.is_empty() && suspect.crashes.len() >= BLOCK_THRESHOLD
+        });
+        accused.map(|(part, suspect)| self.candidate(*part, suspect)).collect()
+    }
+
+    fn candidate<'a>(&'a self, part: u64, suspect: &'a Suspect) -> Candidate<'a> {
+        let crashes: Vec<_> = suspect.counted_crashes().collect();
+        let first = crashes.first().map(|crash| crash.at);
+        let cleared = |other: &u64| {
+            let completed = self.suspects.get(other).and_then(|other| other.completed);
+            *other != part && completed.is_some() && completed > first
+        };
+        let companions = suspect.companions.iter().copied().filter(|other| !cleared(other));
+        Candidate { part, crashes, companions: companions.collect() }
+    }
+
+    /// The time for which a suspect is still blocked by its own crashes.
+    fn key_blocked_for(&self, content: u64, now: Instant) -> Option<Duration> {
         let suspect = self.suspects.get(&content)?;
         let until = suspect.blocked_until(self.random(content))?;
         let trial = suspect.trial_started.map(|started| started + TRIAL_TIMEOUT);
@@ -204,27 +351,33 @@
     ///
     /// ```
     /// let mut quarantine = policy::Quarantine::new(7);
-    /// assert_eq!(quarantine.begin_attempt(1, std::time::Instant::now()), Ok(()));
+    /// assert_eq!(quarantine.begin_attempt(&1.into(), std::time::Instant::now()), Ok(()));
     /// ```
-    pub fn begin_attempt(&mut self, content: u64, now: Instant) -> Result<(), Duration> {
-        if let Some(left) = self.blocked_for(content, now) {
+    pub fn begin_attempt(&mut self, subject: &Subject, now: Instant) -> Result<(), Duration> {
+        if let Some(left) = self.blocked_for(subject, now) {
             return Err(left);
         }
-        if let Some(suspect) = self.suspects.get_mut(&content)
-            && suspect.distinct_crashes().0 >= BLOCK_THRESHOLD
-        {
-            suspect.trial_started = Some(now);
+        let parts: Vec<_> = self.rules_for(subject).map(|rule| rule.part).collect();
+        for key in parts.into_iter().chain([subject.content]) {
+            if let Some(suspect) = self.suspects.get_mut(&key)
+                && suspect.distinct_crashes().0 >= BLOCK_THRESHOLD
+            {
+                suspect.trial_started = Some(now);
+            }
         }
         Ok(())
     }
 
-    /// Number of requests that are blocked.
+    /// Number of requests and parts that are blocked.
     ///
     /// ```
     /// assert_eq!(policy::Quarantine::new(7).blocked_count(std::time::Instant::now()), 0);
     /// ```
     pub fn blocked_count(&self, now: Instant) -> usize {
-        self.suspects.keys().filter(|content| self.blocked_for(**content, now).is_some()).count()
+        let contents = self.suspects.iter().filter(|(_, suspect)| suspect.companions.is_empty());
+        let blocked = |key: &u64| self.key_blocked_for(*key, now).is_some();
+        let parts = self.rules().iter().filter(|rule| blocked(&rule.part));
+        contents.filter(|(key, _)| blocked(key)).count() + parts.count()
     }
 
     /// Version of the latest change, for [`Quarantine::changes_since`].
@@ -254,6 +407,7 @@
             content: **content,
             crashes: suspect.crashes.clone(),
             completed: suspect.completed,
+            companions: suspect.companions.clone(),
         };
         (page.iter().map(evidence).collect(), if all { self.version } else { last })
     }
@@ -267,23 +421,27 @@
     ///
     /// let (mut quarantine, now) = (Quarantine::new(7), Instant::now());
     /// let crashes = vec![Crash { instance: 3, sent: now, at: now }];
-    /// let evidence = Evidence { content: 1, crashes, completed: None };
+    /// let evidence = Evidence { content: 1, crashes, completed: None, companions: vec![] };
     /// quarantine.merge(evidence.clone(), now);
     /// assert_eq!(quarantine.changes_since(0, 1).0, [evidence]);
     /// ```
     pub fn merge(&mut self, evidence: Evidence, now: Instant) {
-        let Evidence { content, crashes, completed } = evidence;
+        let Evidence { content, crashes, completed, companions } = evidence;
         let recent = crashes.iter().filter(|crash| now < crash.at + MIN_BLOCK + RETENTION);
         let recent: Vec<_> = recent.copied().collect();
         if recent.is_empty() && !self.suspects.contains_key(&content) {
             return;
         }
         self.make_room(content, now);
+        let mut changed = false;
         let suspect = match self.suspects.entry(content) {
-            Entry::Occupied(entry) => entry.into_mut(),
-            Entry::Vacant(entry) => entry.insert(Suspect::default()),
+            Entry::Occupied(entry) => {
+                let suspect = entry.into_mut();
+                changed |= suspect.restrict_companions(companions);
+                suspect
+            }
+            Entry::Vacant(entry) => entry.insert(Suspect { companions, ..Suspect::default() }),
         };
-        let mut changed = false;
         for crash in recent {
             changed |= suspect.add_crash(crash);
         }
@@ -291,11 +449,12 @@
         if changed {
             self.version += 1;
             suspect.version = self.version;
+            self.rules = OnceCell::new();
         }
     }
 
-    /// Makes room for a request: removes old evidence and, if the table is still full, the suspect with the
-    /// fewest distinct crashes, the oldest of several.
+    /// Makes room for a request: removes old evidence and, if the table is still full, some suspects with the
+    /// fewest distinct crashes, the oldest first.
     fn make_room(&mut self, content: u64, now: Instant) {
         let full = self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&content);
         if full || self.last_sweep.is_none_or(|last| now >= last + SWEEP_INTERVAL) {
@@ -308,10 +467,13 @@
         if !full || self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let weakest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.distinct_crashes());
-        if let Some(content) = weakest.map(|(content, _)| *content) {
-            self.suspects.remove(&content);
+        let strength = |(key, suspect): (&u64, &Suspect)| (suspect.distinct_crashes(), *key);
+        let mut strengths: Vec<_> = self.suspects.iter().map(strength).collect();
+        strengths.select_nth_unstable(EVICTED);
+        for (_, key) in &strengths[..EVICTED] {
+            self.suspects.remove(key);
         }
+        self.rules = OnceCell::new();
     }
 
     fn random(&self, content: u64) -> f64 {
@@ -321,7 +483,7 @@
 
 /// The number from 0 to 1 of a node for a request, by hashing.
 fn random(seed: u64, content: u64) -> f64 {
-    crate::pick::mix64(seed ^ content) as f64 / u64::MAX as f64
+    mix64(seed ^ content) as f64 / u64::MAX as f64
 }
 
 #[cfg(test)]
--- a/components/policy/src/quarantine/tests.rs
+++ b/components/policy/src/quarantine/tests.rs
@@ -17,7 +17,7 @@
     let (mut quarantine, mut now) = (Quarantine::new(1), Instant::now());
     for server in 0..crashes {
         now += SECOND;
-        quarantine.record_crash(CONTENT, crash(server, now), now);
+        quarantine.record_crash(&CONTENT.into(), crash(server, now), now);
     }
     (quarantine, now)
 }
@@ -30,23 +30,23 @@
     for server in 0..3 {
         let sent = start + COMMON_CAUSE_WINDOW * server / 3;
         let at = sent + COMMON_CAUSE_WINDOW / 4;
-        quarantine.record_crash(CONTENT, Crash { instance: server, sent, at }, at);
+        quarantine.record_crash(&CONTENT.into(), Crash { instance: server, sent, at }, at);
     }
-    assert!(quarantine.blocked_for(CONTENT, start + SECOND).is_some());
+    assert!(quarantine.blocked_for(&CONTENT.into(), start + SECOND).is_some());
 }
 
 /// Guards against blocking a harmless request that was running on two servers when they crashed.
 #[test]
 fn two_crashes_block_nothing() {
     let (quarantine, now) = after_crashes(2);
-    assert_eq!(quarantine.blocked_for(CONTENT, now), None);
+    assert_eq!(quarantine.blocked_for(&CONTENT.into(), now), None);
 }
 
 #[test]
 fn a_third_crash_blocks_its_request_and_no_other() {
     let (quarantine, now) = after_crashes(3);
-    assert!(quarantine.blocked_for(CONTENT, now) >= Some(MIN_BLOCK));
-    assert_eq!(quarantine.blocked_for(CONTENT + 1, now), None);
+    assert!(quarantine.blocked_for(&CONTENT.into(), now) >= Some(MIN_BLOCK));
+    assert_eq!(quarantine.blocked_for(&(CONTENT + 1).into(), now), None);
     assert_eq!(quarantine.blocked_count(now), 1);
 }
 
@@ -56,9 +56,9 @@
     let (mut quarantine, now) = after_crashes(1);
     for millis in [0, 500, 2_000] {
         let at = now + Duration::from_millis(millis);
-        quarantine.record_crash(CONTENT, crash(0, at), at);
+        quarantine.record_crash(&CONTENT.into(), crash(0, at), at);
     }
-    assert_eq!(quarantine.blocked_for(CONTENT, now + SECOND * 3), None);
+    assert_eq!(quarantine.blocked_for(&CONTENT.into(), now + SECOND * 3), None);
 }
 
 /// Guards against blocking the requests that were running on many servers lost at once.
@@ -67,9 +67,9 @@
     let (mut quarantine, start) = (Quarantine::new(1), Instant::now());
     for server in 0..200 {
         let at = start + COMMON_CAUSE_WINDOW * (server % 5) / 5;
-        quarantine.record_crash(CONTENT, crash(server, at), at);
+        quarantine.record_crash(&CONTENT.into(), crash(server, at), at);
     }
-    assert_eq!(quarantine.blocked_for(CONTENT, start + SECOND), None);
+    assert_eq!(quarantine.blocked_for(&CONTENT.into(), start + SECOND), None);
 }
 
 /// Guards against a series of crashes counting as one because each comes soon after the last.
@@ -78,9 +78,9 @@
     let (mut quarantine, start) = (Quarantine::new(1), Instant::now());
     for server in 0..5 {
         let at = start + COMMON_CAUSE_WINDOW * server * 3 / 4;
-        quarantine.record_crash(CONTENT, crash(server, at), at);
+        quarantine.record_crash(&CONTENT.into(), crash(server, at), at);
     }
-    assert!(quarantine.blocked_for(CONTENT, start + SECOND).is_some());
+    assert!(quarantine.blocked_for(&CONTENT.into(), start + SECOND).is_some());
 }
 
 /// Guards against blocking a request that servers do answer, for crashes that it didn't cause.
@@ -88,37 +88,37 @@
 fn a_complete_answer_voids_earlier_crashes() {
     let (mut quarantine, now) = after_crashes(3);
     quarantine.record_completion(CONTENT, now);
-    assert_eq!(quarantine.blocked_for(CONTENT, now), None);
+    assert_eq!(quarantine.blocked_for(&CONTENT.into(), now), None);
     for server in 10..12 {
         let at = now + SECOND * server;
-        quarantine.record_crash(CONTENT, crash(server, at), at);
+        quarantine.record_crash(&CONTENT.into(), crash(server, at), at);
     }
-    assert_eq!(quarantine.blocked_for(CONTENT, now + SECOND * 12), None);
+    assert_eq!(quarantine.blocked_for(&CONTENT.into(), now + SECOND * 12), None);
 }
 
 /// Guards against a request that is never tried again, and against many attempts at once when its block ends.
 #[test]
 fn one_trial_follows_a_block() {
     let (mut quarantine, now) = after_crashes(3);
-    let left = quarantine.blocked_for(CONTENT, now).expect("it is blocked");
+    let left = quarantine.blocked_for(&CONTENT.into(), now).expect("it is blocked");
     let after = now + left;
-    assert_eq!(quarantine.begin_attempt(CONTENT, after), Ok(()));
+    assert_eq!(quarantine.begin_attempt(&CONTENT.into(), after), Ok(()));
     assert_eq!(
-        quarantine.begin_attempt(CONTENT, after),
+        quarantine.begin_attempt(&CONTENT.into(), after),
         Err(TRIAL_TIMEOUT),
         "others wait for the trial"
     );
     quarantine.record_completion(CONTENT, after + SECOND);
-    assert_eq!(quarantine.begin_attempt(CONTENT, after + SECOND), Ok(()));
+    assert_eq!(quarantine.begin_attempt(&CONTENT.into(), after + SECOND), Ok(()));
 }
 
 #[test]
 fn a_crash_of_the_trial_lengthens_the_next_block() {
     let (mut quarantine, now) = after_crashes(3);
-    let after = now + quarantine.blocked_for(CONTENT, now).expect("it is blocked");
-    assert_eq!(quarantine.begin_attempt(CONTENT, after), Ok(()));
-    quarantine.record_crash(CONTENT, crash(9, after), after);
-    assert!(quarantine.blocked_for(CONTENT, after) >= Some(MIN_BLOCK * 4));
+    let after = now + quarantine.blocked_for(&CONTENT.into(), now).expect("it is blocked");
+    assert_eq!(quarantine.begin_attempt(&CONTENT.into(), after), Ok(()));
+    quarantine.record_crash(&CONTENT.into(), crash(9, after), after);
+    assert!(quarantine.blocked_for(&CONTENT.into(), after) >= Some(MIN_BLOCK * 4));
 }
 
 /// Guards against all nodes trying a request again at once.
@@ -130,7 +130,7 @@
         .map(|seed| {
             let mut quarantine = Quarantine::new(seed);
             quarantine.merge(evidence[0].clone(), now);
-            quarantine.blocked_for(CONTENT, now).expect("it is blocked")
+            quarantine.blocked_for(&CONTENT.into(), now).expect("it is blocked")
         })
         .collect();
     ends.sort();
@@ -143,8 +143,8 @@
 fn old_evidence_is_removed() {
     let (mut quarantine, now) = after_crashes(2);
     let later = now + RETENTION + MIN_BLOCK;
-    quarantine.record_crash(CONTENT, crash(9, later), later);
-    assert_eq!(quarantine.blocked_for(CONTENT, later), None);
+    quarantine.record_crash(&CONTENT.into(), crash(9, later), later);
+    assert_eq!(quarantine.blocked_for(&CONTENT.into(), later), None);
     assert_eq!(quarantine.changes_since(0, 2).0, []);
 }
 
@@ -155,8 +155,8 @@
     let (mut quarantine, now) = after_crashes(3);
     for content in 0..10_000 {
         let at = now + Duration::from_millis(content);
-        quarantine.record_crash(1_000 + content, crash(9, at), at);
+        quarantine.record_crash(&(1_000 + content).into(), crash(9, at), at);
     }
-    assert!(quarantine.blocked_for(CONTENT, now + SECOND * 10).is_some());
+    assert!(quarantine.blocked_for(&CONTENT.into(), now + SECOND * 10).is_some());
     assert!(quarantine.suspects.len() <= MAX_SUSPECTS);
 }
--- a/components/policy/tests/quarantine.rs
+++ b/components/policy/tests/quarantine.rs
@@ -88,7 +88,7 @@
         let (mut fleet, mut now) = (fleet(), Instant::now());
         for (server, observer) in observers.into_iter().enumerate() {
             now += MESSAGE_INTERVAL;
-            fleet[observer].quarantine.record_crash(1, Crash { instance: server as u32, sent: now, at: now }, now);
+            fleet[observer].quarantine.record_crash(&1.into(), Crash { instance: server as u32, sent: now, at: now }, now);
         }
         for lost in &losses {
             now += MESSAGE_INTERVAL;
@@ -99,7 +99,7 @@
             exchange_all(&mut fleet, &BTreeSet::new(), now);
         }
         for node in &fleet {
-            prop_assert!(node.quarantine.blocked_for(1, now).is_some());
+            prop_assert!(node.quarantine.blocked_for(&1.into(), now).is_some());
         }
     }
 
@@ -112,7 +112,7 @@
         let (mut fleet, mut now) = (fleet(), Instant::now());
         for (observer, content, server) in crashes {
             now += MESSAGE_INTERVAL;
-            fleet[observer].quarantine.record_crash(content, Crash { instance: server, sent: now, at: now }, now);
+            fleet[observer].quarantine.record_crash(&content.into(), Crash { instance: server, sent: now, at: now }, now);
             exchange_all(&mut fleet, &BTreeSet::new(), now);
         }
         for (observer, content) in answers {
@@ -141,8 +141,8 @@
                 // Each request runs during two consecutive kills, as its caller sends it again after the first.
                 let content = (kill as u64 / 2) * requests + request;
                 let server = kill as u32 * 100 + request as u32 % servers;
-                quarantine.record_crash(content, Crash { instance: server, sent: now, at: now }, now);
-                prop_assert!(quarantine.blocked_for(content, now).is_none());
+                quarantine.record_crash(&content.into(), Crash { instance: server, sent: now, at: now }, now);
+                prop_assert!(quarantine.blocked_for(&content.into(), now).is_none());
             }
         }
     }
--- a/components/router/src/submission.rs
+++ b/components/router/src/submission.rs
@@ -45,7 +45,7 @@
 
     /// Waits until the scheduler selects a server for the request.
     pub(crate) async fn wait_for_server(&mut self) -> Result<Rc<Server>, Refused> {
-        self.state.crashes.check_quarantine(self.content)?;
+        self.state.crashes.check_quarantine(&self.content.into())?;
         loop {
             let server = self.inner.wait_for_server().await?;
             let settings = self.state.settings();
@@ -67,7 +67,7 @@
     /// Allows an attempt at a server, unless requests with the same content have crashed servers while
     /// this one waited.
     fn begin_attempt(&mut self, server: Rc<Server>) -> Result<Rc<Server>, Refused> {
-        if let Err(refused) = self.state.crashes.begin_attempt(self.content) {
+        if let Err(refused) = self.state.crashes.begin_attempt(&self.content.into()) {
             self.end_attempt(Ending::Cancelled);
             return Err(refused);
         }
@@ -84,7 +84,7 @@
         }
         let server = Target { instance: None, address: address.to_string() };
         // No copy of the run exists that could continue it, so the result of the check isn't used.
-        drop(self.state.crashes.record_lost_connection(server, self.content, self.sent));
+        drop(self.state.crashes.record_lost_connection(server, self.content.into(), self.sent));
     }
 
     /// Waits until the scheduler wants the attempt stopped.
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -45,6 +45,9 @@
         /// Requests during which servers crashed, if the seed may not know them.
         #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
         pub suspects: Vec<Suspect>,
+        /// For suspects that are parts of prompts: those that came with each of them, itself included.
+        #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+        pub companions: Vec<(u64, Vec<u64>)>,
         /// Version up to which the node knows the seed's suspects.
         #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
         pub suspects_known: u64,
@@ -103,6 +106,9 @@
         /// Requests during which servers crashed, if the node may not know them.
         #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
         pub suspects: Vec<Suspect>,
+        /// For suspects that are parts of prompts: those that came with each of them, itself included.
+        #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+        pub companions: Vec<(u64, Vec<u64>)>,
         /// Version up to which the summary contains the suspects.
         #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
         pub suspects_version: u64,
@@ -134,11 +140,11 @@
         pub members: Vec<Peer>,
     }
 
-    /// A request during which servers crashed. An array on the wire.
+    /// A request, or a part of prompts, during which servers crashed. An array on the wire.
     #[derive(Default, Eq, Serialize, Deserialize)]
     #[serde(from = "SuspectRow", into = "SuspectRow")]
     pub struct Suspect {
-        /// Hash of the request's content.
+        /// Hash of the request's content, or key of the part.
         pub content: u64,
         /// Crashes of servers while they ran the request.
         pub crashes: Vec<Crash>,
