Soak: servers with other names, a part of prompts that crashes servers, and how often servers get requests again

Stand-ins decline requests as another server now and then, and crash when they begin to answer a prompt with a marked part, also under faults. Checked in each seed: the arrivals at each service by window, as the rule counts them; that one part crashes at most eight servers; that at least half of the requests with the same first part are served meanwhile.

--- a/tests/soak/brittle.rs
+++ b/tests/soak/brittle.rs
@@ -1,4 +1,4 @@
-//! Servers that crash under a marked body and are started again, and that name a rate limit.
+//! Servers that crash under a marked body or a part of prompts and are started again, and that name a rate limit.
 
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
@@ -18,6 +18,10 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Servers that one request may crash.
 const CRASHES: usize = 3;
+/// Servers that a part of prompts may crash: until it is known, and by requests that come later.
+const PART_CRASHES: usize = 5 + 3;
+/// Start of the parts that crash servers.
+const BAD_PART: &str = "bad";
 
 /// A server, and the start of it.
 struct Server {
@@ -34,6 +38,15 @@
     arrivals: std::rc::Rc<RefCell<Vec<Instant>>>,
 }
 
+/// A request to them whose prompt has a part that no other has, and a first part in common with others. With a number,
+/// the part of that number is between, which crashes servers.
+pub fn prompt(id: &str, number: u32, bad: Option<u64>) -> String {
+    let part = bad.map(|bad| format!("{BAD_PART}{bad:x}:100,")).unwrap_or_default();
+    let parts = format!("x-prompt-prefix: c0:100,{part}f{number:x}:100\r\n");
+    let token_usage = "x-token-usage: 300,20\r\n";
+    post(BRITTLE_PATH, id, id).replace("api-key", &format!("{parts}{token_usage}api-key"))
+}
+
 /// A request to them.
 pub fn request(id: &str, poison: bool) -> String {
     post(BRITTLE_PATH, id, if poison { POISON } else { id })
@@ -62,7 +75,13 @@
             if limited {
                 arrivals.borrow_mut().push(Instant::now());
             }
-            vec![Step::Run, Step::CrashAt(POISON.to_string()), Step::Write(answer.clone())]
+            let crash = vec![Step::Run, Step::CrashAt(String::new())];
+            vec![
+                Step::IfHead(format!(",{BAD_PART}"), crash),
+                Step::Run,
+                Step::CrashAt(POISON.to_string()),
+                Step::Write(answer.clone()),
+            ]
         });
         let raw = raw.await.unwrap();
         let text =
@@ -88,6 +107,14 @@
         self.crashes.get()
     }
 
+    /// Checks what a part of prompts crashed since there were `before` crashes, and how many of the requests with the
+    /// same first part, but without that part, were served.
+    pub fn check_part(&self, before: usize, (served, sent): (usize, usize)) {
+        let crashes = self.crashes.get() - before;
+        assert!(crashes <= PART_CRASHES, "one part of prompts crashed {crashes} servers");
+        assert!(served * 2 >= sent, "{served} of {sent} requests without the part were served");
+    }
+
     /// Checks what a request crashed since there were `before` crashes, and what the limited server got since
     /// a time.
     pub fn check(&self, before: usize, since: Instant) {
--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -6,9 +6,11 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use fakes::Closed;
+use fakes::{Closed, Repeats};
 use rustix::process::{Pid, Signal, kill_process, test_kill_process};
 
+/// What the nodes may send again to a service.
+pub const ALLOWED: Repeats = Repeats { ratio: 0.2, slack: 31.0, window: Duration::from_secs(10) };
 /// A process that was asked to stop is killed after this.
 const GRACE: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(20);
@@ -59,8 +61,9 @@
                  callers = \"{callers}\"\noperators = \"{operators}\"\npeers = \"{peers}\"\n\
                  seeds = [{}]\nstore = \"{store}\"\n{without}[domains]\nriga-a = \"riga\"\n\
                  [room]\nmemory_mb = 110\ndescriptors = 1000\n\
-                 [promises]\nrevocation_ms = 5000\ngrace_s = 4\nrepeats = 0.2\n",
-                seeds.join(", ")
+                 [promises]\nrevocation_ms = 5000\ngrace_s = 4\nrepeats = 0.2\nretry_slack = {}\n",
+                seeds.join(", "),
+                ALLOWED.slack
             );
             std::fs::write(&node.settings, text).unwrap();
             node.start();
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -17,7 +17,7 @@
     API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, RESPONSE_HEAD, ROUTES, Reply,
     UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, server_entry, stream_event, success_response,
 };
-use crate::nodes::Node;
+use crate::nodes::{ALLOWED, Node};
 use crate::versions::Versions;
 
 const NODES: usize = 4;
@@ -32,12 +32,17 @@
 const EVENT_CUTS: usize = 10;
 /// A sound server may be silent for as long.
 const SILENCE: Duration = Duration::from_secs(1);
+/// Answer of a server that isn't the one which the request is for.
+const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\nx-attempt-id: {id}\r\n\
+                           x-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
 /// A caller gives up after this.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// Time in which nodes that are well know what the others know.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Requests to servers that crash, and the pause between them.
 const HELD: usize = 240;
+/// Requests whose prompts have parts.
+const PROMPTS: usize = 120;
 const PACE: Duration = Duration::from_millis(20);
 /// In each seed that is a multiple of this, nodes have paths of their own to the servers.
 const PARTITIONED_SEEDS: u64 = 3;
@@ -140,6 +145,7 @@
             Step::Wait(SILENCE),
             Step::Write(whole[cut..].to_string()),
         ],
+        10 => vec![Step::Write(MISDIRECTED.to_string())],
         _ => vec![Step::Run, Step::Write(whole)],
     }
 }
@@ -346,7 +352,13 @@
         while start.elapsed() < time {
             count += 1;
             let callers = self.nodes[rng.random_range(0..NODES)].callers;
-            let text = brittle::request(&format!("{}-b{count}", self.seed), count % 8 == 0);
+            let id = format!("{}-b{count}", self.seed);
+            let text = match count % 8 {
+                0 => brittle::request(&id, true),
+                1 | 2 => brittle::prompt(&id, count, None),
+                3 => brittle::prompt(&id, count, Some(0)),
+                _ => brittle::request(&id, false),
+            };
             let _ = tokio::time::timeout(PATIENCE, exchange(callers, &text)).await;
             self.brittle.restart(&self.stores).await;
             tokio::time::sleep(Duration::from_millis(rng.random_range(1..80))).await;
@@ -383,7 +395,11 @@
     pub async fn check(&self) -> String {
         self.recovers().await;
         self.holds_back().await;
+        self.blocks_a_part().await;
         self.serves_without_servers().await;
+        let (plain, streams) = self.servers.split_at(self.servers.len() / 2);
+        self.keeps_retry_budget([Kind::Read, Kind::Charge], plain);
+        self.keeps_retry_budget([Kind::Stream, Kind::Resumable], streams);
         let sent = self.sent.borrow();
         let (mut whole, mut refused) = (0, 0);
         for request in sent.iter() {
@@ -425,6 +441,35 @@
         self.brittle.check(before, since);
     }
 
+    /// Once all faults are over, nodes together block a part of prompts that crashes servers, and nothing else.
+    async fn blocks_a_part(&self) {
+        let before = self.brittle.crashes();
+        let (mut served, mut sent) = (0, 0);
+        for count in 0..PROMPTS {
+            let callers = self.nodes[count % NODES].callers;
+            let bad = (count % 10 == 0).then_some(1);
+            let text = brittle::prompt(&format!("{}-q{count}", self.seed), count as u32, bad);
+            let told = tokio::time::timeout(PATIENCE, exchange(callers, &text)).await;
+            if bad.is_none() {
+                sent += 1;
+                served += usize::from(told.ok().flatten().is_some_and(|told| told.status == 200));
+            }
+            self.brittle.restart(&self.stores).await;
+            tokio::time::sleep(PACE).await;
+        }
+        self.brittle.check_part(before, (served, sent));
+    }
+
+    /// The servers of a service get no more requests again than nodes may send.
+    fn keeps_retry_budget(&self, kinds: [Kind; 2], servers: &[Raw]) {
+        let sent = self.sent.borrow();
+        let sent = sent.iter().filter(|sent| kinds.contains(&sent.kind));
+        let sent: Vec<_> = sent.map(|sent| tokio::time::Instant::from_std(sent.at)).collect();
+        let arrivals: Vec<_> = servers.iter().flat_map(Raw::seen).collect();
+        let excess = ALLOWED.excess(&sent, &arrivals);
+        assert!(excess <= 0.0, "{kinds:?}: {excess} arrivals too many");
+    }
+
     /// A node that is partitioned from all servers serves its callers by way of the others.
     async fn serves_without_servers(&self) {
         if self.paths.is_empty() {
