A busy node closes some new connections unread

The node read all of them, and each request, of kept connections too, waited for its core until it was late, while other nodes were idle. Now a node measures how late its tasks run, on connections that arrive, and closes a part of the new ones before it reads anything while that is above 80 ms; callers try again at once elsewhere, whatever the request. Mechanism shedding.

--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -53,6 +53,7 @@
     head_timeout: Duration::from_secs(30),
     keep_alive: Duration::from_secs(60),
     write_timeout: Duration::from_secs(600),
+    max_task_delay: None,
 };
 
 fn status(code: u16) -> actix_http::StatusCode {
--- a/components/forward/src/mechanism.rs
+++ b/components/forward/src/mechanism.rs
@@ -22,6 +22,8 @@
         LoadGossip = "loads",
         /// A node that can't reach the servers of a service passes requests on to a peer that does.
         Hop = "hop",
+        /// Some new connections are closed unread while the processor is busy.
+        Shedding = "shedding",
     }
 }
 
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -60,6 +60,10 @@
     policy::Limits { retry_percent, retry_burst: RETRY_BURST, link_bytes: REGION_LINK_BYTES }
 }
 
+/// Time that tasks may wait for the processor before new connections are closed unread. Callers have other nodes to
+/// turn to, and a tenth of a second is most of the target of a plain service.
+const MAX_TASK_DELAY: Duration = Duration::from_millis(80);
+
 /// Shared state of one node.
 pub(crate) struct State<A: Adapter> {
     node: RefCell<Rc<Node>>,
@@ -152,6 +156,7 @@
         registry.issues_permits = switches.is_on(Own::LoadGossip);
         let listener_limits = listen::Limits {
             max_connections: (node.room.descriptors / 2) as usize,
+            max_task_delay: switches.is_on(Own::Shedding).then_some(MAX_TASK_DELAY),
             ..listen::Limits::default()
         };
         let gossip = Gossip::new(rand::random(), node.room.link_bytes_per_second());
--- a/components/listen/src/accept.rs
+++ b/components/listen/src/accept.rs
@@ -1,12 +1,13 @@
 //! Accepts connections and drives each in a task of its own.
 
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{ConnectionType, HttpService, Request, Response, Version};
@@ -15,6 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::watch;
 
+use crate::congestion::Congestion;
 use crate::connection::{ActiveRequest, Connection};
 use crate::io::Io;
 use crate::response::TrackedBody;
@@ -29,6 +31,10 @@
 /// Time that a connection is still served before it is closed as idle. Without it a request that has
 /// arrived but wasn't read yet would be lost.
 const CLOSE_DELAY: Duration = Duration::from_millis(5);
+/// Time for which a task sleeps whose delay is measured.
+const MEASUREMENT_SLEEP: Duration = Duration::from_millis(1);
+/// Connections that were closed unread between two lines of the log about them.
+const LOGGED_CLOSED: u64 = 100;
 /// Connections above the limit that may be in the course of getting an error response at one time;
 /// further ones are closed without a response.
 const MAX_REFUSALS: usize = 64;
@@ -37,6 +43,38 @@
 #[derive(Clone, Default)]
 struct Counter(Rc<()>);
 
+/// What is known of the processor, and how many connections were closed because of it.
+#[derive(Default)]
+struct Processor {
+    congestion: RefCell<Congestion>,
+    closed: Cell<u64>,
+}
+
+impl Processor {
+    /// Whether a new connection is closed unread. Else, this measures how long tasks wait for their turn.
+    fn closes_next(self: &Rc<Self>, max_delay: Duration) -> bool {
+        let now = Instant::now();
+        let mut congestion = self.congestion.borrow_mut();
+        if congestion.closes_next(max_delay, now) {
+            let closed = self.closed.replace(self.closed.get() + 1);
+            if closed.is_multiple_of(LOGGED_CLOSED) {
+                log::warn!(closed = closed + 1; "the processor is busy; closing connections unread");
+            }
+            return true;
+        }
+        if congestion.begin_measurement(now) {
+            let processor = self.clone();
+            actix_rt::spawn(async move {
+                // A timer fires only after the tasks that are ready now and the events that wait.
+                tokio::time::sleep(MEASUREMENT_SLEEP).await;
+                let late = Instant::now().checked_sub(MEASUREMENT_SLEEP);
+                processor.congestion.borrow_mut().end_measurement(max_delay, late.unwrap_or(now));
+            });
+        }
+        false
+    }
+}
+
 impl Counter {
     fn clones(&self) -> usize {
         Rc::strong_count(&self.0) - 1
@@ -53,6 +91,7 @@
     F: Future<Output = Response<BoxBody>> + 'static,
 {
     let (open, refusals) = (Counter::default(), Counter::default());
+    let processor = Rc::new(Processor::default());
     loop {
         let current = *limits.borrow_and_update();
         let Ok(service) = build_service(current, handler.clone(), state.clone()).await else {
@@ -72,6 +111,9 @@
                     continue;
                 }
             };
+            if current.max_task_delay.is_some_and(|delay| processor.closes_next(delay)) {
+                continue;
+            }
             if open.clones() < current.max_connections {
                 let _ = stream.set_nodelay(true);
                 let connection = Rc::new(Connection::default());
--- a/components/listen/src/lib.rs
+++ b/components/listen/src/lib.rs
@@ -5,6 +5,7 @@
 //! treated as disconnected.
 
 mod accept;
+mod congestion;
 mod connection;
 mod error;
 mod io;
@@ -49,6 +50,9 @@
         pub keep_alive: Duration,
         /// Time in which a caller that reads slowly must read some of the response.
         pub write_timeout: Duration,
+        /// Time that a task may wait for its turn. While it is longer, some new connections are closed unread, whose
+        /// callers are expected to turn to another node; none if that never happens.
+        pub max_task_delay: Option<Duration>,
     }
 }
 
@@ -61,6 +65,7 @@
             // and never sends a request into a closing connection.
             keep_alive: Duration::from_secs(75),
             write_timeout: Duration::from_secs(60),
+            max_task_delay: None,
         }
     }
 }
