--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -14,8 +14,9 @@
 use crate::brittle::{self, Brittle};
 use crate::fixture::store::{Mode, Store};
 use crate::fixture::{
-    API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, RESPONSE_HEAD, ROUTES, Reply,
-    UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, server_entry, stream_event, success_response,
+    API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, MISDIRECTED, RESPONSE_HEAD,
+    ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, server_entry, stream_event,
+    success_response,
 };
 use crate::nodes::{ALLOWED, Node};
 use crate::versions::Versions;
@@ -32,9 +33,6 @@
 const EVENT_CUTS: usize = 10;
 /// A sound server may be silent for as long.
 const SILENCE: Duration = Duration::from_secs(1);
-/// Answer of a server that isn't the one which the request is for.
-const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\nx-attempt-id: {id}\r\n\
-                           x-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
 /// A caller gives up after this.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// Time in which nodes that are well know what the others know.
