--- a/tests/soak/brittle.rs
+++ b/tests/soak/brittle.rs
@@ -5,7 +5,7 @@
 
 use fakes::{Raw, Step};
 
-use crate::fixture::{ATTEMPT_ID, BRITTLE_PATH, RESPONSE_HEAD, post, server_entry};
+use crate::fixture::{ATTEMPT_ID, BRITTLE_PATH, RESPONSE_HEAD, post, post_prompt, server_entry};
 use crate::world::Stores;
 
 /// Service of these servers.
@@ -41,10 +41,10 @@
 /// A request to them whose prompt has a part that no other has, and a first part in common with others. With a number,
 /// the part of that number is between, which crashes servers.
 pub fn prompt(id: &str, number: u32, bad: Option<u64>) -> String {
-    let part = bad.map(|bad| format!("{BAD_PART}{bad:x}:100,")).unwrap_or_default();
-    let parts = format!("x-prompt-prefix: c0:100,{part}f{number:x}:100\r\n");
-    let token_usage = "x-token-usage: 300,20\r\n";
-    post(BRITTLE_PATH, id, id).replace("api-key", &format!("{parts}{token_usage}api-key"))
+    let own = format!("f{number:x}");
+    let bad = bad.map(|bad| format!("{BAD_PART}{bad:x}"));
+    let parts: Vec<_> = ["c0"].into_iter().chain(bad.as_deref()).chain([own.as_str()]).collect();
+    post_prompt(BRITTLE_PATH, id, &parts, id)
 }
 
 /// A request to them.
