A rare part is excused by one that was in more crashes than are kept

Of each suspect the latest eight crashes are kept, so those of a rare part that was cut three times early on were no longer among the bad part's, and nothing excused it. The unit test fails without it.

--- a/components/policy/src/culprits.rs
+++ b/components/policy/src/culprits.rs
@@ -22,13 +22,18 @@
     pub(crate) part: u64,
     /// The crashes that it may have caused, ordered by time.
     pub(crate) crashes: Vec<&'a Crash>,
+    /// It was in earlier crashes that are no longer known.
+    pub(crate) had_more: bool,
     /// The parts of all prompts with it that were in these crashes, itself among them; none that was cleared since.
     pub(crate) companions: Vec<u64>,
 }
 
 impl Candidate<'_> {
+    /// Whether it was in a crash, as far as is known.
     fn was_in(&self, crash: &Crash) -> bool {
+        let is_older = |known: &&Crash| self.had_more && crash.at < known.at;
         self.crashes.iter().any(|known| known.instance == crash.instance)
+            || self.crashes.first().is_some_and(is_older)
     }
 
     /// Whether it stands for fewer prompts than another part that was in all of them.
--- a/components/policy/src/culprits/tests.rs
+++ b/components/policy/src/culprits/tests.rs
@@ -133,3 +133,17 @@
     }
     assert!(table.blocks(&[COMMON, BAD]));
 }
+
+/// Sound prompts of a rare part were cut by three of many crashes. Guards against blocking that part because the first
+/// crashes of the bad one are no longer known.
+#[test]
+fn a_rare_part_is_excused_by_a_bad_one_that_was_in_more_crashes() {
+    let (mut table, rare) = (Table::new(), 0xa1);
+    for crash in 0..12 {
+        let sound = if crash < 3 { rare } else { 0xb0 + crash };
+        table.crash(&[&[COMMON, BAD], &[COMMON, sound]]);
+        table.begin(&[COMMON, 1]);
+    }
+    assert!(table.blocks(&[COMMON, BAD]));
+    assert!(!table.blocks(&[COMMON, rare]));
+}
--- a/components/policy/src/quarantine.rs
+++ b/components/policy/src/quarantine.rs
@@ -331,7 +331,8 @@
             *other != part && completed.is_some() && completed > first
         };
         let companions = suspect.companions.iter().copied().filter(|other| !cleared(other));
-        Candidate { part, crashes, companions: companions.collect() }
+        let had_more = crashes.len() >= MAX_CRASHES;
+        Candidate { part, crashes, had_more, companions: companions.collect() }
     }
 
     /// The time for which a suspect is still blocked by its own crashes.
