A node tells its seed of a later answer than the seed knows

A node never reports what its seed just told it, so if it already had an answer that voids those crashes, the seed and all other nodes didn't learn of it, and went on blocking. It sends that evidence again now. Found by reading; the new test calls what this adds, so it can't be run on the former code.

--- a/components/forward/src/gossip/suspects.rs
+++ b/components/forward/src/gossip/suspects.rs
@@ -37,8 +37,9 @@
     let mut quarantine = state.crashes.quarantine.borrow_mut();
     let before = quarantine.version();
     let evidence = from_wire(&summary.suspects, &summary.companions, state.clock.now());
-    merge_evidence(&mut quarantine, evidence, state.clock.now());
+    let outdated = merge_evidence(&mut quarantine, evidence, state.clock.now());
     cursor.skip_learned(before, quarantine.version());
+    outdated.into_iter().for_each(|content| quarantine.send_again(content));
 }
 
 /// Merges the evidence that a node or another seed reports, and adds to the answer what it may not have.
@@ -59,10 +60,16 @@
     Summary { suspects, companions, suspects_version, ..summary }
 }
 
-fn merge_evidence(quarantine: &mut Quarantine, evidence: Vec<Evidence>, now: Instant) {
+/// Merges evidence of another node; returns the suspects of which this node knows a later answer.
+fn merge_evidence(quarantine: &mut Quarantine, evidence: Vec<Evidence>, now: Instant) -> Vec<u64> {
+    let mut outdated = vec![];
     for evidence in evidence {
-        quarantine.merge(evidence, now);
+        let content = evidence.content;
+        if quarantine.merge(evidence, now) {
+            outdated.push(content);
+        }
     }
+    outdated
 }
 
 /// Companions of parts, as messages hold them.
--- a/components/policy/src/quarantine.rs
+++ b/components/policy/src/quarantine.rs
@@ -413,7 +413,8 @@
         (page.iter().map(evidence).collect(), if all { self.version } else { last })
     }
 
-    /// Merges evidence that another node has.
+    /// Merges evidence that another node has. Returns whether this node knows of a later answer, which voids crashes
+    /// that count for the other one.
     ///
     /// ```
     /// use std::time::Instant;
@@ -426,12 +427,13 @@
     /// quarantine.merge(evidence.clone(), now);
     /// assert_eq!(quarantine.changes_since(0, 1).0, [evidence]);
     /// ```
-    pub fn merge(&mut self, evidence: Evidence, now: Instant) {
+    pub fn merge(&mut self, evidence: Evidence, now: Instant) -> bool {
+        let knows_more = self.voids_more_than(&evidence);
         let Evidence { content, crashes, completed, companions } = evidence;
         let recent = crashes.iter().filter(|crash| now < crash.at + MIN_BLOCK + RETENTION);
         let recent: Vec<_> = recent.copied().collect();
         if recent.is_empty() && !self.suspects.contains_key(&content) {
-            return;
+            return knows_more;
         }
         self.make_room(content, now);
         let mut changed = false;
@@ -452,6 +454,22 @@
             suspect.version = self.version;
             self.rules = OnceCell::new();
         }
+        knows_more
+    }
+
+    /// Whether an answer that this node knows of voids crashes that count by the evidence of another one.
+    fn voids_more_than(&self, evidence: &Evidence) -> bool {
+        let completed = self.suspects.get(&evidence.content).and_then(|suspect| suspect.completed);
+        let counts = |crash: &Crash| Some(crash.at) > evidence.completed;
+        evidence.crashes.iter().any(|crash| counts(crash) && Some(crash.at) <= completed)
+    }
+
+    /// Makes the evidence against a suspect a change, so that it is sent again.
+    pub fn send_again(&mut self, content: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&content) {
+            self.version += 1;
+            suspect.version = self.version;
+        }
     }
 
     /// Makes room for a request: removes old evidence and, if the table is still full, some suspects with the
--- a/components/policy/src/quarantine/tests.rs
+++ b/components/policy/src/quarantine/tests.rs
@@ -160,3 +160,19 @@
     assert!(quarantine.blocked_for(&CONTENT.into(), now + SECOND * 10).is_some());
     assert!(quarantine.suspects.len() <= MAX_SUSPECTS);
 }
+
+/// A node has an answer that voids what a seed tells it. Guards against the seed, and all other nodes, never learning
+/// of it because the node doesn't tell what it was told.
+#[test]
+fn a_later_answer_is_sent_again() {
+    let (seed, now) = after_crashes(3);
+    let (mut node, _) = after_crashes(2);
+    node.record_completion(CONTENT, now + SECOND);
+    let (told, _) = seed.changes_since(0, 1);
+    assert!(node.merge(told[0].clone(), now + SECOND));
+    let learned = node.version();
+    node.send_again(CONTENT);
+    let (again, _) = node.changes_since(learned, 1);
+    assert_eq!(again[0].completed, Some(now + SECOND));
+    assert!(!node.merge(again[0].clone(), now + SECOND), "it knows nothing that the other doesn't");
+}
