A crash accuses at most sixteen parts of a prompt

A prompt may name 64 parts, and each would be told with all others beside it: 37 KB for one request, and thirty requests can be cut at once. Found by reading; the new test counts what one crash adds.

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -54,7 +54,7 @@
 pub use isolation::GROUPS;
 pub use mechanism::Mechanism;
 pub use pending::Expected;
-pub use quarantine::{Crash, Evidence, Quarantine, Subject};
+pub use quarantine::{Crash, Evidence, MAX_PARTS, Quarantine, Subject};
 pub use quota::Wait;
 pub use reach::Reach;
 pub use retries::retry_capacity;
--- a/components/policy/src/quarantine.rs
+++ b/components/policy/src/quarantine.rs
@@ -45,6 +45,9 @@
 const MAX_CRASHES: usize = 8;
 /// Suspects in one message to another node.
 const PAGE_SIZE: usize = 128;
+/// Parts of one prompt that evidence is kept of. Prompts have a handful; the number bounds what one crash adds to
+/// the table and to messages.
+pub const MAX_PARTS: usize = 16;
 /// Keeps the keys of parts apart from those of whole requests.
 const PART_SALT: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -85,14 +88,15 @@
 }
 
 impl Subject {
-    /// A request with this content, and the ids of the parts of its prompt that other requests share.
+    /// A request with this content, and the ids of the parts of its prompt that other requests share, of which only
+    /// the first [`MAX_PARTS`] count.
     ///
     /// ```
     /// assert_eq!(policy::Subject::new(7, []), 7.into());
     /// ```
     pub fn new(content: u64, parts: impl IntoIterator<Item = u64>) -> Self {
         let key = |id| mix64(id ^ PART_SALT);
-        Subject { content, parts: parts.into_iter().map(key).collect() }
+        Subject { content, parts: parts.into_iter().take(MAX_PARTS).map(key).collect() }
     }
 
     /// The same request without its parts, for evidence that concerns it as a whole only.
--- a/components/policy/src/quarantine/tests.rs
+++ b/components/policy/src/quarantine/tests.rs
@@ -1,7 +1,8 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    COMMON_CAUSE_WINDOW, Crash, MAX_SUSPECTS, MIN_BLOCK, Quarantine, RETENTION, TRIAL_TIMEOUT,
+    COMMON_CAUSE_WINDOW, Crash, MAX_PARTS, MAX_SUSPECTS, MIN_BLOCK, Quarantine, RETENTION, Subject,
+    TRIAL_TIMEOUT,
 };
 
 const CONTENT: u64 = 7;
@@ -176,3 +177,11 @@
     assert_eq!(again[0].completed, Some(now + SECOND));
     assert!(!node.merge(again[0].clone(), now + SECOND), "it knows nothing that the other doesn't");
 }
+
+/// Guards against a prompt with many parts that fills the table and messages with one crash.
+#[test]
+fn a_crash_accuses_a_limited_number_of_parts() {
+    let (mut quarantine, now) = (Quarantine::new(1), Instant::now());
+    quarantine.record_crash(&Subject::new(CONTENT, 0..1_000), crash(1, now), now);
+    assert_eq!(quarantine.suspects.len(), 1 + MAX_PARTS);
+}
