--- a/components/forward/examples/evidence.rs
+++ b/components/forward/examples/evidence.rs
@@ -52,7 +52,7 @@
     let entry = size_of::<Evidence>() + CRASHES * size_of::<Crash>() + 3 * size_of::<u64>();
     println!("a crash that cuts {CUT} requests: {reported} B reported in all");
     println!("a part with three crashes and the parts with it: {told} B to each node");
-    println!("a full table: {} KiB", SUSPECTS * (entry + 2 * size_of::<u64>()) >> 10);
+    println!("a full table: {} KiB", (SUSPECTS * (entry + 2 * size_of::<u64>())) >> 10);
     println!("| nodes | pause of a node | all know within | bytes for all |");
     for (nodes, link) in FLEETS {
         let per_seed = nodes.div_ceil(SEEDS);
