Evidence against a part converges: its companions only become fewer

Found by the property test of exchanges, now with parts: where an answer had voided all crashes of a part, each message replaced its companions and counted as a change, so that nodes sent each other the same evidence for ever (24 suspects in each round). Companions are no longer renewed after an answer. The test also asks that all nodes block the same prompts.

--- a/components/policy/src/quarantine.rs
+++ b/components/policy/src/quarantine.rs
@@ -193,13 +193,13 @@
         self.crashes.iter().any(voided)
     }
 
-    /// Keeps those companions that further prompts have too; returns whether any was dropped. After an answer that
-    /// voids all crashes, those of further prompts count alone.
+    /// Keeps those companions that further prompts have too; returns whether that changed any. They only ever become
+    /// fewer, so that all nodes come to the same whatever the order of messages.
     fn restrict_companions(&mut self, companions: Vec<u64>) -> bool {
         if companions.is_empty() {
             return false;
         }
-        if self.companions.is_empty() || self.counted_crashes().next().is_none() {
+        if self.companions.is_empty() {
             self.companions = companions;
             return true;
         }
--- a/components/policy/tests/quarantine.rs
+++ b/components/policy/tests/quarantine.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use policy::{Crash, Quarantine};
+use policy::{Crash, Quarantine, Subject};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
 const NODES: usize = 12;
 /// Nodes with which all others exchange evidence.
 const SEEDS: usize = 3;
+/// Part of all prompts.
+const COMMON: u64 = 0xc0;
 /// Time between two messages of a node.
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -103,20 +105,24 @@
         }
     }
 
-    /// Guards against nodes that send each other the same evidence for ever.
+    /// Guards against nodes that send each other the same evidence for ever, and against nodes that draw different
+    /// conclusions from it.
     #[test]
     fn nodes_send_nothing_once_all_have_the_evidence(
-        crashes in prop::collection::vec((0..NODES, 0_u64..4, 0_u32..6), 1..40),
-        answers in prop::collection::vec((0..NODES, 0_u64..4), 0..10),
+        crashes in prop::collection::vec((0..NODES, 0_u64..4, 0_u32..6, 0_u64..3), 1..40),
+        answers in prop::collection::vec((0..NODES, 0_u64..4, 0_u64..3), 0..10),
     ) {
         let (mut fleet, mut now) = (fleet(), Instant::now());
-        for (observer, content, server) in crashes {
+        let request = |content, part| Subject::new(content, [COMMON, COMMON + 1 + part]);
+        for (observer, content, server, part) in crashes {
             now += MESSAGE_INTERVAL;
-            fleet[observer].quarantine.record_crash(&content.into(), Crash { instance: server, sent: now, at: now }, now);
+            let crash = Crash { instance: server, sent: now, at: now };
+            fleet[observer].quarantine.record_crash(&request(content, part), crash, now);
             exchange_all(&mut fleet, &BTreeSet::new(), now);
         }
-        for (observer, content) in answers {
+        for (observer, content, part) in answers {
             now += MESSAGE_INTERVAL;
+            fleet[observer].quarantine.record_beginning(&request(content, part), now);
             fleet[observer].quarantine.record_completion(content, now);
             exchange_all(&mut fleet, &BTreeSet::new(), now);
         }
@@ -125,6 +131,12 @@
             exchange_all(&mut fleet, &BTreeSet::new(), now);
         }
         prop_assert_eq!(exchange_all(&mut fleet, &BTreeSet::new(), now), 0);
+        for part in 0..3 {
+            let request = request(99, part);
+            let blocking = fleet.iter().filter(|node| node.quarantine.blocked_for(&request, now).is_some());
+            let blocking = blocking.count();
+            prop_assert!([0, NODES].contains(&blocking), "{} of {} nodes block it", blocking, NODES);
+        }
     }
 
     /// Guards against blocking harmless requests where many servers are killed at once, again and again: each
