--- a/components/policy/src/culprits.rs
+++ b/components/policy/src/culprits.rs
@@ -11,7 +11,7 @@
 
 use std::cmp::Reverse;
 
-use crate::quarantine::{BLOCK_THRESHOLD, Crash, count_distinct};
+use crate::suspect::{BLOCK_THRESHOLD, Crash, count_distinct};
 
 /// Crashes that nothing else explains from which on a part isn't excused. One more crash may have another cause.
 const UNEXPLAINED: usize = 2;
--- a/components/policy/src/culprits/tests.rs
+++ b/components/policy/src/culprits/tests.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
-use crate::quarantine::{Crash, Quarantine, Subject};
+use crate::quarantine::Quarantine;
+use crate::suspect::{Crash, Subject};
 
 const SECOND: Duration = Duration::from_secs(1);
 const COMMON: u64 = 0xc0;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -45,6 +45,7 @@
 mod slots;
 mod stall;
 mod status;
+mod suspect;
 mod terms;
 mod throttle;
 mod versions;
@@ -54,12 +55,13 @@
 pub use isolation::GROUPS;
 pub use mechanism::Mechanism;
 pub use pending::Expected;
-pub use quarantine::{Crash, Evidence, MAX_PARTS, Quarantine, Subject};
+pub use quarantine::Quarantine;
 pub use quota::Wait;
 pub use reach::Reach;
 pub use retries::retry_capacity;
 pub use scheduler::{RETRY_BURST, Scheduler};
 pub use status::{Status, Unused};
+pub use suspect::{Crash, Evidence, MAX_PARTS, Subject};
 pub use terms::{
     Backlog, Cached, Class, Demand, Fetch, Limits, Part, Prior, Report, Request, Server, Share,
     Workspace,
--- a/components/policy/src/quarantine/tests.rs
+++ b/components/policy/src/quarantine/tests.rs
@@ -1,9 +1,7 @@
 use std::time::{Duration, Instant};
 
-use super::{
-    COMMON_CAUSE_WINDOW, Crash, MAX_PARTS, MAX_SUSPECTS, MIN_BLOCK, Quarantine, RETENTION, Subject,
-    TRIAL_TIMEOUT,
-};
+use super::{MAX_SUSPECTS, Quarantine, TRIAL_TIMEOUT};
+use crate::suspect::{COMMON_CAUSE_WINDOW, Crash, MAX_PARTS, MIN_BLOCK, RETENTION, Subject};
 
 const CONTENT: u64 = 7;
 const SECOND: Duration = Duration::from_secs(1);
