Soak: most new connections come to one node for a while

Also under all other faults, with shorter pauses between connections. Once faults are over, a node that gets all connections must serve at least three quarters as large a part of what it reads as all nodes together do.

--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -39,6 +39,11 @@
 const SETTLED: Duration = Duration::from_secs(3);
 /// Requests to servers that crash, and the pause between them.
 const HELD: usize = 240;
+/// Of so many requests, all but one go to the node that gets most connections.
+const CROWD_PART: u64 = 5;
+/// Requests to a node that gets all connections, and the callers that send them at once.
+const CROWD: usize = 200;
+const CROWD_CALLERS: usize = 20;
 /// Requests whose prompts have parts.
 const PROMPTS: usize = 120;
 const PACE: Duration = Duration::from_millis(20);
@@ -109,6 +114,8 @@
     sent: RefCell<Vec<Sent>>,
     withdrawn: Cell<Option<Instant>>,
     version: Cell<u64>,
+    /// The node that gets most connections.
+    crowded: Cell<Option<usize>>,
 }
 
 /// Servers of streams have a service of their own.
@@ -209,6 +216,7 @@
             sent: RefCell::default(),
             withdrawn: Cell::new(None),
             version: Cell::new(0),
+            crowded: Cell::new(None),
         };
         world.publish(&[API_KEY, BRIEF]);
         tokio::time::sleep(Duration::from_secs(1)).await;
@@ -316,10 +324,23 @@
             futures_util::future::join_all(callers),
             futures_util::future::join_all(resuming),
             self.poison(time),
-            self.releases(time)
+            self.releases(time),
+            self.crowd(time)
         );
     }
 
+    /// Most new connections come to one node for a while, then to another or to all alike.
+    async fn crowd(&self, time: Duration) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ 5);
+        let start = Instant::now();
+        while start.elapsed() < time {
+            let node = rng.random_range(0..=NODES);
+            self.crowded.set((node < NODES).then_some(node));
+            tokio::time::sleep(Duration::from_millis(rng.random_range(300..2_000))).await;
+        }
+        self.crowded.set(None);
+    }
+
     /// Servers of streams are replaced by those of the next version, again and again.
     async fn releases(&self, time: Duration) {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ 3);
@@ -372,26 +393,35 @@
             let brief = rng.random_range(0..3) == 0;
             let id = format!("{}-{number}-{count}", self.seed);
             count += 1;
-            let node = rng.random_range(0..NODES);
-            self.send(node, kind, id, brief).await;
-            tokio::time::sleep(Duration::from_millis(rng.random_range(1..30))).await;
+            let any = rng.random_range(0..NODES);
+            let pause = rng.random_range(1..30);
+            let crowded = self.crowded.get().filter(|_| count % CROWD_PART != 0);
+            self.send(crowded.unwrap_or(any), kind, id, brief).await;
+            let pause = if crowded.is_some() { pause / CROWD_PART } else { pause };
+            tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
 
-    async fn send(&self, node: usize, kind: Kind, id: String, brief: bool) {
+    /// Sends a request to a node; returns the status of the answer, 0 if the connection ended without one, and none
+    /// if neither came in time.
+    async fn send(&self, node: usize, kind: Kind, id: String, brief: bool) -> Option<u16> {
         let mut text = kind.request(&id);
         if brief {
             text = text.replace(API_KEY, BRIEF);
         }
         let at = Instant::now();
         let told = tokio::time::timeout(PATIENCE, exchange(self.nodes[node].callers, &text)).await;
+        let in_time = told.is_ok();
         let told = told.ok().flatten();
+        let status = told.as_ref().map_or(0, |told| told.status);
         self.sent.borrow_mut().push(Sent { id, kind, brief, at, told });
+        in_time.then_some(status)
     }
 
     /// Checks what was promised; returns what callers were told, in numbers.
     pub async fn check(&self) -> String {
         self.recovers().await;
+        self.serves_a_crowd().await;
         self.holds_back().await;
         self.blocks_a_part().await;
         self.serves_without_servers().await;
@@ -425,6 +455,32 @@
         format!("{} requests, {whole} whole, {refused} refused; {streams}", sent.len())
     }
 
+    /// Once all faults are over, a node that gets all connections serves those that it reads as well as all nodes do.
+    async fn serves_a_crowd(&self) {
+        let crowded = self.seed as usize % NODES;
+        let (served_before, read_before) = self.send_many("c", |number| number % NODES).await;
+        let (served, read) = self.send_many("d", |_| crowded).await;
+        assert!(
+            served * read_before * 4 >= served_before * read * 3,
+            "node {crowded} served {served} of {read} requests, all nodes {served_before} of {read_before}"
+        );
+    }
+
+    /// Sends many requests at once to the nodes chosen by number; returns how many were served and read.
+    async fn send_many(&self, name: &str, node: impl Fn(usize) -> usize) -> (usize, usize) {
+        let (served, read) = (Cell::new(0), Cell::new(0));
+        let callers = (0..CROWD_CALLERS).map(async |caller| {
+            for number in (caller..CROWD).step_by(CROWD_CALLERS) {
+                let id = format!("{}-{name}{number}", self.seed);
+                let status = self.send(node(number), Kind::Read, id, false).await;
+                read.set(read.get() + usize::from(status != Some(0)));
+                served.set(served.get() + usize::from(status == Some(200)));
+            }
+        });
+        futures_util::future::join_all(callers).await;
+        (served.get(), read.get())
+    }
+
     /// Once all faults are over, nodes together hold back what crashes servers, and keep to a server's limit.
     async fn holds_back(&self) {
         tokio::time::sleep(SETTLED).await;
