--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -60,8 +60,7 @@
     policy::Limits { retry_percent, retry_burst: RETRY_BURST, link_bytes: REGION_LINK_BYTES }
 }
 
-/// Time that tasks may wait for the processor before new connections are closed unread. Callers have other nodes to
-/// turn to, and a tenth of a second is most of the target of a plain service.
+/// Time that tasks may wait for the processor before new connections are closed unread.
 const MAX_TASK_DELAY: Duration = Duration::from_millis(80);
 
 /// Shared state of one node.
--- a/components/policy/src/quarantine/tests.rs
+++ b/components/policy/src/quarantine/tests.rs
@@ -160,8 +160,8 @@
     assert!(quarantine.suspects.len() <= MAX_SUSPECTS);
 }
 
-/// A node has an answer that voids what a seed tells it. Guards against the seed, and all other nodes, never learning
-/// of it because the node doesn't tell what it was told.
+/// A node knows of an answer that voids the evidence of its seed. Guards against the seed and all other nodes missing
+/// that answer, because a node doesn't send evidence back to the seed that it came from.
 #[test]
 fn a_later_answer_is_sent_again() {
     let (seed, now) = after_crashes(3);
--- a/components/policy/src/suspect.rs
+++ b/components/policy/src/suspect.rs
@@ -1,7 +1,7 @@
 //! Keeps the evidence against one request, or one part of prompts, that may crash servers.
 //!
 //! Load pattern: servers that crash together, by a loss of power or a kill, beside those that crash one after the
-//! other under the same request. Each crash is seen by several nodes, at different times, and told in any order.
+//! other under the same request. Several nodes notice each crash, and their messages arrive in any order.
 
 use std::time::{Duration, Instant};
 
@@ -22,10 +22,9 @@
 pub(crate) const RETENTION: Duration = Duration::from_secs(600);
 /// Crashes that are kept for one request, the latest ones.
 pub(crate) const MAX_CRASHES: usize = 8;
-/// Parts of one prompt that evidence is kept of. Prompts have a handful; the number bounds what one crash adds to
-/// the table and to messages.
+/// Parts of one prompt that evidence is kept of. This bounds what one crash adds to the table and to messages.
 pub const MAX_PARTS: usize = 16;
-/// Keeps the keys of parts apart from those of whole requests.
+/// Added to the ids of parts, so that their keys differ from the hashes of whole requests.
 const PART_SALT: u64 = 0x9e37_79b9_7f4a_7c15;
 
 derives::data! {
--- a/components/policy/tests/budget.rs
+++ b/components/policy/tests/budget.rs
@@ -16,7 +16,7 @@
 const MAX_NODES: usize = 40;
 /// Models of a service.
 const MODELS: usize = 9;
-/// Polls of the scheduler, 200 ms apart, for which a request waits while all servers are ejected.
+/// Number of polls, one every 200 ms, after which a waiting request is withdrawn.
 const MAX_POLLS: usize = 100;
 
 /// An event at one node, or at all of them.
--- a/components/policy/tests/parts.rs
+++ b/components/policy/tests/parts.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Each node tells its seed at its own time in each pause, and the seeds tell each other.
+    /// Exchanges evidence between the nodes whose turn it is and their seeds, and among the seeds.
     fn exchange_due(&mut self, pause_ms: u64, ms: u64) {
         for from in 0..self.nodes.len() {
             let phase = from as u64 * 37 % pause_ms;
