What an answer's head says of its server is one value

The adapter read a rate limit, brittleness and the time for idle connections by three functions, and whoever received an answer had to ask each of them. They are one typed value now, and forward::statements applies it. Behaviour is unchanged.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -94,6 +94,16 @@
         Malformed(String),
     }
 
+    /// What the head of a response says of the server that sent it.
+    pub struct Statement {
+        /// Its rate limit.
+        pub rate_limit: StatedLimit,
+        /// The servers of its service are brittle: they crash if they have to decline many requests.
+        pub brittle: bool,
+        /// How long it keeps the connection open while idle, if it states that.
+        pub keep_alive: Option<Duration>,
+    }
+
     /// The head of a request is invalid; the text says what to send instead.
     pub struct Malformed(pub String);
 }
@@ -116,15 +126,8 @@
     /// Checks whether the head of a response belongs to `call` and is `server`'s answer to it.
     fn check_response(&self, head: &ResponseHead, call: &Call, server: &Entry) -> Verdict;
 
-    /// The server's rate limit, as stated in a response.
-    fn rate_limit(&self, head: &ResponseHead) -> StatedLimit;
-
-    /// Whether the response says that the servers of its service are brittle: they crash if they have to decline
-    /// many requests.
-    fn is_brittle(&self, head: &ResponseHead) -> bool;
-
-    /// How long the server keeps the connection of a response open while idle, if it states that.
-    fn keep_alive(&self, head: &ResponseHead) -> Option<Duration>;
+    /// Reads what the head of a response says of the server that sent it.
+    fn read_statement(&self, head: &ResponseHead) -> Statement;
 }
 
 derives::data! {
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -12,16 +12,15 @@
 use lifecycle::Unsent;
 use policy::Ending;
 
-use crate::adapter::{Adapter, Attempt, ServerProtocol, StatedLimit, Verdict};
+use crate::adapter::{Adapter, Attempt, ServerProtocol, Verdict};
 use crate::answer::Answer;
-use crate::brittle;
 use crate::cold;
 use crate::events::{OutOfOrder, Splitter, Truncated};
 use crate::intake::Received;
-use crate::limits;
 use crate::mechanism::Mechanism;
 use crate::reach;
 use crate::state::State;
+use crate::statements;
 
 /// Time to connect to a server. A running one accepts within a round trip of a few tens of
 /// milliseconds; nothing was sent yet, so another server can be tried at once.
@@ -252,22 +251,15 @@
         connection.exchange(head, received.body.clone()).await.map_err(lost)?;
     reach::record_reached(state, server);
     let mut mismatched = 0;
-    loop {
+    let keep_alive = loop {
         let verdict = state.adapter.servers.check_response(&head, &received.call, server);
-        if matches!(verdict, Verdict::Answer | Verdict::Declined) {
-            let brittle = state.adapter.servers.is_brittle(&head);
-            brittle::record_answer(state, server, brittle, sent);
-            let limit = state.adapter.servers.rate_limit(&head);
-            // A server that declines or fails may omit its limit; that doesn't lift a limit stated before.
-            if limit != StatedLimit::Unspecified || head.status.is_success() {
-                limits::record_answer(state, server, &limit, sent);
-            }
-        }
+        let statement = state.adapter.servers.read_statement(&head);
+        statements::record(state, server, &head, &verdict, &statement, sent);
         match verdict {
-            Verdict::Answer => break,
+            Verdict::Answer => break statement.keep_alive,
             Verdict::Declined => {
                 let status = head.status.as_u16();
-                discard_body(state, server, &head, body).await;
+                discard_body(state, server, body, statement.keep_alive).await;
                 return Err(AttemptError::Declined(status));
             }
             Verdict::Misdirected => return Err(AttemptError::Misdirected),
@@ -282,8 +274,8 @@
                 return Err(AttemptError::Lost("the server responds to other requests".into()));
             }
         }
-    }
-    receive_reply(state, received, server, head, body, plan.last_event_id).await
+    };
+    receive_reply(state, received, server, (head, keep_alive), body, plan.last_event_id).await
 }
 
 /// Receives an answer whose head was accepted: the first events of a stream, or the whole of any other
@@ -292,14 +284,13 @@
     state: &Rc<State<A>>,
     received: &Received,
     server: &Rc<Entry>,
-    head: ResponseHead,
+    (head, keep_alive): (ResponseHead, Option<Duration>),
     body: Body,
     last_event_id: Option<u64>,
 ) -> Result<Reply, AttemptError> {
     let media = head.headers.get("content-type").and_then(|value| value.to_str().ok());
     let events = media.is_some_and(|media| media.starts_with("text/event-stream"));
     let success = head.status.is_success();
-    let keep_alive = state.adapter.servers.keep_alive(&head);
     log::debug!(server = server.name.as_str(), idle:? = keep_alive; "answer started");
     let mut reply = PartialReply {
         status: head.status,
@@ -345,10 +336,9 @@
 async fn discard_body<A: Adapter>(
     state: &State<A>,
     server: &Entry,
-    head: &ResponseHead,
     mut body: Body,
+    keep_alive: Option<Duration>,
 ) {
-    let keep_alive = state.adapter.servers.keep_alive(head);
     loop {
         match body.next().await {
             Ok(Some(_)) => {}
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -28,6 +28,7 @@
 mod serve;
 mod source;
 mod state;
+mod statements;
 mod stream;
 mod updates;
 
