Log and count what answers say of their servers, and what is sent to a server that said that it leaves

An answer's head was read for the request's sake only: nothing told that its server had said that it leaves, so the hypotheses on requests to leaving servers couldn't be told apart. The notice is recorded for one start of a server, logged once, and each later send to that server is logged and counted. No decision uses it yet.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -96,6 +96,10 @@
 
     /// What the head of a response says of the server that sent it.
     pub struct Statement {
+        /// Its name, if the response states it.
+        pub name: Option<String>,
+        /// It is shutting down and takes no new requests.
+        pub leaving: bool,
         /// Its rate limit.
         pub rate_limit: StatedLimit,
         /// The servers of its service are brittle: they crash if they have to decline many requests.
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -246,6 +246,7 @@
     state.metrics.count_arrival(&received.route().name, earlier > 0);
     let sent = state.clock.now();
     reach::record_sent(state, server);
+    statements::record_send(state, &received.call.id, server);
     let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
     let (mut head, mut body) =
         connection.exchange(head, received.body.clone()).await.map_err(lost)?;
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -191,6 +191,7 @@
             region: self.region_key(region),
             domain: key_or_insert(&mut self.domains, &mut self.by_domain, &entry.domain),
             salt: xxh3_64(entry.name.as_bytes()),
+            incarnation: entry.incarnation(),
             slots: entry.slots,
             models,
             leaving: entry.leaving,
--- a/components/forward/src/statements.rs
+++ b/components/forward/src/statements.rs
@@ -4,12 +4,17 @@
 
 use actix_http::ResponseHead;
 use catalog::Entry;
+use clock::Clock;
 
 use crate::adapter::{Adapter, StatedLimit, Statement, Verdict};
+use crate::registry::Registry;
 use crate::state::State;
 use crate::{brittle, limits};
 
-/// Records what the head of an answer says of its server. The request was sent at `sent`.
+/// Name of a notice in logs and metrics.
+const LEAVING: &str = "leaving";
+
+/// Records what the head of an answer says of its server. The request was sent to `server` at `sent`.
 pub(crate) fn record<A: Adapter>(
     state: &State<A>,
     server: &Entry,
@@ -18,6 +23,11 @@
     statement: &Statement,
     sent: Instant,
 ) {
+    if statement.leaving
+        && let Some(author) = author(&state.registry.borrow(), server, verdict, statement)
+    {
+        record_leaving(state, author, head);
+    }
     if !matches!(verdict, Verdict::Answer | Verdict::Declined) {
         return;
     }
@@ -27,3 +37,40 @@
         limits::record_answer(state, server, &statement.rate_limit, sent);
     }
 }
+
+/// The server that made a statement in answer to a request that was sent to `server`; none if it isn't known.
+fn author<'a>(
+    registry: &'a Registry,
+    server: &'a Entry,
+    verdict: &Verdict,
+    statement: &Statement,
+) -> Option<&'a Entry> {
+    match &statement.name {
+        Some(name) if *name == server.name => Some(server),
+        Some(name) => registry.entry(name).map(|entry| &**entry),
+        None => (!matches!(verdict, Verdict::Misdirected)).then_some(server),
+    }
+}
+
+fn record_leaving<A: Adapter>(state: &State<A>, server: &Entry, head: &ResponseHead) {
+    let now = state.clock.now();
+    if state.driver.scheduler.borrow_mut().record_leaving(server.incarnation(), now) {
+        log::info!(
+            server = server.name.as_str(), service = server.service.as_str(), listed = !server.leaving,
+            status = head.status.as_u16(); "server says that it leaves"
+        );
+        state.metrics.count_notice(LEAVING);
+    }
+}
+
+/// Counts and logs a request that is about to be sent to a server that has given a notice.
+pub(crate) fn record_send<A: Adapter>(state: &State<A>, request: &str, server: &Entry) {
+    let since = state.driver.scheduler.borrow().leaving_since(server.incarnation());
+    let Some(since) = since else { return };
+    let age_ms = state.clock.now().saturating_duration_since(since).as_millis() as u64;
+    log::info!(
+        request = request, server = server.name.as_str(), notice = LEAVING, age_ms = age_ms;
+        "sent despite a notice"
+    );
+    state.metrics.count_sent_despite(LEAVING);
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod limit;
 mod mechanism;
 pub mod membership;
+mod notices;
 mod pending;
 mod pick;
 mod pool;
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::isolation::GROUPS;
 use crate::length::Lengths;
 use crate::mechanism::{Mechanism, Switches};
+use crate::notices::Notices;
 use crate::pending::{Expected, Pending, Stage};
 use crate::pick::Candidate;
 use crate::pool::{Key, Pool, Scope};
@@ -45,6 +46,7 @@
     pub(crate) classes: SecondaryMap<ids::Class, Class>,
     pub(crate) workspaces: SecondaryMap<ids::Workspace, Workspace>,
     pub(crate) servers: SecondaryMap<ids::Server, server::State>,
+    pub(crate) notices: Notices,
     pub(crate) jobs: SlotMap<ids::Job, Pending>,
     pub(crate) pools: SlotMap<Key, Pool>,
     pub(crate) pool_index: HashMap<Scope, Key>,
@@ -119,6 +121,7 @@
             classes: SecondaryMap::new(),
             workspaces: SecondaryMap::new(),
             servers: SecondaryMap::new(),
+            notices: Notices::default(),
             jobs: SlotMap::with_key(),
             pools: SlotMap::with_key(),
             pool_index: HashMap::new(),
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -30,6 +30,8 @@
     connections: IntCounter,
     failed_attempts: IntCounterVec,
     arrivals: IntCounterVec,
+    notices: IntCounterVec,
+    sent_despite_notice: IntCounterVec,
     cold_permits: IntCounterVec,
     continuations: IntCounterVec,
     taken_up: IntCounterVec,
@@ -109,6 +111,16 @@
             "Requests sent to backend servers, by class and whether it was the first time",
             &["class", "order"],
         );
+        let notices = counter(
+            "godwitlever_server_notices_total",
+            "News that backend servers gave of themselves in answers, by what they said",
+            &["notice"],
+        );
+        let sent_despite_notice = counter(
+            "godwitlever_sent_despite_notice_total",
+            "Requests sent to backend servers that had asked for none, by what they had said",
+            &["notice"],
+        );
         let cold_permits = counter(
             "godwitlever_cold_permits_total",
             "Permits for requests to cold servers, by what became of them",
@@ -144,6 +156,8 @@
         Metrics {
             failed_attempts,
             arrivals,
+            notices,
+            sent_despite_notice,
             cold_permits,
             continuations,
             taken_up,
@@ -239,6 +253,16 @@
         self.arrivals.with_label_values(&[class, order]).inc();
     }
 
+    /// Counts news that a backend server gave of itself in an answer.
+    pub fn count_notice(&self, notice: &str) {
+        self.notices.with_label_values(&[notice]).inc();
+    }
+
+    /// Counts a request that is sent to a backend server although that has given a notice.
+    pub fn count_sent_despite(&self, notice: &str) {
+        self.sent_despite_notice.with_label_values(&[notice]).inc();
+    }
+
     /// Adds the tokens that were relayed to the caller in an answer that was never completed.
     pub fn add_wasted_tokens(&self, class: &str, tokens: u64) {
         self.wasted_tokens.with_label_values(&[class]).inc_by(tokens);
