--- a/components/driver/src/submission.rs
+++ b/components/driver/src/submission.rs
@@ -1,7 +1,7 @@
 //! Submits a request to the scheduler and follows it until its end.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use clock::Clock;
 use policy::{Action, Ending, Expected, Policy, Prior, Refusal};
@@ -82,11 +82,6 @@
         self.driver.scheduler.borrow().estimates(self.job)
     }
 
-    /// Until when the attempt must be sent; none if its server isn't cold.
-    pub fn send_by(&self) -> Option<Instant> {
-        self.driver.scheduler.borrow().send_by(self.job)
-    }
-
     /// Whether the request could be tried again if its attempt were abandoned now.
     pub fn may_retry(&self) -> bool {
         self.driver.scheduler.borrow().may_retry(self.job, self.driver.clock.now())
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends one attempt of a request to one backend server and receives the start of its answer.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode, Uri, Version};
@@ -10,7 +10,7 @@
 use clock::Clock;
 use http_client::{Body, Connection, Delimiter};
 use lifecycle::Unsent;
-use policy::Ending;
+use policy::{Ending, Reason};
 
 use crate::adapter::{Adapter, Attempt, ServerProtocol, Verdict};
 use crate::answer::Answer;
@@ -37,9 +37,9 @@
     /// No connection was made.
     #[error("can't connect to the server ({0})")]
     Unreached(String),
-    /// The permit for a cold server expired before the request was sent.
-    #[error("the permit for the cold server expired before the request was sent")]
-    PermitExpired,
+    /// The server may no longer be sent the request.
+    #[error("the request wasn't sent: the server is {}", .0.as_str())]
+    Held(Reason),
     /// Another server has the address.
     #[error("another server has its address now")]
     Misdirected,
@@ -65,7 +65,7 @@
     pub(crate) fn not_run_proof(&self) -> Option<Unsent> {
         match self {
             AttemptError::Unreached(_)
-            | AttemptError::PermitExpired
+            | AttemptError::Held(_)
             | AttemptError::Misdirected
             | AttemptError::Declined(_) => Some(Unsent::assume()),
             AttemptError::Lost(_)
@@ -77,7 +77,7 @@
 
     /// Whether the server may have received the request, even if it didn't run it.
     pub(crate) fn may_have_arrived(&self) -> bool {
-        !matches!(self, AttemptError::Unreached(_) | AttemptError::PermitExpired)
+        !matches!(self, AttemptError::Unreached(_) | AttemptError::Held(_))
     }
 
     /// How the attempt ended, for the scheduler.
@@ -85,7 +85,7 @@
         match self {
             AttemptError::Unreached(_) => Ending::Unreached,
             AttemptError::Misdirected => Ending::Misdirected,
-            AttemptError::PermitExpired => Ending::Expired,
+            AttemptError::Held(_) => Ending::Held,
             AttemptError::Declined(_) => Ending::NotRun,
             AttemptError::ServerError(_) => Ending::ServerError,
             AttemptError::Lost(_) => Ending::Broken,
@@ -210,8 +210,8 @@
     pub(crate) backup: Option<Rc<Entry>>,
     /// The run continues from the copy that the attempt's server keeps.
     pub(crate) from_copy: bool,
-    /// Until when the request must be sent, if the server is cold.
-    pub(crate) send_by: Option<Instant>,
+    /// The scheduler's key of the request.
+    pub(crate) job: ids::Job,
 }
 
 /// Sends a request to a server and waits for its answer, or the start of one that is passed on as it
@@ -234,12 +234,9 @@
             connection.map_err(|cause| AttemptError::Unreached(cause.to_string()))?
         }
     };
-    if !cold::may_send(state, plan.send_by) {
+    if let Some(reason) = hold_reason(state, plan.job) {
         state.pool.put_unused(&server.address, connection);
-        return Err(AttemptError::PermitExpired);
-    }
-    if plan.send_by.is_some() {
-        state.metrics.add_cold_permits("used", 1);
+        return Err(AttemptError::Held(reason));
     }
     let head = request_head(state, received, server, plan);
     let earlier = received.arrivals.replace(received.arrivals.get() + 1);
@@ -279,6 +276,13 @@
     receive_reply(state, received, server, (head, keep_alive), body, plan.last_event_id).await
 }
 
+/// Why a request may not be sent to the server that it was assigned to; none if it may. What is known of the server
+/// may have changed while the connection was made.
+fn hold_reason<A: Adapter>(state: &State<A>, job: ids::Job) -> Option<Reason> {
+    let hold = state.driver.scheduler.borrow().hold_at_send(job, state.clock.now());
+    hold.map(|hold| hold.reason).or_else(|| cold::use_permit(state, job))
+}
+
 /// Receives an answer whose head was accepted: the first events of a stream, or the whole of any other
 /// answer up to [`MAX_BUFFERED_BYTES`].
 async fn receive_reply<A: Adapter>(
--- a/components/forward/src/cold.rs
+++ b/components/forward/src/cold.rs
@@ -6,6 +6,7 @@
 
 use catalog::{Entry, Service};
 use clock::Clock;
+use policy::Reason;
 use policy::cold::{Allowance, Issuer, LIFETIME, Part};
 use wire::gossip::{Report, Summary};
 
@@ -54,11 +55,15 @@
     Some((rate + promises.cold_slack) as u32)
 }
 
-/// Whether a request that was assigned to a server may be sent to it now. A cold server takes it only until its
-/// permit expires.
-pub(crate) fn may_send<A: Adapter>(state: &State<A>, send_by: Option<Instant>) -> bool {
-    let valid = |by| state.clock.now() < by && !state.cold_permits.outdated(state);
-    send_by.is_none_or(valid)
+/// Uses the permit of a request that was assigned to a cold server. Returns why the request may not be sent, if the
+/// permit can't be trusted.
+pub(crate) fn use_permit<A: Adapter>(state: &State<A>, job: ids::Job) -> Option<Reason> {
+    state.driver.scheduler.borrow().send_by(job)?;
+    if state.cold_permits.outdated(state) {
+        return Some(Reason::Cold);
+    }
+    state.metrics.add_cold_permits("used", 1);
+    None
 }
 
 /// Adds to a report how many permits this node could use, and which servers it takes for cold by itself.
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -299,7 +299,7 @@
             fetch_from: expected.and_then(|expected| expected.fetch).and_then(entry),
             backup: expected.and_then(|expected| expected.backup).and_then(entry),
             from_copy: false,
-            send_by: self.submission.send_by(),
+            job: self.submission.job,
         };
         let mut sending = pin!(attempt::send(&self.state, &self.received, server, &plan));
         let mut result = tokio::time::timeout(timeout, &mut sending).await;
@@ -345,8 +345,8 @@
         server: &Rc<Entry>,
         last_event_id: Option<u64>,
     ) -> Result<Reply, AttemptError> {
-        let send_by = self.submission.send_by();
-        let plan = Plan { last_event_id, from_copy: true, send_by, ..Plan::default() };
+        let job = self.submission.job;
+        let plan = Plan { last_event_id, from_copy: true, job, ..Plan::default() };
         let time_left = self.received.time_left(&self.state);
         let sending = attempt::send(&self.state, &self.received, server, &plan);
         tokio::time::timeout(time_left, sending).await.unwrap_or(Err(AttemptError::TimedOut))
--- a/components/policy/src/action.rs
+++ b/components/policy/src/action.rs
@@ -32,8 +32,9 @@
         /// Another server received it at this server's address, and declined it. It counts against the retry
         /// budget, but not as an attempt.
         Misdirected,
-        /// It wasn't sent because the permit for its server expired before. This is no fault of the server.
-        Expired,
+        /// It wasn't sent, since what is known of its server had changed after it was assigned. This is no fault of the
+        /// server.
+        Held,
         /// It may have run, and the answer is missing or incomplete.
         Failed,
         /// As [`Ending::Failed`], because the connection broke: the server may have been restarted.
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -31,7 +31,7 @@
             return false;
         };
         self.release_slot(job, server, ending, now);
-        if matches!(ending, Ending::Unreached | Ending::Expired) {
+        if matches!(ending, Ending::Unreached | Ending::Held) {
             self.return_earned_retry(job);
         } else {
             self.jobs[job].reached = true;
@@ -48,7 +48,7 @@
             self.enqueue(job, now);
             return true;
         }
-        if matches!(ending, Ending::Unreached | Ending::Expired | Ending::Misdirected) {
+        if matches!(ending, Ending::Unreached | Ending::Held | Ending::Misdirected) {
             pending.attempts -= 1;
         }
         let doublings = u32::from(pending.attempts.saturating_sub(1)).min(8);
@@ -101,7 +101,7 @@
         let pending = &self.jobs[job];
         let repeatable = match ending {
             Ending::Stopped => return true,
-            Ending::Unreached | Ending::Expired => return now < pending.latest_send,
+            Ending::Unreached | Ending::Held => return now < pending.latest_send,
             Ending::NotRun | Ending::Misdirected => true,
             Ending::Failed | Ending::Broken | Ending::ServerError => pending.request.idempotent,
             Ending::Completed | Ending::Cancelled => false,
@@ -138,7 +138,7 @@
                 state.health.record_stall(self.jobs[job].sent_at, now, jitter);
             }
             state.prefill.prompt_done(priority, prefill);
-            if !matches!(ending, Ending::Cancelled | Ending::Stopped | Ending::Expired) {
+            if !matches!(ending, Ending::Cancelled | Ending::Stopped | Ending::Held) {
                 state.health.record_outcome(ending == Ending::Completed, now);
             }
             if ending == Ending::NotRun
@@ -152,7 +152,7 @@
                     state.health.record_failure(now, jitter);
                 }
                 Ending::Misdirected => state.health.record_misdirected(sent_at, now, jitter),
-                Ending::Cancelled | Ending::Stopped | Ending::Expired | Ending::ServerError => {}
+                Ending::Cancelled | Ending::Stopped | Ending::Held | Ending::ServerError => {}
             }
         }
         match ending {
@@ -160,14 +160,14 @@
             Ending::Completed | Ending::NotRun | Ending::ServerError => {
                 self.record_answer(server, now);
             }
-            Ending::Failed | Ending::Cancelled | Ending::Stopped | Ending::Expired => {}
+            Ending::Failed | Ending::Cancelled | Ending::Stopped | Ending::Held => {}
         }
         let pending = &mut self.jobs[job];
         let (class, workspace) = (pending.request.class, pending.request.workspace);
         let used = fair::cost(pending.request.prompt_tokens, pending.produced);
         let not_run = matches!(
             ending,
-            Ending::NotRun | Ending::Unreached | Ending::Misdirected | Ending::Expired
+            Ending::NotRun | Ending::Unreached | Ending::Misdirected | Ending::Held
         );
         let used = if not_run { 0 } else { used };
         let change = i64::from(used) - i64::from(pending.charged);
--- a/components/policy/src/backup.rs
+++ b/components/policy/src/backup.rs
@@ -66,7 +66,7 @@
         !avoided
             && !state.leaving()
             && !self.is_excluded(member.server, now)
-            && state.has_permit(now)
+            && self.hold(pending, state, now).is_none()
     }
 
     /// Moves a sent request to the engine that keeps a copy of its run, once the engine that ran it has ended.
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -250,18 +250,18 @@
         let (mut near, mut far, mut free) = (false, 0, false);
         for key in &pool.servers {
             let state = &self.servers[*key];
-            if !state.has_permit(now) {
+            if self.hold(pending, state, now).is_some() {
                 continue;
             }
             let here = state.terms.region == pending.request.region;
-            near |= here && !state.leaving() && !self.is_ejected(*key, now);
+            near |= here && !self.is_ejected(*key, now);
             let has_slot = state.has_free_slot(self.switches);
             free |= has_slot;
             let exceeds_share = !has_slot && urgent && state.has_spare_slots(now, self.switches);
             if !has_slot && !exceeds_share {
                 continue;
             }
-            if !self.accepts(state, pending, overdue, now)
+            if !self.accepts(state, pending, overdue)
                 || (!all_ejected && self.is_excluded(*key, now))
                 || self.is_misdirecting(*key, now)
             {
@@ -314,18 +314,12 @@
         free
     }
 
-    /// Whether a server takes a request's tier now: it isn't leaving, and no higher tier waits for it at a
-    /// peer unless the request's class is overdue.
-    fn accepts(
-        &self,
-        state: &server::State,
-        pending: &Pending,
-        overdue: bool,
-        now: Instant,
-    ) -> bool {
+    /// Whether a server takes a request's tier now: no higher tier waits for it at a peer, unless the
+    /// request's class is overdue.
+    fn accepts(&self, state: &server::State, pending: &Pending, overdue: bool) -> bool {
         let peer_waits =
             state.peer_waiting_tier(self.switches).is_some_and(|waiting| waiting < pending.tier);
-        self.takes_work(&self.pools[pending.pool], state, now) && (!peer_waits || overdue)
+        !peer_waits || overdue
     }
 
     /// Whether a request may take a slot beyond this node's share: it is of the highest tier and its
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -197,10 +197,9 @@
         let state = &self.servers[member.server];
         let avoided =
             pending.avoid == Some(member.server) && self.pools[pending.pool].members.len() > 1;
-        let pool = &self.pools[pending.pool];
-        let available = state.has_free_slot(self.switches) && state.has_permit(now);
-        let open = self.takes_work(pool, state, now) && self.leaves_reserve(pool, state, now);
-        available && open && !avoided
+        let reserved = !self.leaves_reserve(&self.pools[pending.pool], state, now);
+        let open = state.has_free_slot(self.switches) && !avoided && !reserved;
+        open && self.hold(pending, state, now).is_none()
     }
 
     /// The two engines that have most likely cached a request's prefix, by rendezvous hashing: of its
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod disturbance;
 mod engines;
 mod fair;
+mod filters;
 mod forecast;
 mod health;
 mod isolation;
@@ -53,6 +54,7 @@
 
 pub use action::{Action, Ending, Policy, Refusal};
 pub use brittle::brittle_share;
+pub use filters::{Hold, Reason};
 pub use isolation::GROUPS;
 pub use mechanism::Mechanism;
 pub use pending::Expected;
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -132,14 +132,6 @@
         self.sent < self.node_slots(switches)
     }
 
-    /// Whether a permit is left, if it has named a rate limit or is cold, and a slot of this node's part, if it is
-    /// brittle.
-    pub(crate) fn has_permit(&self, now: Instant) -> bool {
-        let within_limit = self.permits.as_ref().is_none_or(|permits| permits.available(now));
-        let sound = self.brittle.is_none_or(|guard| guard.admits(self.sent, now));
-        within_limit && sound && self.guard.admits(now)
-    }
-
     /// Whether requests are sent to it only on permits.
     pub(crate) fn needs_permit(&self, now: Instant) -> bool {
         self.permits.is_some() || self.guard.is_cold(now)
--- a/components/policy/src/versions.rs
+++ b/components/policy/src/versions.rs
@@ -29,16 +29,6 @@
         occupied + 1.0 <= (slots * (1.0 - RESERVED_SLOTS)).max(1.0)
     }
 
-    /// Whether a server takes work of a pool. One that is leaving takes the rest of streams that its version began, if
-    /// no other server of that version is left.
-    pub(crate) fn takes_work(&self, pool: &Pool, state: &server::State, now: Instant) -> bool {
-        if !state.leaving() {
-            return true;
-        }
-        let all_leave = || pool.servers.iter().all(|key| self.servers[*key].leaving());
-        pool.scope.version.is_some() && state.may_resume(now) && all_leave()
-    }
-
     /// Restricts a sent request, whose stream has begun, to the servers of the version that began it.
     ///
     /// ```
--- a/components/policy/tests/budget.rs
+++ b/components/policy/tests/budget.rs
@@ -48,7 +48,7 @@
         Just(Ending::NotRun),
         Just(Ending::Misdirected),
         Just(Ending::Unreached),
-        Just(Ending::Expired),
+        Just(Ending::Held),
     ]
 }
 
@@ -98,7 +98,7 @@
             continue;
         }
         let (ending, to) = *endings.next().unwrap_or(&(Ending::Completed, None));
-        if !matches!(ending, Ending::Unreached | Ending::Expired) {
+        if !matches!(ending, Ending::Unreached | Ending::Held) {
             events.push(kind);
             kind = Event::Retry;
         }
