A server that says in an answer that it leaves gets no further requests

Callers saw nothing, but requests reached a server up to 12 s after an answer had told their node that it leaves (DRAIN); the server may end with them. Cause: the head of an answer was read for the request's sake, and only the list of servers told which of them leave. While the store can't be written, or the node can't read it, the list says nothing.

policy::notices keeps what each incarnation of a server has said, apart from the list, so that entries which lapse, come back or are written again change nothing, and a new start under the same name is another server. The filter for leaving servers asks both. The filters are asked again when a request is written.

--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -64,6 +64,10 @@
         /// if it isn't given.
         #[serde(default)]
         pub retry_slack: Option<f64>,
+        /// Time for which a server that has said in an answer that it leaves still serves, in ms: requests that come later
+        /// aren't sent to it even if no other server is left. 0 if it isn't given.
+        #[serde(default)]
+        pub drain_ms: u64,
         /// Requests that may reach a cold server in a second, as a multiple of those that it tolerates.
         #[serde(default = "default_cold_overshoot")]
         pub cold_overshoot: f64,
@@ -84,6 +88,8 @@
 const MAX_COLD_OVERSHOOT: f64 = 100.0;
 const MAX_COLD_SLACK: f64 = 100_000.0;
 
+/// Longest time for which a server that leaves is taken to serve, in ms.
+const MAX_DRAIN_MS: u64 = 3_600_000;
 /// Largest number of retries that a fleet may make at once.
 const MAX_RETRY_SLACK: f64 = 1_000_000.0;
 
@@ -175,6 +181,12 @@
         if !(0.0..=3_600.0).contains(&node.promises.grace_s) {
             return Err(value("promises.grace_s is out of range", "seconds from 0 to 3600"));
         }
+        if node.promises.drain_ms > MAX_DRAIN_MS {
+            return Err(value(
+                "promises.drain_ms is out of range",
+                "milliseconds from 0 to 3600000",
+            ));
+        }
         if !(0.0..=MAX_COLD_OVERSHOOT).contains(&node.promises.cold_overshoot) {
             return Err(value("promises.cold_overshoot is out of range", "a factor from 0 to 100"));
         }
@@ -207,6 +219,11 @@
         Duration::from_millis(self.promises.revocation_ms).mul_f64(PROOF_AGE_FRACTION)
     }
 
+    /// Time for which a server that has said that it leaves still serves.
+    pub(crate) fn drain_time(&self) -> Duration {
+        Duration::from_millis(self.promises.drain_ms)
+    }
+
     /// Time from being told to stop until the process has exited.
     pub fn grace_period(&self) -> Duration {
         Duration::from_secs_f64(self.promises.grace_s)
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -146,6 +146,7 @@
             .with_disabled(Mechanism::EarlyRefusal)
             .with_disabled(Mechanism::Preemption);
         scheduler.set_limits(scheduler_limits(&node));
+        scheduler.set_drain_time(node.drain_time());
         let switches = node.switches();
         for mechanism in &switches.policy_off {
             scheduler = scheduler.with_disabled(*mechanism);
@@ -220,6 +221,7 @@
     /// Applies the node's own settings after they were read again, except for its addresses.
     pub(crate) fn reload(&self, node: Node) {
         self.freshness.borrow_mut().set_max_age(node.max_proof_age());
+        self.driver.scheduler.borrow_mut().set_drain_time(node.drain_time());
         *self.node.borrow_mut() = Rc::new(node);
         self.apply_retry_slack();
         let all = self.membership.borrow().iter().map(|entry| entry.name.clone()).collect();
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -81,7 +81,7 @@
         self.last_tick.get_or_insert(now);
         let configured =
             self.classes.contains_key(class) && self.workspaces.contains_key(workspace);
-        if !configured || !self.has_open_server(pool, now) {
+        if !configured || !self.has_open_server(&self.jobs[job], now) {
             self.refused.push((job, Refusal::NoServer, NO_SERVER_RETRY_AFTER));
             return job;
         }
@@ -97,10 +97,10 @@
         job
     }
 
-    /// Whether any server of a pool takes new work.
-    pub(crate) fn has_open_server(&self, pool: Key, now: Instant) -> bool {
-        let pool = &self.pools[pool];
-        pool.servers.iter().any(|key| self.takes_work(pool, &self.servers[*key], now))
+    /// Whether any server takes a request.
+    pub(crate) fn has_open_server(&self, pending: &Pending, now: Instant) -> bool {
+        let servers = &self.pools[pending.pool].servers;
+        servers.iter().any(|key| self.takes_work(pending, &self.servers[*key], now))
     }
 
     /// Tokens still to come of an answer, at a quantile of the length estimate.
--- a/components/policy/src/backup.rs
+++ b/components/policy/src/backup.rs
@@ -43,7 +43,9 @@
         let candidates = self.candidates(pool, pending, [None; 2]);
         let able = candidates.members.iter().copied().filter(apart).filter(|member| {
             let state = &self.servers[member.server];
-            state.terms.backups && self.can_take_over(pending, member, now)
+            let open = state.terms.backups && !self.leaves(state);
+            open && self.is_available(pending, member, now)
+                && self.hold(pending, state, now).is_none()
         });
         let class = self.classes.get(pending.request.class);
         let tolerance = class.map(|class| class.token_interval).unwrap_or_default();
@@ -59,14 +61,9 @@
         best.map(|(.., member)| member.server)
     }
 
-    /// Whether an engine may be sent a request that runs elsewhere now.
-    fn can_take_over(&self, pending: &Pending, member: &Member, now: Instant) -> bool {
-        let state = &self.servers[member.server];
-        let avoided = pending.avoid == Some(member.server);
-        !avoided
-            && !state.leaving()
-            && !self.is_excluded(member.server, now)
-            && self.hold(pending, state, now).is_none()
+    /// Whether an engine works, as far as this node knows.
+    fn is_available(&self, pending: &Pending, member: &Member, now: Instant) -> bool {
+        pending.avoid != Some(member.server) && !self.is_excluded(member.server, now)
     }
 
     /// Moves a sent request to the engine that keeps a copy of its run, once the engine that ran it has ended.
@@ -78,7 +75,8 @@
         let backup = pending.expected?.backup?;
         let member = self.pools[pending.pool].member(backup)?;
         let in_time = now < pending.request.deadline;
-        if !in_time || !self.can_take_over(pending, member, now) {
+        let held = self.hold_at_takeover(pending, &self.servers[backup], now).is_some();
+        if !in_time || held || !self.is_available(pending, member, now) {
             return None;
         }
         let service = pending.request.service;
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -93,7 +93,7 @@
         let (mut rate, mut intervals, mut known, mut firsts) = (0.0, vec![], vec![], vec![]);
         for server in &self.pools[key].servers {
             let state = &self.servers[*server];
-            if state.leaving() {
+            if self.leaves(state) {
                 continue;
             }
             let users = 1 + others.iter().filter(|pool| pool.has_server(*server)).count();
@@ -203,7 +203,7 @@
     }
 
     fn choose_server(&mut self, job: ids::Job, overdue: bool, now: Instant) -> Choice {
-        if !self.has_open_server(self.jobs[job].pool, now) {
+        if !self.has_open_server(&self.jobs[job], now) {
             return Choice::NoServer;
         }
         if self.prefill_rates_known(&self.jobs[job]) {
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -225,7 +225,7 @@
         };
         let is_open = |member: &Member| {
             let state = &self.servers[member.server];
-            let unlimited = !state.leaving() && !state.needs_permit(now);
+            let unlimited = !self.leaves(state) && !state.needs_permit(now);
             unlimited && !self.is_excluded(member.server, now)
         };
         let search = |members: &mut dyn Iterator<Item = &Member>| {
--- a/components/policy/src/filters.rs
+++ b/components/policy/src/filters.rs
@@ -46,6 +46,8 @@
 pub(crate) enum Moment {
     /// A server is chosen for it.
     Choice,
+    /// Its server has ended, and this one may go on from the copy of its run.
+    Takeover,
     /// It was assigned to the server, with all permits that this takes, and is written to a connection.
     Send,
 }
@@ -54,14 +56,24 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Question<'a> {
     pub(crate) scheduler: &'a Scheduler,
-    pub(crate) pool: &'a Pool,
+    pub(crate) pending: &'a Pending,
     pub(crate) server: &'a server::State,
-    /// Until when the request must be sent, if it was assigned to a cold server.
-    pub(crate) send_by: Option<Instant>,
     pub(crate) moment: Moment,
     pub(crate) now: Instant,
 }
 
+impl Question<'_> {
+    /// Whether no server takes the request that doesn't leave. What goes on from a copy has one server only.
+    fn is_last_resort(&self) -> bool {
+        let all_leave = |pool: &Pool| {
+            let mut servers = pool.servers.iter().map(|key| &self.scheduler.servers[*key]);
+            servers.all(|server| self.scheduler.leaves(server))
+        };
+        let has_copy = self.moment == Moment::Takeover || self.pending.continued;
+        has_copy || all_leave(&self.scheduler.pools[self.pending.pool])
+    }
+}
+
 /// Answers a question; none if nothing speaks against sending the request.
 type Filter = fn(&Question<'_>) -> Option<Hold>;
 
@@ -79,6 +91,16 @@
         self.hold_at(pending, server, Moment::Choice, now)
     }
 
+    /// Why a request may not go on at the server that has a copy of its run; none if it may.
+    pub(crate) fn hold_at_takeover(
+        &self,
+        pending: &Pending,
+        server: &server::State,
+        now: Instant,
+    ) -> Option<Hold> {
+        self.hold_at(pending, server, Moment::Takeover, now)
+    }
+
     fn hold_at(
         &self,
         pending: &Pending,
@@ -86,9 +108,7 @@
         moment: Moment,
         now: Instant,
     ) -> Option<Hold> {
-        let pool = &self.pools[pending.pool];
-        let send_by = pending.send_by;
-        let question = Question { scheduler: self, pool, server, send_by, moment, now };
+        let question = Question { scheduler: self, pending, server, moment, now };
         FILTERS.iter().find_map(|filter| filter(&question))
     }
 
@@ -104,9 +124,14 @@
         self.hold_at(pending, self.servers.get(server)?, Moment::Send, now)
     }
 
-    /// Whether a server takes requests of a pool, apart from what it may be sent at the moment.
-    pub(crate) fn takes_work(&self, pool: &Pool, server: &server::State, now: Instant) -> bool {
-        let (send_by, moment) = (None, Moment::Choice);
-        leaving::hold(&Question { scheduler: self, pool, server, send_by, moment, now }).is_none()
+    /// Whether a server takes a request, apart from what it may be sent at the moment.
+    pub(crate) fn takes_work(
+        &self,
+        pending: &Pending,
+        server: &server::State,
+        now: Instant,
+    ) -> bool {
+        let question = Question { scheduler: self, pending, server, moment: Moment::Choice, now };
+        leaving::hold(&question).is_none()
     }
 }
--- a/components/policy/src/notices.rs
+++ b/components/policy/src/notices.rs
@@ -7,9 +7,10 @@
 //! missing from it and comes back as before is still the one that said so.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::scheduler::Scheduler;
+use crate::server;
 
 /// Notices of servers that aren't listed are kept up to this number; the oldest are dropped first.
 const MAX_UNLISTED: usize = 4_096;
@@ -25,6 +26,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Notices {
     by_incarnation: HashMap<u64, Notice>,
+    /// Time for which a server that has said that it leaves still serves.
+    pub(crate) drain_time: Duration,
 }
 
 impl Notices {
@@ -70,6 +73,17 @@
         is_news
     }
 
+    /// Sets for how long a server that has said that it leaves still serves. Requests that come later aren't sent to it
+    /// even if no other server is left.
+    pub fn set_drain_time(&mut self, time: Duration) {
+        self.notices.drain_time = time;
+    }
+
+    /// Whether a server leaves, by the settings, its report or its own word.
+    pub(crate) fn leaves(&self, server: &server::State) -> bool {
+        server.leaving() || self.notices.get(server.terms.incarnation).leaving_since.is_some()
+    }
+
     /// Since when an incarnation of a server is known to leave by its own word.
     pub fn leaving_since(&self, incarnation: u64) -> Option<Instant> {
         self.notices.get(incarnation).leaving_since
--- a/components/policy/src/status.rs
+++ b/components/policy/src/status.rs
@@ -13,7 +13,7 @@
     /// Why a backend server gets no work now, or less than others.
     #[derive(Copy, Eq)]
     pub enum Unused {
-        /// The settings or its report say that it takes no new work.
+        /// The settings, its report or one of its answers say that it takes no new work.
         Leaving,
         /// Its recent attempts failed, or its reports stopped; it is tried again later.
         Ejected,
@@ -68,7 +68,7 @@
         let state = self.servers.get(server)?;
         let pools = self.pools.values().filter(|pool| pool.has_server(server));
         let usual = pools.map(|pool| pool.token_interval).reduce(f64::max);
-        let unused = if state.leaving() {
+        let unused = if self.leaves(state) {
             Some(Unused::Leaving)
         } else if self.is_ejected(server, now) {
             Some(Unused::Ejected)
--- /dev/null
+++ b/components/policy/tests/notices.rs
@@ -0,0 +1,195 @@
+//! What servers say of themselves in their answers, in any order with entries, restarts and requests.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use common::{Fixture, server};
+use policy::{Action, Ending, Policy, Refusal, Server};
+use proptest::prelude::*;
+
+const SERVERS: usize = 3;
+const SLOTS: u32 = 4;
+/// Time for which a server that has said that it leaves still serves.
+const DRAIN: Duration = Duration::from_millis(2_500);
+const QUEUE: usize = 200;
+
+/// What happens to a node.
+#[derive(Clone, Debug)]
+enum Event {
+    Time(u64),
+    Request {
+        timeout_ms: u64,
+    },
+    /// The attempt that was sent first ends; its server says that it leaves, or doesn't.
+    Answer {
+        ending: Ending,
+        leaving: bool,
+    },
+    /// A server is listed as taking requests, or as leaving.
+    Listed {
+        server: usize,
+        leaving: bool,
+    },
+    Gone {
+        server: usize,
+    },
+    /// A server is listed after a new start under its name.
+    Restarted {
+        server: usize,
+    },
+}
+
+fn ending() -> impl Strategy<Value = Ending> {
+    prop_oneof![
+        4 => Just(Ending::Completed),
+        1 => Just(Ending::NotRun),
+        1 => Just(Ending::Failed),
+        1 => Just(Ending::Broken),
+        1 => Just(Ending::Cancelled),
+        1 => Just(Ending::Held),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (1_u64..900).prop_map(Event::Time),
+        8 => (500_u64..9_000).prop_map(|timeout_ms| Event::Request { timeout_ms }),
+        6 => (ending(), prop::bool::weighted(0.1))
+            .prop_map(|(ending, leaving)| Event::Answer { ending, leaving }),
+        1 => (0..SERVERS, any::<bool>()).prop_map(|(server, leaving)| Event::Listed { server, leaving }),
+        1 => (0..SERVERS).prop_map(|server| Event::Gone { server }),
+        1 => (0..SERVERS).prop_map(|server| Event::Restarted { server }),
+    ]
+}
+
+/// A node, and what its servers have said and are listed as.
+struct Site {
+    fixture: Fixture,
+    engines: bool,
+    /// The entry of each server; none if it isn't listed.
+    listed: [Option<Server>; SERVERS],
+    starts: u64,
+    /// When each incarnation first said that it leaves.
+    said: HashMap<u64, Instant>,
+    arrived: HashMap<ids::Job, Instant>,
+    sent: Vec<(ids::Job, u64)>,
+}
+
+impl Site {
+    fn new(engines: bool) -> Self {
+        let mut fixture = Fixture::new(1, SERVERS, SLOTS, QUEUE);
+        fixture.scheduler.set_drain_time(DRAIN);
+        let mut site = Site {
+            fixture,
+            engines,
+            listed: [None, None, None],
+            starts: 0,
+            said: HashMap::new(),
+            arrived: HashMap::new(),
+            sent: vec![],
+        };
+        (0..SERVERS).for_each(|server| site.restart(server));
+        site
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.starts += 1;
+        let terms = Server {
+            incarnation: self.starts,
+            prefill_rate: self.engines.then_some(50_000),
+            ..server(index as u64 + 1, SLOTS, self.fixture.model)
+        };
+        // A start under the same name is another server to the scheduler.
+        self.fixture.scheduler.remove_server(self.fixture.servers[index]);
+        self.list(index, terms);
+    }
+
+    fn list(&mut self, index: usize, terms: Server) {
+        self.fixture.scheduler.set_server(self.fixture.servers[index], terms.clone());
+        self.listed[index] = Some(terms);
+    }
+
+    /// Servers that are listed and leave neither by their entry nor by their word.
+    fn open(&self) -> usize {
+        let listed = self.listed.iter().flatten();
+        listed.filter(|terms| !terms.leaving && !self.said.contains_key(&terms.incarnation)).count()
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Time(ms) => self.fixture.now += Duration::from_millis(ms),
+            Event::Request { timeout_ms } => {
+                let request = self.fixture.request(0, 0, Duration::from_millis(timeout_ms));
+                let job = self.fixture.scheduler.submit(request, self.fixture.now);
+                self.arrived.insert(job, self.fixture.now);
+            }
+            Event::Answer { ending, leaving } => self.answer(ending, leaving),
+            Event::Listed { server, leaving } => {
+                if let Some(terms) = self.listed[server].clone() {
+                    self.list(server, Server { leaving, ..terms });
+                }
+            }
+            Event::Gone { server } => {
+                self.fixture.scheduler.remove_server(self.fixture.servers[server]);
+                // It comes back as it was.
+                if let Some(terms) = self.listed[server].take() {
+                    self.list(server, terms);
+                }
+            }
+            Event::Restarted { server } => self.restart(server),
+        }
+        self.poll();
+    }
+
+    fn answer(&mut self, ending: Ending, leaving: bool) {
+        if self.sent.is_empty() {
+            return;
+        }
+        let (job, incarnation) = self.sent.remove(0);
+        if leaving {
+            self.fixture.scheduler.record_leaving(incarnation, self.fixture.now);
+            self.said.entry(incarnation).or_insert(self.fixture.now);
+        }
+        self.fixture.scheduler.attempt_ended(job, ending, self.fixture.now);
+    }
+
+    fn poll(&mut self) {
+        let mut actions = vec![];
+        self.fixture.scheduler.poll(self.fixture.now, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { job, server } => self.check_send(job, server),
+                Action::Refuse { refusal: Refusal::NoServer, .. } => {
+                    assert_eq!(self.open(), 0, "refused although a server takes requests");
+                }
+                Action::Refuse { .. } | Action::Stop { .. } => {}
+            }
+        }
+    }
+
+    fn check_send(&mut self, job: ids::Job, server: ids::Server) {
+        let index = self.fixture.servers.iter().position(|key| *key == server);
+        let terms = self.listed[index.expect("a server")].as_ref().expect("a listed server");
+        if let Some(said) = self.said.get(&terms.incarnation) {
+            assert!(self.arrived[&job] <= *said + DRAIN, "it came after the drain time");
+            assert_eq!(self.open(), 0, "another server takes requests");
+        }
+        assert_eq!(self.fixture.scheduler.hold_at_send(job, self.fixture.now), None);
+        self.sent.push((job, terms.incarnation));
+    }
+}
+
+proptest! {
+    /// Guards against an order of answers, entries, restarts and requests in which a server that has said that it leaves
+    /// gets a request that came too late or that another server takes, or in which callers are refused needlessly.
+    #[test]
+    fn what_a_server_says_holds_in_any_order(
+        engines in any::<bool>(),
+        events in prop::collection::vec(event(), 1..150),
+    ) {
+        let mut site = Site::new(engines);
+        events.into_iter().for_each(|event| site.apply(event));
+    }
+}
--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -61,7 +61,7 @@
                  callers = \"{callers}\"\noperators = \"{operators}\"\npeers = \"{peers}\"\n\
                  seeds = [{}]\nstore = \"{store}\"\n{without}[domains]\nriga-a = \"riga\"\n\
                  [room]\nmemory_mb = 110\ndescriptors = 1000\n\
-                 [promises]\nrevocation_ms = 5000\ngrace_s = 4\nrepeats = 0.2\nretry_slack = {}\n",
+                 [promises]\nrevocation_ms = 5000\ngrace_s = 4\nrepeats = 0.2\nretry_slack = {}\ndrain_ms = 2500\n",
                 seeds.join(", "),
                 ALLOWED.slack
             );
