The last servers of a service serve on for a moment if the list says that they leave

When all servers of a service began to leave, callers were refused at once, although each of them serves for longer than the second for which it is still sent the rest of streams. The same second now holds for what no other server takes; engines that leave are candidates where no other is left. A request whose server went missing from the list while the connection was made isn't written any more.

--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -23,9 +23,9 @@
 /// Time before an engine receives the first token that it copies from another: some round trips.
 const FETCH_SETUP: Duration = Duration::from_millis(5);
 
-/// Time for which a server that has begun to leave is still sent the rest of streams: it serves for longer than this,
-/// also if its entry came late.
-const RESUMES_WHILE_LEAVING: Duration = Duration::from_secs(1);
+/// Time for which a server that has begun to leave is still sent what no other server takes: it serves for longer than
+/// this, also if its entry came late.
+const SERVES_WHILE_LEAVING: Duration = Duration::from_secs(1);
 
 /// Route and workspace tier of a class.
 type ClassName = (String, u8);
@@ -65,8 +65,8 @@
     by_domain: HashMap<String, ids::Domain>,
     versions: SlotMap<ids::Version, ()>,
     by_version: HashMap<origins::Version, ids::Version>,
-    /// Until when servers that have begun to leave may still be sent the rest of streams.
-    resumes_until: SecondaryMap<ids::Server, Instant>,
+    /// Until when servers that have begun to leave may still be sent what no other server takes.
+    serves_until: SecondaryMap<ids::Server, Instant>,
 }
 
 impl Registry {
@@ -171,12 +171,11 @@
         };
         self.servers[key] = entry.clone();
         if begins_to_leave {
-            self.resumes_until.insert(key, now + RESUMES_WHILE_LEAVING);
+            self.serves_until.insert(key, now + SERVES_WHILE_LEAVING);
         }
-        let resumes_until = self.resumes_until.get(key).copied().filter(|_| entry.leaving);
+        let serves_until = self.serves_until.get(key).copied().filter(|_| entry.leaving);
         let region = regions.get(&entry.domain).cloned().unwrap_or_default();
-        let terms =
-            policy::Server { resumes_until, ..self.server_terms(entry, &region, evacuated) };
+        let terms = policy::Server { serves_until, ..self.server_terms(entry, &region, evacuated) };
         self.by_wire_key.insert(wire::key(&entry.name), key);
         batch.set(key, terms);
         key
@@ -196,7 +195,7 @@
             models,
             leaving: entry.leaving,
             version: self.version_key(entry),
-            resumes_until: None,
+            serves_until: None,
             evacuated,
             resumes: true,
             prefill_rate: entry.engine.then_some(PREFILL_TOKENS_PER_SECOND),
@@ -214,7 +213,7 @@
     pub(crate) fn remove_server(&mut self, batch: &mut Batch<'_>, name: &str) {
         let Some(key) = self.by_name.remove(name) else { return };
         self.servers.remove(key);
-        self.resumes_until.remove(key);
+        self.serves_until.remove(key);
         self.by_wire_key.remove(&wire::key(name));
         batch.remove(key);
     }
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -191,7 +191,7 @@
             cold_time: None,
             backups: false,
             version: ids::Version::default(),
-            resumes_until: None,
+            serves_until: None,
         };
         scheduler.set_server(*key, server);
     }
--- a/components/policy/src/filters.rs
+++ b/components/policy/src/filters.rs
@@ -21,6 +21,8 @@
 derives::named! {
     /// Why a server may not be sent a request.
     pub enum Reason {
+        /// It is no longer listed.
+        Gone = "gone",
         /// It is shutting down or in an evacuated failure domain.
         Leaving = "leaving",
         /// It has stated a rate limit, and this node has no permit for it.
@@ -121,7 +123,10 @@
     pub fn hold_at_send(&self, job: ids::Job, now: Instant) -> Option<Hold> {
         let pending = self.jobs.get(job)?;
         let Stage::Sent(server) = pending.stage else { return None };
-        self.hold_at(pending, self.servers.get(server)?, Moment::Send, now)
+        match self.servers.get(server) {
+            Some(server) => self.hold_at(pending, server, Moment::Send, now),
+            None => Some(Hold { reason: Reason::Gone }),
+        }
     }
 
     /// Whether a server takes a request, apart from what it may be sent at the moment.
--- a/components/policy/src/filters/leaving.rs
+++ b/components/policy/src/filters/leaving.rs
@@ -16,7 +16,7 @@
 /// itself, requests that came no later than its drain time after that.
 fn serves_on(question: &Question<'_>) -> bool {
     let Question { scheduler, server, pending, now, .. } = *question;
-    let listed_in_time = !server.leaving() || server.may_resume(now);
+    let listed_in_time = !server.leaving() || server.serves_on(now);
     let notice = scheduler.notices.get(server.terms.incarnation);
     let last = notice.leaving_since.map(|since| since + scheduler.notices.drain_time);
     listed_in_time && last.is_none_or(|last| pending.request.arrived <= last)
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -113,7 +113,8 @@
     pub(crate) scope: Scope,
     /// Sorted.
     pub(crate) servers: Vec<ids::Server>,
-    /// The servers that take new work, and in the pool of a version those that are leaving, by region and rank.
+    /// The servers that take new work, by region and rank. Those that are leaving are among them in the pool of a version,
+    /// and if there are no others.
     pub(crate) members: Vec<Member>,
     /// Members of each region, as a range of their indices.
     pub(crate) region_ranges: Vec<(ids::Region, Range<usize>)>,
@@ -172,7 +173,9 @@
         let in_scope = all.iter().filter(|(key, state)| self.scope.contains(*key, &state.terms));
         self.servers = in_scope.map(|(key, _)| key).collect();
         self.servers.sort_unstable();
-        let open = |state: &server::State| !state.leaving() || self.scope.version.is_some();
+        let any_open = self.servers.iter().any(|key| !all[*key].leaving());
+        let last_resort = self.scope.version.is_some() || !any_open;
+        let open = |state: &server::State| !state.leaving() || last_resort;
         self.members = rank_members(all, &self.servers, open);
         self.versions.clear();
         for state in self.servers.iter().map(|key| &all[*key]).filter(|state| !state.leaving()) {
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -99,9 +99,9 @@
         unused || self.report.as_ref().is_some_and(|report| report.leaving)
     }
 
-    /// Whether it is leaving, but may still be sent the rest of a stream that its version began.
-    pub(crate) fn may_resume(&self, now: Instant) -> bool {
-        let in_time = self.terms.resumes_until.is_some_and(|until| now < until);
+    /// Whether it is leaving, but may still be sent what no other server takes.
+    pub(crate) fn serves_on(&self, now: Instant) -> bool {
+        let in_time = self.terms.serves_until.is_some_and(|until| now < until);
         in_time && !self.terms.evacuated
     }
 
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -52,8 +52,8 @@
         pub leaving: bool,
         /// Version of its software; only servers of the version that began a stream continue it.
         pub version: ids::Version,
-        /// Until when it may be sent the rest of streams that its version began, if it is leaving.
-        pub resumes_until: Option<Instant>,
+        /// Until when it may be sent requests that no other server takes, if it is leaving.
+        pub serves_until: Option<Instant>,
         /// Its failure domain is evacuated: it takes no new work, and nothing is copied from it.
         pub evacuated: bool,
         /// It can continue an answer that another server began.
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -57,7 +57,7 @@
         cold_time: None,
         backups: false,
         version: ids::Version::default(),
-        resumes_until: None,
+        serves_until: None,
     }
 }
 
--- a/components/policy/tests/notices.rs
+++ b/components/policy/tests/notices.rs
@@ -6,13 +6,15 @@
 use std::time::{Duration, Instant};
 
 use common::{Fixture, server};
-use policy::{Action, Ending, Policy, Refusal, Server};
+use policy::{Action, Ending, Policy, Reason, Refusal, Server};
 use proptest::prelude::*;
 
 const SERVERS: usize = 3;
 const SLOTS: u32 = 4;
 /// Time for which a server that has said that it leaves still serves.
 const DRAIN: Duration = Duration::from_millis(2_500);
+/// Time for which one that has begun to leave by the list does.
+const LISTED_DRAIN: Duration = Duration::from_secs(1);
 const QUEUE: usize = 200;
 
 /// What happens to a node.
@@ -55,7 +57,7 @@
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
         6 => (1_u64..900).prop_map(Event::Time),
-        8 => (500_u64..9_000).prop_map(|timeout_ms| Event::Request { timeout_ms }),
+        8 => (500_u64..30_000).prop_map(|timeout_ms| Event::Request { timeout_ms }),
         6 => (ending(), prop::bool::weighted(0.1))
             .prop_map(|(ending, leaving)| Event::Answer { ending, leaving }),
         1 => (0..SERVERS, any::<bool>()).prop_map(|(server, leaving)| Event::Listed { server, leaving }),
@@ -117,6 +119,14 @@
         listed.filter(|terms| !terms.leaving && !self.said.contains_key(&terms.incarnation)).count()
     }
 
+    /// Whether a server that leaves still serves requests that come now.
+    fn serves_on(&self, terms: &Server) -> bool {
+        let until = terms.serves_until.filter(|_| terms.leaving);
+        let said = self.said.get(&terms.incarnation).map(|said| *said + DRAIN);
+        until.is_none_or(|until| self.fixture.now < until)
+            && said.is_none_or(|last| self.fixture.now <= last)
+    }
+
     fn apply(&mut self, event: Event) {
         match event {
             Event::Time(ms) => self.fixture.now += Duration::from_millis(ms),
@@ -128,7 +138,9 @@
             Event::Answer { ending, leaving } => self.answer(ending, leaving),
             Event::Listed { server, leaving } => {
                 if let Some(terms) = self.listed[server].clone() {
-                    self.list(server, Server { leaving, ..terms });
+                    let begins = self.fixture.now + LISTED_DRAIN;
+                    let serves_until = leaving.then(|| terms.serves_until.unwrap_or(begins));
+                    self.list(server, Server { leaving, serves_until, ..terms });
                 }
             }
             Event::Gone { server } => {
@@ -163,6 +175,9 @@
                 Action::Send { job, server } => self.check_send(job, server),
                 Action::Refuse { refusal: Refusal::NoServer, .. } => {
                     assert_eq!(self.open(), 0, "refused although a server takes requests");
+                    let serves_on = |terms: &Server| self.serves_on(terms);
+                    let last = self.listed.iter().flatten().any(serves_on);
+                    assert!(!last, "refused although one that leaves still serves");
                 }
                 Action::Refuse { .. } | Action::Stop { .. } => {}
             }
@@ -172,10 +187,13 @@
     fn check_send(&mut self, job: ids::Job, server: ids::Server) {
         let index = self.fixture.servers.iter().position(|key| *key == server);
         let terms = self.listed[index.expect("a server")].as_ref().expect("a listed server");
-        if let Some(said) = self.said.get(&terms.incarnation) {
-            assert!(self.arrived[&job] <= *said + DRAIN, "it came after the drain time");
-            assert_eq!(self.open(), 0, "another server takes requests");
-        }
+        let said = self.said.get(&terms.incarnation);
+        let in_time = said.is_none_or(|said| self.arrived[&job] <= *said + DRAIN);
+        assert!(in_time, "it came after the drain time");
+        let in_time = terms.serves_until.is_none_or(|until| self.fixture.now < until);
+        assert!(in_time, "the server is listed as leaving for too long");
+        let leaves = terms.leaving || said.is_some();
+        assert!(!leaves || self.open() == 0, "another server takes requests");
         assert_eq!(self.fixture.scheduler.hold_at_send(job, self.fixture.now), None);
         self.sent.push((job, terms.incarnation));
     }
@@ -193,3 +211,16 @@
         events.into_iter().for_each(|event| site.apply(event));
     }
 }
+
+/// Guards against writing a request to a server that went missing from the list while the connection was made.
+#[test]
+fn a_request_isnt_written_to_a_server_that_is_gone() {
+    let mut fixture = Fixture::new(1, 1, SLOTS, QUEUE);
+    let request = fixture.request(0, 0, Duration::from_secs(30));
+    let job = fixture.scheduler.submit(request, fixture.now);
+    fixture.scheduler.poll(fixture.now, &mut vec![]);
+    assert_eq!(fixture.scheduler.hold_at_send(job, fixture.now), None);
+    fixture.scheduler.remove_server(fixture.servers[0]);
+    let hold = fixture.scheduler.hold_at_send(job, fixture.now);
+    assert_eq!(hold.map(|hold| hold.reason), Some(Reason::Gone));
+}
--- a/components/router/src/scheduler.rs
+++ b/components/router/src/scheduler.rs
@@ -103,6 +103,6 @@
         cold_time: None,
         backups: false,
         version: server.version_key,
-        resumes_until: None,
+        serves_until: None,
     }
 }
