A server that says that it leaves, but isn't listed so, is asked whether it still does

A notice was kept for ever, and by one start of a server alone.

The last notice of each server is kept by its name. When another start of it is listed, the notice ends if the list was complete since, as the new start can't have given it; else it passes to the new one. A server that has said that it leaves and isn't listed so is asked for its health, at once in that case, else after 10 s and at doubling pauses up to 5 minutes. What servers that are gone have said is bounded.

--- a/components/catalog/src/membership.rs
+++ b/components/catalog/src/membership.rs
@@ -11,8 +11,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 /// Time after the store's return in which live servers have written their entries again. Those that
 /// are missing after it are gone.
 const REJOIN_TIME: Duration = Duration::from_secs(2);
@@ -55,22 +53,6 @@
     }
 }
 
-impl Entry {
-    /// Hash of the server's name and start. It differs between two starts under one name.
-    ///
-    /// ```
-    /// # let entry = catalog::Entry { name: "a".into(), service: "".into(), version: "".into(), address: "".into(),
-    /// #     domain: "".into(), slots: 1, leaving: false, engine: false, models: vec![], started: Some(1), cold: None };
-    /// let restarted = catalog::Entry { started: Some(2), ..entry.clone() };
-    /// assert_ne!(entry.incarnation(), restarted.incarnation());
-    /// let leaving = catalog::Entry { leaving: true, ..entry.clone() };
-    /// assert_eq!(entry.incarnation(), leaving.incarnation());
-    /// ```
-    pub fn incarnation(&self) -> u64 {
-        xxh3_64_with_seed(self.name.as_bytes(), self.started.unwrap_or_default())
-    }
-}
-
 /// The backend servers that exist.
 #[derive(Debug, Default)]
 pub struct Membership {
--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -65,6 +65,8 @@
     pub struct Service {
         /// Name, unique in a revision of the settings.
         pub name: String,
+        /// Path at which its servers answer whether they are healthy and take requests; `None` if they don't.
+        pub health_path: Option<String>,
         /// Tokens in one event of a stream.
         pub tokens_per_event: u32,
         /// Prompt tokens per second whose cached state one engine can fetch from another; `None` if its
--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -16,6 +16,9 @@
 
 use crate::any;
 
+/// Start of a question for a server's health.
+const HEALTH: &str = "GET /health ";
+
 derives::data! {
     /// What the server does next with a request whose head it has read.
     pub enum Step {
@@ -64,6 +67,8 @@
     open: Cell<u32>,
     /// Requests that occupy one of the server's slots.
     occupied: Cell<u32>,
+    /// What it answers to questions for its health.
+    health: RefCell<Option<String>>,
     /// When it had no slot for a request.
     rejections: RefCell<Vec<Instant>>,
     /// Says when the server has crashed.
@@ -98,6 +103,7 @@
             seen: RefCell::default(),
             open: Cell::new(0),
             occupied: Cell::new(0),
+            health: RefCell::default(),
             rejections: RefCell::default(),
             crashed: watch::channel(false).0,
         });
@@ -140,6 +146,11 @@
         rejections.iter().map(from).max().unwrap_or(0)
     }
 
+    /// Sets what it answers to questions for its health; without an answer it doesn't know the path.
+    pub fn set_health(&self, answer: &str) {
+        *self.state.health.borrow_mut() = Some(answer.to_string());
+    }
+
     /// Whether it has crashed.
     pub fn crashed(&self) -> bool {
         *self.state.crashed.borrow()
@@ -190,6 +201,11 @@
                 return Ok(());
             }
         };
+        let health = state.health.borrow().clone();
+        if let Some(answer) = health.filter(|_| head.starts_with(HEALTH)) {
+            stream.write_all(answer.as_bytes()).await?;
+            continue;
+        }
         // Load reports, and what a router of an earlier site still asks of a port that was its
         // platform's.
         if head.starts_with(&format!("GET {LOAD_PATH}")) || value(&head, state.name).is_empty() {
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -362,11 +362,16 @@
     Ok(Duration::ZERO)
 }
 
-/// Records that the settings of this node were the newest at a time, unless the newest revision can't be used.
+/// Records that the list of servers of this node was complete at a time, and its settings were the newest, unless the
+/// newest revision can't be used.
 fn confirm_freshness<A: Adapter>(state: &State<A>, at: Duration) {
     if !state.newest_invalid.get() {
         state.freshness.borrow_mut().confirm(at);
     }
+    let age = state.clock.boot_time().saturating_sub(at);
+    if let Some(at) = state.clock.now().checked_sub(age) {
+        state.driver.scheduler.borrow_mut().confirm_list(at);
+    }
     state.updated.notify_waiters();
 }
 
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod brittle;
+mod check;
 mod cold;
 mod crossing;
 mod evacuation;
@@ -89,6 +90,7 @@
         }
         follow::start(&state);
         reach::start(&state);
+        check::start(&state);
         resumption::start(&state);
         if state.switches.is_on(Mechanism::LoadGossip) {
             gossip::start(&state);
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use catalog::{Entry, Match, Residency, Route, Settings};
-use policy::Scheduler;
 use policy::membership::Batch;
+use policy::{Incarnation, Scheduler};
 use slotmap::{SecondaryMap, SlotMap};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -186,11 +186,12 @@
         let mut models = vec![self.model_key(&entry.service, "")];
         models.extend(entry.models.iter().map(|model| self.model_key(&entry.service, model)));
         let service = self.service_terms(&entry.service);
+        let incarnation = incarnation(entry);
         policy::Server {
             region: self.region_key(region),
             domain: key_or_insert(&mut self.domains, &mut self.by_domain, &entry.domain),
-            salt: xxh3_64(entry.name.as_bytes()),
-            incarnation: entry.incarnation(),
+            salt: incarnation.salt,
+            start: incarnation.start,
             slots: entry.slots,
             models,
             leaving: entry.leaving,
@@ -297,6 +298,12 @@
     }
 }
 
+/// The start of a server that an entry describes.
+pub(crate) fn incarnation(entry: &Entry) -> Incarnation {
+    let salt = xxh3_64(entry.name.as_bytes());
+    Incarnation { salt, start: entry.started.unwrap_or_default() }
+}
+
 /// Key of a name, which is created if it is new.
 fn key_or_insert<K: slotmap::Key>(
     all: &mut SlotMap<K, ()>,
--- a/components/forward/src/statements.rs
+++ b/components/forward/src/statements.rs
@@ -7,7 +7,7 @@
 use clock::Clock;
 
 use crate::adapter::{Adapter, StatedLimit, Statement, Verdict};
-use crate::registry::Registry;
+use crate::registry::{self, Registry};
 use crate::state::State;
 use crate::{brittle, limits};
 
@@ -53,8 +53,8 @@
 }
 
 fn record_leaving<A: Adapter>(state: &State<A>, server: &Entry, head: &ResponseHead) {
-    let now = state.clock.now();
-    if state.driver.scheduler.borrow_mut().record_leaving(server.incarnation(), now) {
+    let (incarnation, now) = (registry::incarnation(server), state.clock.now());
+    if state.driver.scheduler.borrow_mut().record_leaving(incarnation, now) {
         log::info!(
             server = server.name.as_str(), service = server.service.as_str(), listed = !server.leaving,
             status = head.status.as_u16(); "server says that it leaves"
@@ -65,7 +65,7 @@
 
 /// Counts and logs a request that is about to be sent to a server that has given a notice.
 pub(crate) fn record_send<A: Adapter>(state: &State<A>, request: &str, server: &Entry) {
-    let since = state.driver.scheduler.borrow().leaving_since(server.incarnation());
+    let since = state.driver.scheduler.borrow().leaving_since(registry::incarnation(server));
     let Some(since) = since else { return };
     let age_ms = state.clock.now().saturating_duration_since(since).as_millis() as u64;
     log::info!(
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -180,7 +180,7 @@
             region: keys.regions[region_of_server(index)],
             domain: ids::Domain::default(),
             salt: index as u64 + 1,
-            incarnation: index as u64 + 1,
+            start: 0,
             slots: SLOTS,
             models: vec![keys.model],
             leaving: false,
--- a/components/policy/src/filters/leaving.rs
+++ b/components/policy/src/filters/leaving.rs
@@ -17,7 +17,7 @@
 fn serves_on(question: &Question<'_>) -> bool {
     let Question { scheduler, server, pending, now, .. } = *question;
     let listed_in_time = !server.leaving() || server.serves_on(now);
-    let notice = scheduler.notices.get(server.terms.incarnation);
-    let last = notice.leaving_since.map(|since| since + scheduler.notices.drain_time);
+    let said = scheduler.notices.leaving_since(server.incarnation());
+    let last = said.map(|since| since + scheduler.notices.drain_time);
     listed_in_time && last.is_none_or(|last| pending.request.arrived <= last)
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -57,6 +57,7 @@
 pub use filters::{Hold, Reason};
 pub use isolation::GROUPS;
 pub use mechanism::Mechanism;
+pub use notices::Incarnation;
 pub use pending::Expected;
 pub use quarantine::Quarantine;
 pub use quota::Wait;
--- a/components/policy/src/membership.rs
+++ b/components/policy/src/membership.rs
@@ -4,6 +4,7 @@
 //! anew when they change. Once for each server, that keeps a node busy for seconds while its callers wait; so
 //! pools are updated once, after all changes.
 
+use crate::notices::Incarnation;
 use crate::scheduler::Scheduler;
 use crate::server;
 use crate::terms::Server;
@@ -17,6 +18,8 @@
 impl Batch<'_> {
     /// Adds or updates a backend server; its load state is kept.
     pub fn set(&mut self, key: ids::Server, terms: Server) {
+        let incarnation = Incarnation { salt: terms.salt, start: terms.start };
+        self.scheduler.notices.apply_listing(incarnation);
         match self.scheduler.servers.get_mut(key) {
             Some(state) => state.terms = terms,
             None => {
--- a/components/policy/src/notices.rs
+++ b/components/policy/src/notices.rs
@@ -4,9 +4,11 @@
 //! saying that they take requests, and their own answers are the only news of them.
 //!
 //! What a server says holds for one start of it, its incarnation, and doesn't depend on the list: a server that goes
-//! missing from it and comes back as before is still the one that said so.
+//! missing from it and comes back as before is still the one that said so. The answer of a new incarnation may come before
+//! its entry, though. Whether a notice is of the former one shows by when the list was last known to be complete; if that
+//! doesn't tell, the new one is taken for its author until it has been asked.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use crate::scheduler::Scheduler;
@@ -14,78 +16,186 @@
 
 /// Notices of servers that aren't listed are kept up to this number; the oldest are dropped first.
 const MAX_UNLISTED: usize = 4_096;
+/// Time in which a server that has started has written its entry.
+const REGISTRATION_TIME: Duration = Duration::from_secs(2);
+/// Time after which a server that has said that it leaves, but isn't listed so, is asked whether it still does. Most have
+/// ended by then.
+const FIRST_CHECK: Duration = Duration::from_secs(10);
+/// Longest time between two such questions; it doubles up to this.
+const MAX_CHECK_PAUSE: Duration = Duration::from_secs(300);
 
-/// What one incarnation of a server has said of itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Notice {
+derives::value! {
+    /// One start of a backend server.
+    pub struct Incarnation {
+        /// Hash of the server's name.
+        pub salt: u64,
+        /// A number that differs between two starts under one name.
+        pub start: u64,
+    }
+}
+
+/// What an incarnation of a server has said of itself.
+#[derive(Clone, Copy, Debug)]
+struct Notice {
+    start: u64,
     /// When it first said that it leaves.
-    pub(crate) leaving_since: Option<Instant>,
+    leaving_since: Instant,
+    /// When it last said so.
+    said: Instant,
+    /// When it is asked whether it still leaves, if it isn't listed so.
+    next_check: Instant,
+    check_pause: Duration,
 }
 
-/// The notices of all servers, by incarnation.
+impl Notice {
+    fn new(start: u64, now: Instant) -> Self {
+        Notice {
+            start,
+            leaving_since: now,
+            said: now,
+            next_check: now + FIRST_CHECK,
+            check_pause: FIRST_CHECK,
+        }
+    }
+}
+
+/// The last notice of each server, by the hash of its name.
 #[derive(Debug, Default)]
 pub(crate) struct Notices {
-    by_incarnation: HashMap<u64, Notice>,
+    by_server: HashMap<u64, Notice>,
     /// Time for which a server that has said that it leaves still serves.
     pub(crate) drain_time: Duration,
+    /// Until when the list of servers is known to have been complete.
+    list_confirmed: Option<Instant>,
 }
 
 impl Notices {
-    /// What an incarnation has said.
-    pub(crate) fn get(&self, incarnation: u64) -> Notice {
-        self.by_incarnation.get(&incarnation).copied().unwrap_or_default()
+    fn get(&self, Incarnation { salt, start }: Incarnation) -> Option<&Notice> {
+        self.by_server.get(&salt).filter(|notice| notice.start == start)
     }
 
-    /// Records that an incarnation leaves; returns whether that is news.
-    fn record_leaving(&mut self, incarnation: u64, now: Instant) -> bool {
-        let notice = self.by_incarnation.entry(incarnation).or_default();
-        notice.leaving_since.replace(notice.leaving_since.unwrap_or(now)).is_none()
+    /// When an incarnation first said that it leaves.
+    pub(crate) fn leaving_since(&self, incarnation: Incarnation) -> Option<Instant> {
+        self.get(incarnation).map(|notice| notice.leaving_since)
     }
 
-    /// Drops the oldest notices of servers that aren't listed, if there are many.
-    fn drop_unlisted(&mut self, is_listed: impl Fn(u64) -> bool) {
-        let unlisted = self.by_incarnation.iter().filter(|(key, _)| !is_listed(**key));
-        let mut unlisted: Vec<_> =
-            unlisted.map(|(key, notice)| (notice.leaving_since, *key)).collect();
+    /// Records that an incarnation says that it leaves; returns whether that is news.
+    fn record_leaving(&mut self, incarnation: Incarnation, now: Instant) -> bool {
+        let Incarnation { salt, start } = incarnation;
+        let known = self.by_server.get_mut(&salt).filter(|notice| notice.start == start);
+        if let Some(notice) = known {
+            notice.said = now;
+            return false;
+        }
+        self.by_server.insert(salt, Notice::new(start, now));
+        true
+    }
+
+    /// Applies that an incarnation is listed. A notice of another one ends, or passes to this one if this may have been
+    /// the one that gave it.
+    pub(crate) fn apply_listing(&mut self, incarnation: Incarnation) {
+        let Incarnation { salt, start } = incarnation;
+        let other = self.by_server.get_mut(&salt).filter(|notice| notice.start != start);
+        let Some(notice) = other else { return };
+        let registered = notice.said + REGISTRATION_TIME;
+        if self.list_confirmed.is_some_and(|confirmed| confirmed >= registered) {
+            self.by_server.remove(&salt);
+        } else {
+            (notice.start, notice.next_check) = (start, notice.said);
+        }
+    }
+
+    /// Drops the oldest notices of servers that aren't listed.
+    fn drop_unlisted(&mut self, listed: &HashSet<u64>) {
+        let unlisted = self.by_server.iter().filter(|(salt, _)| !listed.contains(salt));
+        let mut unlisted: Vec<_> = unlisted.map(|(salt, notice)| (notice.said, *salt)).collect();
         unlisted.sort_unstable();
-        for (_, key) in unlisted.iter().take(unlisted.len().saturating_sub(MAX_UNLISTED / 2)) {
-            self.by_incarnation.remove(key);
+        for (_, salt) in unlisted.iter().take(unlisted.len().saturating_sub(MAX_UNLISTED / 2)) {
+            self.by_server.remove(salt);
         }
     }
 }
 
 impl Scheduler {
-    /// Records that an incarnation of a server has said that it leaves; returns whether that is news.
+    /// Records that an incarnation of a server says in an answer that it leaves; returns whether that is news.
     ///
     /// ```
     /// let (mut scheduler, now) = (policy::Scheduler::new(), std::time::Instant::now());
-    /// assert!(scheduler.record_leaving(7, now));
-    /// assert!(!scheduler.record_leaving(7, now));
-    /// assert_eq!(scheduler.leaving_since(7), Some(now));
+    /// let server = policy::Incarnation { salt: 7, start: 1 };
+    /// assert!(scheduler.record_leaving(server, now));
+    /// assert!(!scheduler.record_leaving(server, now));
+    /// assert_eq!(scheduler.leaving_since(server), Some(now));
+    /// assert_eq!(scheduler.leaving_since(policy::Incarnation { start: 2, ..server }), None);
     /// ```
-    pub fn record_leaving(&mut self, incarnation: u64, now: Instant) -> bool {
+    pub fn record_leaving(&mut self, incarnation: Incarnation, now: Instant) -> bool {
+        let is_known = self.notices.get(incarnation).is_some();
+        if !is_known && self.has_other_start(incarnation) {
+            return false;
+        }
         let is_news = self.notices.record_leaving(incarnation, now);
-        if is_news && self.notices.by_incarnation.len() > self.servers.len() + MAX_UNLISTED {
-            let listed: std::collections::HashSet<_> =
-                self.servers.values().map(|state| state.terms.incarnation).collect();
-            self.notices.drop_unlisted(|key| listed.contains(&key));
+        if is_news && self.notices.by_server.len() > self.servers.len() + MAX_UNLISTED {
+            let listed = self.servers.values().map(|state| state.terms.salt).collect();
+            self.notices.drop_unlisted(&listed);
         }
         is_news
     }
 
+    /// Whether a server is listed with another start: a late answer of the former one is no news.
+    fn has_other_start(&self, incarnation: Incarnation) -> bool {
+        let mut listed = self.servers.values().map(server::State::incarnation);
+        listed.any(|other| other.salt == incarnation.salt && other.start != incarnation.start)
+    }
+
+    /// Records that an incarnation of a server, asked at `asked`, doesn't leave; returns whether that is news.
+    pub fn record_staying(&mut self, incarnation: Incarnation, asked: Instant) -> bool {
+        let is_news = self.notices.get(incarnation).is_some_and(|notice| notice.said < asked);
+        if is_news {
+            self.notices.by_server.remove(&incarnation.salt);
+            self.epoch += 1;
+        }
+        is_news
+    }
+
+    /// Since when an incarnation of a server is known to leave by its own word.
+    pub fn leaving_since(&self, incarnation: Incarnation) -> Option<Instant> {
+        self.notices.leaving_since(incarnation)
+    }
+
+    /// The servers that are to be asked now whether they still leave: they have said so, but aren't listed so.
+    pub fn due_checks(&mut self, now: Instant) -> Vec<ids::Server> {
+        let mut due = vec![];
+        if self.notices.by_server.is_empty() {
+            return due;
+        }
+        for (key, state) in self.servers.iter().filter(|(_, state)| !state.leaving()) {
+            let Incarnation { salt, start } = state.incarnation();
+            let notice = self.notices.by_server.get_mut(&salt);
+            let notice = notice.filter(|notice| notice.start == start && notice.next_check <= now);
+            if let Some(notice) = notice {
+                notice.next_check = now + notice.check_pause;
+                notice.check_pause = (notice.check_pause * 2).min(MAX_CHECK_PAUSE);
+                due.push(key);
+            }
+        }
+        due
+    }
+
     /// Sets for how long a server that has said that it leaves still serves. Requests that come later aren't sent to it
     /// even if no other server is left.
     pub fn set_drain_time(&mut self, time: Duration) {
         self.notices.drain_time = time;
     }
 
-    /// Whether a server leaves, by the settings, its report or its own word.
-    pub(crate) fn leaves(&self, server: &server::State) -> bool {
-        server.leaving() || self.notices.get(server.terms.incarnation).leaving_since.is_some()
+    /// Records that the list of servers was complete at a time: nobody had changed it without this node knowing.
+    pub fn confirm_list(&mut self, at: Instant) {
+        self.notices.list_confirmed = self.notices.list_confirmed.max(Some(at));
     }
 
-    /// Since when an incarnation of a server is known to leave by its own word.
-    pub fn leaving_since(&self, incarnation: u64) -> Option<Instant> {
-        self.notices.get(incarnation).leaving_since
+    /// Whether a server leaves, by the settings, its report or its own word.
+    pub(crate) fn leaves(&self, server: &server::State) -> bool {
+        server.leaving() || self.notices.leaving_since(server.incarnation()).is_some()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -11,6 +11,7 @@
 use crate::health::Health;
 use crate::limit::Limit;
 use crate::mechanism::{Mechanism, Switches};
+use crate::notices::Incarnation;
 use crate::prefill::Estimator;
 use crate::priority::PerPriority;
 use crate::terms::{Report, Server, Share};
@@ -105,6 +106,11 @@
         in_time && !self.terms.evacuated
     }
 
+    /// The start of it that the settings name.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation { salt: self.terms.salt, start: self.terms.start }
+    }
+
     /// Requests that it runs at once, by settings and report.
     pub(crate) fn slots(&self) -> u32 {
         let reported = self.report.as_ref().map_or(u32::MAX, |report| report.slots.max(1));
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -42,8 +42,8 @@
         pub domain: ids::Domain,
         /// Hash of its name, the same on all nodes.
         pub salt: u64,
-        /// Hash of its name and its start, which differs between two starts under one name.
-        pub incarnation: u64,
+        /// A number that differs between two starts under one name.
+        pub start: u64,
         /// Requests that it can run at once according to the settings.
         pub slots: u32,
         /// Models it serves; a plain service has its path prefix as its only model.
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -46,7 +46,7 @@
         region: ids::Region::default(),
         domain: ids::Domain::default(),
         salt,
-        incarnation: salt,
+        start: 0,
         slots,
         models: vec![model],
         leaving: false,
--- a/components/policy/tests/notices.rs
+++ b/components/policy/tests/notices.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::{Fixture, server};
-use policy::{Action, Ending, Policy, Reason, Refusal, Server};
+use policy::{Action, Ending, Incarnation, Policy, Reason, Refusal, Server};
 use proptest::prelude::*;
 
 const SERVERS: usize = 3;
@@ -15,6 +15,8 @@
 const DRAIN: Duration = Duration::from_millis(2_500);
 /// Time for which one that has begun to leave by the list does.
 const LISTED_DRAIN: Duration = Duration::from_secs(1);
+/// Time after a notice from which on a complete list shows that a new start isn't its author.
+const CONFIRMED_AFTER: Duration = Duration::from_secs(2);
 const QUEUE: usize = 200;
 
 /// What happens to a node.
@@ -66,6 +68,10 @@
     ]
 }
 
+fn incarnation(terms: &Server) -> Incarnation {
+    Incarnation { salt: terms.salt, start: terms.start }
+}
+
 /// A node, and what its servers have said and are listed as.
 struct Site {
     fixture: Fixture,
@@ -74,9 +80,9 @@
     listed: [Option<Server>; SERVERS],
     starts: u64,
     /// When each incarnation first said that it leaves.
-    said: HashMap<u64, Instant>,
+    said: HashMap<Incarnation, Instant>,
     arrived: HashMap<ids::Job, Instant>,
-    sent: Vec<(ids::Job, u64)>,
+    sent: Vec<(ids::Job, Incarnation)>,
 }
 
 impl Site {
@@ -99,10 +105,12 @@
     fn restart(&mut self, index: usize) {
         self.starts += 1;
         let terms = Server {
-            incarnation: self.starts,
+            start: self.starts,
             prefill_rate: self.engines.then_some(50_000),
             ..server(index as u64 + 1, SLOTS, self.fixture.model)
         };
+        // What was said before is certain to be of the former start.
+        self.fixture.scheduler.confirm_list(self.fixture.now + CONFIRMED_AFTER);
         // A start under the same name is another server to the scheduler.
         self.fixture.scheduler.remove_server(self.fixture.servers[index]);
         self.list(index, terms);
@@ -116,13 +124,15 @@
     /// Servers that are listed and leave neither by their entry nor by their word.
     fn open(&self) -> usize {
         let listed = self.listed.iter().flatten();
-        listed.filter(|terms| !terms.leaving && !self.said.contains_key(&terms.incarnation)).count()
+        listed
+            .filter(|terms| !terms.leaving && !self.said.contains_key(&incarnation(terms)))
+            .count()
     }
 
     /// Whether a server that leaves still serves requests that come now.
     fn serves_on(&self, terms: &Server) -> bool {
         let until = terms.serves_until.filter(|_| terms.leaving);
-        let said = self.said.get(&terms.incarnation).map(|said| *said + DRAIN);
+        let said = self.said.get(&incarnation(terms)).map(|said| *said + DRAIN);
         until.is_none_or(|until| self.fixture.now < until)
             && said.is_none_or(|last| self.fixture.now <= last)
     }
@@ -162,7 +172,10 @@
         let (job, incarnation) = self.sent.remove(0);
         if leaving {
             self.fixture.scheduler.record_leaving(incarnation, self.fixture.now);
-            self.said.entry(incarnation).or_insert(self.fixture.now);
+            let is_listed = |terms: &Server| self::incarnation(terms) == incarnation;
+            if self.listed.iter().flatten().any(is_listed) {
+                self.said.entry(incarnation).or_insert(self.fixture.now);
+            }
         }
         self.fixture.scheduler.attempt_ended(job, ending, self.fixture.now);
     }
@@ -187,7 +200,7 @@
     fn check_send(&mut self, job: ids::Job, server: ids::Server) {
         let index = self.fixture.servers.iter().position(|key| *key == server);
         let terms = self.listed[index.expect("a server")].as_ref().expect("a listed server");
-        let said = self.said.get(&terms.incarnation);
+        let said = self.said.get(&incarnation(terms));
         let in_time = said.is_none_or(|said| self.arrived[&job] <= *said + DRAIN);
         assert!(in_time, "it came after the drain time");
         let in_time = terms.serves_until.is_none_or(|until| self.fixture.now < until);
@@ -195,7 +208,7 @@
         let leaves = terms.leaving || said.is_some();
         assert!(!leaves || self.open() == 0, "another server takes requests");
         assert_eq!(self.fixture.scheduler.hold_at_send(job, self.fixture.now), None);
-        self.sent.push((job, terms.incarnation));
+        self.sent.push((job, incarnation(terms)));
     }
 }
 
--- a/components/router/src/scheduler.rs
+++ b/components/router/src/scheduler.rs
@@ -92,7 +92,7 @@
         region: server.region,
         domain: server.domain,
         salt: xxh3_64(server.name.as_bytes()),
-        incarnation: xxh3_64(server.name.as_bytes()),
+        start: 0,
         slots: server.slots,
         models: server.models.clone(),
         leaving: server.leaving,
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -32,6 +32,7 @@
     arrivals: IntCounterVec,
     notices: IntCounterVec,
     sent_despite_notice: IntCounterVec,
+    health_checks: IntCounter,
     cold_permits: IntCounterVec,
     continuations: IntCounterVec,
     taken_up: IntCounterVec,
@@ -121,6 +122,12 @@
             "Requests sent to backend servers that had asked for none, by what they had said",
             &["notice"],
         );
+        let health_checks = IntCounter::new(
+            "godwitlever_health_checks_total",
+            "Questions to backend servers that have said that they leave, whether they still do",
+        )
+        .expect("the metric's name is valid");
+        registry.register(Box::new(health_checks.clone())).expect("the metric is registered once");
         let cold_permits = counter(
             "godwitlever_cold_permits_total",
             "Permits for requests to cold servers, by what became of them",
@@ -158,6 +165,7 @@
             arrivals,
             notices,
             sent_despite_notice,
+            health_checks,
             cold_permits,
             continuations,
             taken_up,
@@ -258,6 +266,11 @@
         self.notices.with_label_values(&[notice]).inc();
     }
 
+    /// Counts a question to a backend server whether it still leaves.
+    pub fn count_health_check(&self) {
+        self.health_checks.inc();
+    }
+
     /// Counts a request that is sent to a backend server although that has given a notice.
     pub fn count_sent_despite(&self, notice: &str) {
         self.sent_despite_notice.with_label_values(&[notice]).inc();
