A node learns what a server says of itself also by way of a peer

A node without a way to servers passes answers on that peers bring. The answer to a request that was passed on names the start of its server; the node that passed it on reads the rest of the head as it does those of servers.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::answer::Answer;
 use crate::cold;
 use crate::events::{OutOfOrder, Splitter, Truncated};
+use crate::hop;
 use crate::intake::Received;
 use crate::mechanism::Mechanism;
 use crate::reach;
@@ -297,9 +298,13 @@
     let events = media.is_some_and(|media| media.starts_with("text/event-stream"));
     let success = head.status.is_success();
     log::debug!(server = server.name.as_str(), idle:? = keep_alive; "answer started");
+    let mut headers = end_to_end_headers(&head.headers);
+    if received.hop.is_some() {
+        hop::name_server(&mut headers, server);
+    }
     let mut reply = PartialReply {
         status: head.status,
-        headers: end_to_end_headers(&head.headers),
+        headers,
         server: server.clone(),
         keep_alive,
         body,
--- a/components/forward/src/hop.rs
+++ b/components/forward/src/hop.rs
@@ -11,13 +11,14 @@
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
-use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, Request, RequestHead, ResponseHead, Uri};
 use bytes::{Bytes, BytesMut};
+use catalog::Entry;
 use futures_util::stream;
 use http_client::{Body, Connection, Delimiter};
 use lifecycle::Streaming;
-use policy::Prior;
+use policy::{Incarnation, Prior};
 use serde_bytes::ByteBuf;
 use wire::hop::Request as Message;
 
@@ -27,14 +28,18 @@
     AttemptError, CONNECT_TIMEOUT, MAX_BUFFERED_BYTES, WholeReply, end_to_end_headers,
 };
 use crate::intake::{self, Content, Hop, Received};
+use crate::registry;
 use crate::serve::{self, ActiveRequest};
 use crate::state::State;
+use crate::statements;
 use crate::stream::FLUSH_DELAY;
 
 /// Path on the listener for peers.
 pub(crate) const PATH: &str = "/hop";
 /// Header of the peer's answer with its [`Origin`]. A peer that doesn't know the path sends none.
 const ORIGIN: HeaderName = HeaderName::from_static("x-hop-origin");
+/// Header of the peer's answer with the start of the server that gave it, as two hexadecimal numbers.
+const SERVER: HeaderName = HeaderName::from_static("x-hop-server");
 /// Bytes of a message beyond the body and the head of its request.
 const MESSAGE_OVERHEAD: usize = 4 << 10;
 /// Time beyond its time limit in which the peer itself answers that none came.
@@ -141,6 +146,20 @@
     .encode()
 }
 
+/// Names the server of an answer to the node that passed its request on: that node learns what the server says of itself
+/// from this answer, as if it had received it from there.
+pub(crate) fn name_server(headers: &mut HeaderMap, server: &Entry) {
+    let Incarnation { salt, start } = registry::incarnation(server);
+    headers.insert(SERVER, header_value(format!("{salt:x} {start:x}").as_bytes()));
+}
+
+/// The server that gave a peer's answer, if it is named.
+fn read_server(headers: &HeaderMap) -> Option<Incarnation> {
+    let (salt, start) = headers.get(SERVER)?.to_str().ok()?.split_once(' ')?;
+    let number = |text| u64::from_str_radix(text, 16).ok();
+    Some(Incarnation { salt: number(salt)?, start: number(start)? })
+}
+
 /// Receives the answer of a peer: the whole of it, or the start of a stream.
 async fn receive<A: Adapter>(
     state: &State<A>,
@@ -161,7 +180,11 @@
     let media = head.headers.get("content-type").and_then(|value| value.to_str().ok());
     let is_stream = media.is_some_and(|media| media.starts_with("text/event-stream"));
     let mut headers = end_to_end_headers(&head.headers);
+    if let Some(server) = read_server(&headers) {
+        statements::record_from_peer(state, server, &head);
+    }
     headers.remove(ORIGIN);
+    headers.remove(SERVER);
     let mut whole = WholeReply { status: head.status, headers, body: Bytes::new() };
     let mut received = BytesMut::new();
     while !is_stream && received.len() <= MAX_BUFFERED_BYTES {
--- a/components/forward/src/statements.rs
+++ b/components/forward/src/statements.rs
@@ -5,8 +5,9 @@
 use actix_http::ResponseHead;
 use catalog::Entry;
 use clock::Clock;
+use policy::Incarnation;
 
-use crate::adapter::{Adapter, StatedLimit, Statement, Verdict};
+use crate::adapter::{Adapter, ServerProtocol, StatedLimit, Statement, Verdict};
 use crate::registry::{self, Registry};
 use crate::state::State;
 use crate::{brittle, limits};
@@ -63,6 +64,25 @@
     }
 }
 
+/// Records what the head of a peer's answer says of the server that gave it.
+pub(crate) fn record_from_peer<A: Adapter>(
+    state: &State<A>,
+    server: Incarnation,
+    head: &ResponseHead,
+) {
+    if !state.adapter.servers.read_statement(head).leaving {
+        return;
+    }
+    let now = state.clock.now();
+    if state.driver.scheduler.borrow_mut().record_leaving(server, now) {
+        log::info!(
+            salt = server.salt, status = head.status.as_u16();
+            "server says by way of a peer that it leaves"
+        );
+        state.metrics.count_notice(LEAVING);
+    }
+}
+
 /// Counts and logs a request that is about to be sent to a server that has given a notice.
 pub(crate) fn record_send<A: Adapter>(state: &State<A>, request: &str, server: &Entry) {
     let since = state.driver.scheduler.borrow().leaving_since(registry::incarnation(server));
