Log and count the rest that servers ask for, and what is sent in it

A server that turns a request away with 503 may say for how long it wants none from the node. The log gave the status of the attempt only, so it couldn't be told whether a server had asked for rest when it got more requests. The time is read from the head of each answer, logged when a rest begins, and each request that is sent in it is logged and counted. No decision uses it yet.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -94,12 +94,24 @@
         Malformed(String),
     }
 
+    /// For how long a server that turns a request away wants none from this node.
+    pub enum StatedRest {
+        /// It doesn't say, or it didn't turn the request away.
+        Unspecified,
+        /// For this time.
+        For(Duration),
+        /// The stated time can't be parsed; the text is what the server sent.
+        Malformed(String),
+    }
+
     /// What the head of a response says of the server that sent it.
     pub struct Statement {
         /// Its name, if the response states it.
         pub name: Option<String>,
         /// It is shutting down and takes no new requests.
         pub leaving: bool,
+        /// For how long it wants no requests from this node.
+        pub rest: StatedRest,
         /// Its rate limit.
         pub rate_limit: StatedLimit,
         /// The servers of its service are brittle: they crash if they have to decline many requests.
--- a/components/forward/src/statements.rs
+++ b/components/forward/src/statements.rs
@@ -7,13 +7,14 @@
 use clock::Clock;
 use policy::Incarnation;
 
-use crate::adapter::{Adapter, ServerProtocol, StatedLimit, Statement, Verdict};
+use crate::adapter::{Adapter, ServerProtocol, StatedLimit, StatedRest, Statement, Verdict};
 use crate::registry::{self, Registry};
 use crate::state::State;
 use crate::{brittle, limits};
 
-/// Name of a notice in logs and metrics.
+/// Names of notices in logs and metrics.
 const LEAVING: &str = "leaving";
+const REST: &str = "rest";
 
 /// Records what the head of an answer says of its server. The request was sent to `server` at `sent`.
 pub(crate) fn record<A: Adapter>(
@@ -24,10 +25,9 @@
     statement: &Statement,
     sent: Instant,
 ) {
-    if statement.leaving
-        && let Some(author) = author(&state.registry.borrow(), server, verdict, statement)
-    {
-        record_leaving(state, author, head);
+    if let Some(author) = author(&state.registry.borrow(), server, verdict, statement) {
+        record_leaving(state, author, head, statement);
+        record_rest(state, author, head, statement);
     }
     if !matches!(verdict, Verdict::Answer | Verdict::Declined) {
         return;
@@ -53,7 +53,15 @@
     }
 }
 
-fn record_leaving<A: Adapter>(state: &State<A>, server: &Entry, head: &ResponseHead) {
+fn record_leaving<A: Adapter>(
+    state: &State<A>,
+    server: &Entry,
+    head: &ResponseHead,
+    statement: &Statement,
+) {
+    if !statement.leaving {
+        return;
+    }
     let (incarnation, now) = (registry::incarnation(server), state.clock.now());
     if state.driver.scheduler.borrow_mut().record_leaving(incarnation, now) {
         log::info!(
@@ -64,6 +72,34 @@
     }
 }
 
+fn record_rest<A: Adapter>(
+    state: &State<A>,
+    server: &Entry,
+    head: &ResponseHead,
+    statement: &Statement,
+) {
+    let time = match &statement.rest {
+        StatedRest::Unspecified => return,
+        StatedRest::For(time) => *time,
+        StatedRest::Malformed(text) => {
+            log::warn!(
+                server = server.name.as_str(), rest = text.as_str();
+                "ignoring a time of rest that can't be parsed"
+            );
+            return;
+        }
+    };
+    let (incarnation, now) = (registry::incarnation(server), state.clock.now());
+    if state.driver.scheduler.borrow_mut().record_rest(incarnation, time, now) {
+        log::info!(
+            server = server.name.as_str(), service = server.service.as_str(),
+            rest_ms = time.as_millis() as u64, status = head.status.as_u16();
+            "server asks for rest"
+        );
+        state.metrics.count_notice(REST);
+    }
+}
+
 /// Records what the head of a peer's answer says of the server that gave it.
 pub(crate) fn record_from_peer<A: Adapter>(
     state: &State<A>,
@@ -85,12 +121,22 @@
 
 /// Counts and logs a request that is about to be sent to a server that has given a notice.
 pub(crate) fn record_send<A: Adapter>(state: &State<A>, request: &str, server: &Entry) {
-    let since = state.driver.scheduler.borrow().leaving_since(registry::incarnation(server));
-    let Some(since) = since else { return };
-    let age_ms = state.clock.now().saturating_duration_since(since).as_millis() as u64;
-    log::info!(
-        request = request, server = server.name.as_str(), notice = LEAVING, age_ms = age_ms;
-        "sent despite a notice"
-    );
-    state.metrics.count_sent_despite(LEAVING);
+    let (incarnation, now) = (registry::incarnation(server), state.clock.now());
+    let scheduler = state.driver.scheduler.borrow();
+    if let Some(since) = scheduler.leaving_since(incarnation) {
+        let age_ms = now.saturating_duration_since(since).as_millis() as u64;
+        log::info!(
+            request = request, server = server.name.as_str(), notice = LEAVING, age_ms = age_ms;
+            "sent despite a notice"
+        );
+        state.metrics.count_sent_despite(LEAVING);
+    }
+    if let Some(until) = scheduler.rest_until(incarnation).filter(|until| now < *until) {
+        let left_ms = (until - now).as_millis() as u64;
+        log::info!(
+            request = request, server = server.name.as_str(), notice = REST, left_ms = left_ms;
+            "sent despite a notice"
+        );
+        state.metrics.count_sent_despite(REST);
+    }
 }
--- a/components/policy/src/notices.rs
+++ b/components/policy/src/notices.rs
@@ -24,6 +24,9 @@
 /// Longest time between two such questions; it doubles up to this.
 const MAX_CHECK_PAUSE: Duration = Duration::from_secs(300);
 
+/// Longest rest that is believed. A server that wants more asks again; one that is mistaken is out for no longer.
+const MAX_REST: Duration = Duration::from_secs(3_600);
+
 derives::value! {
     /// One start of a backend server.
     pub struct Incarnation {
@@ -38,24 +41,26 @@
 #[derive(Clone, Copy, Debug)]
 struct Notice {
     start: u64,
-    /// When it first said that it leaves.
-    leaving_since: Instant,
-    /// When it last said so.
+    /// When it last said any of this.
     said: Instant,
-    /// When it is asked whether it still leaves, if it isn't listed so.
+    leaving: Option<Leaving>,
+    /// Until when it wants no requests from this node.
+    rest_until: Option<Instant>,
+}
+
+/// A server that has said that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    /// When it first said so.
+    since: Instant,
+    /// When it is asked whether it still does, if it isn't listed so.
     next_check: Instant,
     check_pause: Duration,
 }
 
-impl Notice {
-    fn new(start: u64, now: Instant) -> Self {
-        Notice {
-            start,
-            leaving_since: now,
-            said: now,
-            next_check: now + FIRST_CHECK,
-            check_pause: FIRST_CHECK,
-        }
+impl Leaving {
+    fn new(now: Instant) -> Self {
+        Leaving { since: now, next_check: now + FIRST_CHECK, check_pause: FIRST_CHECK }
     }
 }
 
@@ -74,21 +79,20 @@
         self.by_server.get(&salt).filter(|notice| notice.start == start)
     }
 
-    /// When an incarnation first said that it leaves.
-    pub(crate) fn leaving_since(&self, incarnation: Incarnation) -> Option<Instant> {
-        self.get(incarnation).map(|notice| notice.leaving_since)
+    /// The notice of an incarnation, which is replaced if it is another one's, for something that it says now.
+    fn update(&mut self, Incarnation { salt, start }: Incarnation, now: Instant) -> &mut Notice {
+        let new = Notice { start, said: now, leaving: None, rest_until: None };
+        let notice = self.by_server.entry(salt).or_insert(new);
+        if notice.start != start {
+            *notice = new;
+        }
+        notice.said = now;
+        notice
     }
 
-    /// Records that an incarnation says that it leaves; returns whether that is news.
-    fn record_leaving(&mut self, incarnation: Incarnation, now: Instant) -> bool {
-        let Incarnation { salt, start } = incarnation;
-        let known = self.by_server.get_mut(&salt).filter(|notice| notice.start == start);
-        if let Some(notice) = known {
-            notice.said = now;
-            return false;
-        }
-        self.by_server.insert(salt, Notice::new(start, now));
-        true
+    /// When an incarnation first said that it leaves.
+    pub(crate) fn leaving_since(&self, incarnation: Incarnation) -> Option<Instant> {
+        Some(self.get(incarnation)?.leaving?.since)
     }
 
     /// Applies that an incarnation is listed. A notice of another one ends, or passes to this one if this may have been
@@ -101,7 +105,10 @@
         if self.list_confirmed.is_some_and(|confirmed| confirmed >= registered) {
             self.by_server.remove(&salt);
         } else {
-            (notice.start, notice.next_check) = (start, notice.said);
+            notice.start = start;
+            if let Some(leaving) = &mut notice.leaving {
+                leaving.next_check = notice.said;
+            }
         }
     }
 
@@ -128,18 +135,46 @@
     /// assert_eq!(scheduler.leaving_since(policy::Incarnation { start: 2, ..server }), None);
     /// ```
     pub fn record_leaving(&mut self, incarnation: Incarnation, now: Instant) -> bool {
-        let is_known = self.notices.get(incarnation).is_some();
-        if !is_known && self.has_other_start(incarnation) {
-            return false;
-        }
-        let is_news = self.notices.record_leaving(incarnation, now);
-        if is_news && self.notices.by_server.len() > self.servers.len() + MAX_UNLISTED {
-            let listed = self.servers.values().map(|state| state.terms.salt).collect();
-            self.notices.drop_unlisted(&listed);
-        }
+        let Some(notice) = self.update_notice(incarnation, now) else { return false };
+        let is_news = notice.leaving.is_none();
+        notice.leaving.get_or_insert_with(|| Leaving::new(now));
         is_news
     }
 
+    /// Records that an incarnation of a server has turned a request away and wants none for some time; returns whether
+    /// that is news. The longest time that it has asked for counts.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let (mut scheduler, now) = (policy::Scheduler::new(), Instant::now());
+    /// let server = policy::Incarnation { salt: 7, start: 1 };
+    /// assert!(scheduler.record_rest(server, Duration::from_secs(3), now));
+    /// assert!(!scheduler.record_rest(server, Duration::from_secs(1), now));
+    /// assert_eq!(scheduler.rest_until(server), Some(now + Duration::from_secs(3)));
+    /// ```
+    pub fn record_rest(&mut self, incarnation: Incarnation, time: Duration, now: Instant) -> bool {
+        let until = now + time.min(MAX_REST);
+        let Some(notice) = self.update_notice(incarnation, now) else { return false };
+        let is_news = notice.rest_until.is_none_or(|until| now >= until);
+        notice.rest_until = notice.rest_until.max(Some(until));
+        is_news
+    }
+
+    /// The notice of an incarnation for something that it says now; none if it isn't believed.
+    fn update_notice(&mut self, incarnation: Incarnation, now: Instant) -> Option<&mut Notice> {
+        if self.notices.get(incarnation).is_none() {
+            if self.has_other_start(incarnation) {
+                return None;
+            }
+            if self.notices.by_server.len() >= self.servers.len() + MAX_UNLISTED {
+                let listed = self.servers.values().map(|state| state.terms.salt).collect();
+                self.notices.drop_unlisted(&listed);
+            }
+        }
+        Some(self.notices.update(incarnation, now))
+    }
+
     /// Whether a server is listed with another start: a late answer of the former one is no news.
     fn has_other_start(&self, incarnation: Incarnation) -> bool {
         let mut listed = self.servers.values().map(server::State::incarnation);
@@ -148,14 +183,23 @@
 
     /// Records that an incarnation of a server, asked at `asked`, doesn't leave; returns whether that is news.
     pub fn record_staying(&mut self, incarnation: Incarnation, asked: Instant) -> bool {
-        let is_news = self.notices.get(incarnation).is_some_and(|notice| notice.said < asked);
-        if is_news {
-            self.notices.by_server.remove(&incarnation.salt);
+        let notice = self.notices.by_server.get_mut(&incarnation.salt);
+        let notice = notice.filter(|notice| {
+            notice.start == incarnation.start && notice.said < asked && notice.leaving.is_some()
+        });
+        let is_news = notice.is_some();
+        if let Some(notice) = notice {
+            notice.leaving = None;
             self.epoch += 1;
         }
         is_news
     }
 
+    /// Until when an incarnation of a server wants no requests; none if it hasn't said.
+    pub fn rest_until(&self, incarnation: Incarnation) -> Option<Instant> {
+        self.notices.get(incarnation)?.rest_until
+    }
+
     /// Since when an incarnation of a server is known to leave by its own word.
     pub fn leaving_since(&self, incarnation: Incarnation) -> Option<Instant> {
         self.notices.leaving_since(incarnation)
@@ -170,10 +214,11 @@
         for (key, state) in self.servers.iter().filter(|(_, state)| !state.leaving()) {
             let Incarnation { salt, start } = state.incarnation();
             let notice = self.notices.by_server.get_mut(&salt);
-            let notice = notice.filter(|notice| notice.start == start && notice.next_check <= now);
-            if let Some(notice) = notice {
-                notice.next_check = now + notice.check_pause;
-                notice.check_pause = (notice.check_pause * 2).min(MAX_CHECK_PAUSE);
+            let notice = notice.filter(|notice| notice.start == start);
+            let leaving = notice.and_then(|notice| notice.leaving.as_mut());
+            if let Some(leaving) = leaving.filter(|leaving| leaving.next_check <= now) {
+                leaving.next_check = now + leaving.check_pause;
+                leaving.check_pause = (leaving.check_pause * 2).min(MAX_CHECK_PAUSE);
                 due.push(key);
             }
         }
--- a/components/policy/src/notices/tests.rs
+++ b/components/policy/src/notices/tests.rs
@@ -8,7 +8,7 @@
 #[test]
 fn a_notice_ends_with_a_new_start_that_cannot_be_its_author() {
     let (mut notices, now) = (Notices::default(), Instant::now());
-    assert!(notices.record_leaving(OLD, now));
+    notices.update(OLD, now).leaving = Some(Leaving::new(now));
     notices.list_confirmed = Some(now + REGISTRATION_TIME);
     notices.apply_listing(OLD);
     assert_eq!(notices.leaving_since(OLD), Some(now));
@@ -22,11 +22,12 @@
 fn a_notice_passes_to_a_new_start_that_may_be_its_author() {
     let (mut notices, now) = (Notices::default(), Instant::now());
     notices.list_confirmed = Some(now + SECOND);
-    notices.record_leaving(OLD, now);
-    notices.record_leaving(OLD, now + SECOND);
+    notices.update(OLD, now).leaving = Some(Leaving::new(now));
+    notices.update(OLD, now + SECOND);
     notices.apply_listing(NEW);
     assert_eq!(notices.leaving_since(NEW), Some(now), "it is asked before it is used");
-    assert!(notices.get(NEW).is_some_and(|notice| notice.next_check <= now + SECOND));
+    let next_check = notices.get(NEW).and_then(|notice| Some(notice.leaving?.next_check));
+    assert!(next_check.is_some_and(|at| at <= now + SECOND), "at once");
 }
 
 /// Guards against a list of notices that grows with all servers that there ever were.
