--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod raw;
 mod repeats;
+mod rest;
 pub mod versions;
 
 pub use crate::engine::{Engine, Fault, Pace};
@@ -19,6 +20,7 @@
 pub use crate::platform::{Platform, Stale};
 pub use crate::raw::{Closed, Raw, Seen, Step};
 pub use crate::repeats::Repeats;
+pub use crate::rest::most_in_rest;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU8, Ordering};
