Servers that leave or rest don't count as others that take a request

A request avoids the server where it failed as long as there is another, and a server is left out after failures unless all are.

--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -267,9 +267,10 @@
         );
         let left = pending.request.deadline.saturating_duration_since(now).as_secs_f64();
         let question = self.choice(pending, now);
-        let ejected = pool.servers.iter().filter(|key| self.is_ejected(**key, now)).count();
-        // If all servers of a pool are ejected, the fault is more likely at this node, so none is excluded.
-        let all_ejected = ejected == pool.servers.len();
+        let mut working =
+            pool.servers.iter().filter(|key| question.takes_work(&self.servers[**key]));
+        // If all servers that work are ejected, the fault is more likely at this node, so none is excluded.
+        let all_ejected = working.all(|key| self.is_ejected(*key, now));
         let link = self.switches.is_on(Mechanism::LinkBudget);
         let urgent = self.may_exceed_share(pending, now);
         let concentrates = pool.meets_few_connections(pool.servers.len(), now);
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -172,22 +172,27 @@
         now: Instant,
     ) -> Vec<&'a Member> {
         let members = candidates.members;
-        let all_excluded = members.iter().all(|member| self.is_excluded(member.server, now))
-            && self.all_excluded(&self.pools[pending.pool], now);
+        let pool = &self.pools[pending.pool];
         let question = self.choice(pending, now);
+        let is_out = |member: &Member| {
+            let works = question.takes_work(&self.servers[member.server]);
+            !works || self.is_excluded(member.server, now)
+        };
+        let all_excluded =
+            members.iter().all(|member| is_out(member)) && pool.members.iter().all(is_out);
+        let avoid = pending.avoid.filter(|avoid| {
+            let mut others = pool.members.iter().filter(|member| member.server != *avoid);
+            others.any(|member| question.takes_work(&self.servers[member.server]))
+        });
         let usable = members.into_iter().filter(|member| {
-            (all_excluded || !self.is_excluded(member.server, now))
+            avoid != Some(member.server)
+                && (all_excluded || !self.is_excluded(member.server, now))
                 && !self.is_misdirecting(member.server, now)
-                && self.is_usable(&question, pending, member, now)
+                && self.is_usable(&question, pool, member, now)
         });
         usable.collect()
     }
 
-    /// Whether all engines of a pool are excluded.
-    fn all_excluded(&self, pool: &Pool, now: Instant) -> bool {
-        pool.members.iter().all(|member| self.is_excluded(member.server, now))
-    }
-
     /// Longest time between tokens that the callers of a request's class tolerate.
     fn pause_tolerance(&self, pending: &Pending) -> Duration {
         let class = self.classes.get(pending.request.class);
@@ -198,16 +203,13 @@
     fn is_usable(
         &self,
         question: &Question<'_>,
-        pending: &Pending,
+        pool: &Pool,
         member: &Member,
         now: Instant,
     ) -> bool {
         let state = &self.servers[member.server];
-        let avoided =
-            pending.avoid == Some(member.server) && self.pools[pending.pool].members.len() > 1;
-        let reserved = !self.leaves_reserve(&self.pools[pending.pool], state, now);
-        let open = state.has_free_slot(self.switches) && !avoided && !reserved;
-        open && question.hold(state).is_none()
+        let has_room = state.has_free_slot(self.switches) && self.leaves_reserve(pool, state, now);
+        has_room && question.hold(state).is_none()
     }
 
     /// The two engines that have most likely cached a request's prefix, by rendezvous hashing: of its
--- a/components/policy/src/filters.rs
+++ b/components/policy/src/filters.rs
@@ -103,6 +103,11 @@
     pub(crate) fn hold(&self, server: &server::State) -> Option<Hold> {
         FILTERS.iter().find_map(|filter| filter(self, server))
     }
+
+    /// Whether a server takes the request, apart from what it may be sent at the moment.
+    pub(crate) fn takes_work(&self, server: &server::State) -> bool {
+        leaving::hold(self, server).is_none() && rest::returns(self, server).is_none()
+    }
 }
 
 impl Scheduler {
--- a/components/policy/tests/notices.rs
+++ b/components/policy/tests/notices.rs
@@ -18,6 +18,8 @@
 /// Time within which a node alone returns to a server after its rest, and in which an answer is taken to begin.
 const RETURN: Duration = Duration::from_millis(50);
 const BEGINNING: Duration = Duration::from_millis(200);
+/// Time in which servers that work get a request after any events: the longest ejection and rest.
+const RECOVERY: Duration = Duration::from_secs(20);
 /// Time after a notice from which on a complete list shows that a new start isn't its author.
 const CONFIRMED_AFTER: Duration = Duration::from_secs(2);
 const QUEUE: usize = 200;
@@ -213,6 +215,27 @@
         open.map(|terms| rested(terms).unwrap_or(self.fixture.now)).min()
     }
 
+    /// Ends all attempts, and lets a server serve that has just started.
+    fn recover(&mut self) {
+        while !self.sent.is_empty() {
+            self.answer(Ending::Completed, false, Duration::ZERO);
+        }
+        self.restart(0);
+        let deadline = self.fixture.now + RECOVERY * 2;
+        let request = self.fixture.request(0, 0, RECOVERY * 2);
+        let job = self.fixture.scheduler.submit(request, self.fixture.now);
+        self.arrived.insert(job, self.fixture.now);
+        self.deadlines.insert(job, deadline);
+        while self.sent.iter().all(|(sent, _)| *sent != job) {
+            assert!(self.fixture.now + RECOVERY < deadline, "it isn't sent");
+            self.poll();
+            while self.sent.first().is_some_and(|(sent, _)| *sent != job) {
+                self.answer(Ending::Completed, false, Duration::ZERO);
+            }
+            self.fixture.now += Duration::from_millis(50);
+        }
+    }
+
     fn poll(&mut self) {
         let mut actions = vec![];
         self.fixture.scheduler.poll(self.fixture.now, &mut actions);
@@ -256,8 +279,8 @@
 
 proptest! {
     /// Guards against an order of answers, entries, restarts and requests in which a server that has said that it leaves
-    /// gets a request that came too late or that another server takes, one that has asked for rest gets one in it, or
-    /// callers are refused needlessly.
+    /// gets a request that came too late or that another server takes, one that has asked for rest gets one in it, callers
+    /// are refused needlessly, or nothing is sent any more.
     #[test]
     fn what_a_server_says_holds_in_any_order(
         engines in any::<bool>(),
@@ -265,6 +288,7 @@
     ) {
         let mut site = Site::new(engines);
         events.into_iter().for_each(|event| site.apply(event));
+        site.recover();
     }
 }
 
@@ -280,3 +304,23 @@
     let hold = fixture.scheduler.hold_at_send(job, fixture.now);
     assert_eq!(hold.map(|hold| hold.reason), Some(Reason::Gone));
 }
+
+/// All engines but one leave or rest, and a request has failed at that one. Guards against a request that waits for another
+/// engine until it is late, and against leaving an engine out that is the only one which works.
+#[test]
+fn a_request_is_sent_to_the_only_engine_that_works_again() {
+    for engines in [false, true] {
+        let mut site = Site::new(engines);
+        let others: Vec<_> = site.listed[1..].iter().flatten().map(incarnation).collect();
+        let now = site.fixture.now;
+        site.fixture.scheduler.record_leaving(others[0], now);
+        site.fixture.scheduler.record_rest(others[1], Duration::from_secs(60), now);
+        site.apply(Event::Request { timeout_ms: 5_000 });
+        for _ in 0..2 {
+            let failed = Event::Answer { ending: Ending::Failed, leaving: false, rest_ms: 0 };
+            site.apply(failed);
+            site.apply(Event::Time(400));
+            assert_eq!(site.sent.len(), 1, "engines: {engines}");
+        }
+    }
+}
