--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -206,6 +206,7 @@
     let Some(after) = position else {
         let Versioned { value, position } = state.adapter.store.list(list_limit).await?;
         state.membership.borrow_mut().mark_available(state.clock.now());
+        log_older(state, &value, position);
         let updates = state.replica.borrow_mut().replace(value, position);
         apply_items(state, updates);
         confirm_freshness(state, asked);
@@ -234,6 +235,21 @@
     Ok(if quiet { Duration::ZERO } else { MIN_WATCH_INTERVAL.saturating_sub(waited) })
 }
 
+/// Logs that the store's position is before this node's, and the items whose versions are ignored as they aren't newer
+/// than those that this node knows, although they differ.
+fn log_older<A: Adapter>(state: &State<A>, items: &[Item], position: u64) {
+    let replica = state.replica.borrow();
+    if let Some(known) = replica.position().filter(|known| position < *known) {
+        log::warn!(position = position, known = known; "the store's position is before this node's");
+    }
+    for (offered, known) in replica.differing(items) {
+        log::warn!(
+            key = offered.key.as_str(), offered = offered.revision, known = known;
+            "an item of the store is ignored: its revision isn't newer"
+        );
+    }
+}
+
 /// Asks a peer for changes; returns the pause before the next call. The age of the peer's proof is counted
 /// from when the answer was made, which is no earlier than the question plus the time for which the peer held it.
 async fn ask_peer<A: Adapter>(
--- a/components/forward/src/replica.rs
+++ b/components/forward/src/replica.rs
@@ -37,6 +37,18 @@
         self.position
     }
 
+    /// The items that differ from those that are known although their revision isn't newer, each with the known revision.
+    pub(crate) fn differing<'a>(
+        &'a self,
+        items: &'a [Item],
+    ) -> impl Iterator<Item = (&'a Item, u64)> {
+        items.iter().filter_map(|item| {
+            let known = self.items.get(&item.key)?;
+            let ignored = known.revision >= item.revision && known.value != item.value;
+            ignored.then_some((item, known.revision))
+        })
+    }
+
     /// Applies all changes up to a position; returns those that were new.
     pub(crate) fn apply(&mut self, items: Vec<Item>, position: u64) -> Vec<Item> {
         let mut updates = vec![];
