A position in the store's history has an era, and what it acknowledged outlives a restore

What callers saw: requests reached servers that had said that they leave, and routes of confirmed settings were refused, seconds after the store had come back from a copy.

Cause: a node took the store's revisions for numbers that only rise. What the store forgot was forgotten by nodes that read it anew, for instance a key taken away.

Change: a position is an era and a revision, in this order, and is what nodes, peers and the adapter exchange; the era comes with each answer of the store, refusals included. The replica is a crate of its own (components/replica) that owns items, position, former eras, the proof of freshness and what peers are sent. It changes to a later era with any source and never back. Where a restored store has an older version than the node (by what the items say of themselves, or as the node had it before), the known one stands, until the item is written again; for servers, which renew their entries, at most for the time in which a silent one is removed. Peers compare digests of these items and send them where they differ; a seed that starts asks the others while it lists. Missing servers are kept as after an outage. After lost history, everything is read at most once a second.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -11,7 +11,7 @@
 use actix_http::{RequestHead, ResponseHead};
 use catalog::{Change, Entry, Settings};
 pub use policy::Part;
-pub use wire::updates::Item;
+pub use wire::updates::{Item, Position};
 
 derives::data! {
     /// The prompt of a request to an engine, and the expected length of the answer.
@@ -152,7 +152,7 @@
         /// The value.
         pub value: T,
         /// Position from which to watch for changes.
-        pub position: u64,
+        pub position: Position,
     }
 }
 
@@ -188,6 +188,8 @@
     Changes(Versioned<Vec<Item>>),
     /// The store no longer has the history after that position; all items must be listed again.
     HistoryLost,
+    /// The store came back from a copy and is in this era now, so the position means nothing; all items must be listed again.
+    Restored(u64),
 }
 
 /// Why the store, or a peer asked in its place, gave no usable answer.
@@ -212,6 +214,26 @@
     /// The list of all items is longer than this many bytes, the limit of the call.
     #[error("the list is longer than {0} bytes; it is requested from peers that have it")]
     ListTooLong(usize),
+    /// The store came back from a copy while it was read.
+    #[error(
+        "the store came back from a copy while it was read (era {to} after {from}); it is read again"
+    )]
+    Restored {
+        /// Era in which the reading began.
+        from: u64,
+        /// Era of a later answer.
+        to: u64,
+    },
+    /// The answer is of an era of the store that has ended.
+    #[error(
+        "an answer is of the store's era {era}, which has ended with era {known}; other sources are tried next"
+    )]
+    Outdated {
+        /// Era of the answer.
+        era: u64,
+        /// Era that this node knows.
+        known: u64,
+    },
     /// The answer can't be decoded.
     #[error("the store's answer can't be decoded ({0}); check what is published there")]
     Malformed(String),
@@ -225,8 +247,12 @@
     /// with [`StoreError::ListTooLong`] as soon as the answer exceeds `max_bytes`.
     async fn list(&self, max_bytes: Option<usize>) -> Result<Versioned<Vec<Item>>, StoreError>;
 
-    /// Waits for changes after a position; returns with the first ones, or empty after `wait`.
-    async fn watch(&self, after: u64, wait: Duration) -> Result<WatchReply, StoreError>;
+    /// Waits for changes after a position; returns with the first ones, or empty after `wait`. Fails with
+    /// [`StoreError::Outdated`] if the answer is of an earlier era than the position.
+    async fn watch(&self, after: Position, wait: Duration) -> Result<WatchReply, StoreError>;
+
+    /// Whether the writer of the item with this key renews it as long as it holds, and the store removes it otherwise.
+    fn is_renewed(&self, key: &str) -> bool;
 
     /// Decodes an item; none if it is neither settings nor a server nor an evacuation.
     fn decode(&self, item: &Item) -> Option<Record>;
--- /dev/null
+++ b/components/forward/src/contact.rs
@@ -0,0 +1,75 @@
+//! Tracks this node's contact with the store, by itself or by way of peers.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+use crate::adapter::{Adapter, StoreError};
+use crate::mechanism::Mechanism;
+use crate::source::Source;
+use crate::state::State;
+
+/// Shortest time between two reads of everything, if the store has no history after the first.
+const MIN_LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Contact with the store.
+#[derive(Default)]
+pub(crate) struct Contact {
+    /// Consecutive failed reads of the store or of a peer in its place.
+    pub(crate) failures: Cell<u32>,
+    /// The last answer came from a peer and not from the store.
+    pub(crate) from_peer: Cell<bool>,
+    /// A peer reported that it can't reach the store, and no source has answered since.
+    seeds_lost_store: Cell<bool>,
+    /// When everything was last read from the store.
+    pub(crate) listed: Cell<Option<Instant>>,
+    /// Notified when the replica, its proof of freshness or the number of failures changes.
+    pub(crate) updated: Notify,
+}
+
+impl Contact {
+    /// Pause before everything is read from the store again because it has lost its history.
+    pub(crate) fn pause_before_list(&self, now: Instant) -> Duration {
+        let since = self.listed.get().map(|listed| now.saturating_duration_since(listed));
+        since.map_or(Duration::ZERO, |since| MIN_LIST_INTERVAL.saturating_sub(since))
+    }
+}
+
+/// Records that a source answered.
+pub(crate) fn record_answer<A: Adapter>(state: &State<A>, source: Source) {
+    let contact = &state.contact;
+    contact.from_peer.set(source != Source::Store);
+    contact.seeds_lost_store.set(false);
+    let failures = contact.failures.take();
+    if failures > 0 {
+        log::info!(failures = failures; "store answers again");
+    }
+}
+
+/// Records that a source gave no usable answer.
+pub(crate) fn record_failure<A: Adapter>(state: &State<A>, source: Source, cause: &StoreError) {
+    let contact = &state.contact;
+    if source == Source::Store && state.switches.is_on(Mechanism::OutageGrace) {
+        state.membership.borrow_mut().mark_unavailable();
+    }
+    if matches!(cause, StoreError::LostByPeer(_)) {
+        contact.seeds_lost_store.set(true);
+    }
+    let failures = contact.failures.get() + 1;
+    contact.failures.set(failures);
+    contact.updated.notify_waiters();
+    state.metrics.settings.count_event("unread");
+    if failures.is_power_of_two() {
+        log::warn!(cause:% = cause, failures = failures, age_ms = state.proof_age_ms(); "store lost");
+    }
+}
+
+/// Keeps missing servers for a while when this node turns to the store because its seeds have lost contact with
+/// it. The node can't tell whether the store was down, in which case their entries may only have expired.
+pub(crate) fn doubt_missing_servers<A: Adapter>(state: &State<A>) {
+    let unobserved = state.contact.seeds_lost_store.get() && state.contact.from_peer.get();
+    if unobserved && state.switches.is_on(Mechanism::OutageGrace) {
+        state.membership.borrow_mut().mark_unavailable();
+    }
+}
--- a/components/forward/src/gossip/limits.rs
+++ b/components/forward/src/gossip/limits.rs
@@ -29,7 +29,7 @@
 
 /// Applies the limits and permits in a seed's answer.
 pub(super) fn apply_summary<A: Adapter>(state: &State<A>, cursor: &mut Cursor, summary: &Summary) {
-    if !state.loaded.get() {
+    if !state.replica.borrow().is_loaded() {
         // Limits of servers that aren't listed are dropped, so the answer must be sent again once servers are
         // known.
         return;
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -189,8 +189,8 @@
 async fn wait_for_settings<A: Adapter>(state: &State<A>) -> Option<Rc<Settings>> {
     let settings = || state.settings.borrow().clone();
     let read = async {
-        while !state.loaded.get() || settings().is_none() {
-            state.updated.notified().await;
+        while !state.replica.borrow().is_loaded() || settings().is_none() {
+            state.contact.updated.notified().await;
         }
     };
     let _ = tokio::time::timeout(STARTUP_WAIT, read).await;
--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -30,6 +30,10 @@
         pub seeds: Vec<SocketAddr>,
         /// Address of the store in which settings and servers are published.
         pub store: SocketAddr,
+        /// Interval at which servers renew their entries in the store, in ms. An entry that wasn't renewed for some intervals
+        /// is removed.
+        #[serde(default = "default_check_in_ms")]
+        pub check_in_ms: u64,
         /// Mechanisms that the node disables, by the words that docs/SETTINGS.md lists.
         #[serde(default, rename = "without")]
         pub disabled: Vec<String>,
@@ -77,6 +81,14 @@
     }
 }
 
+/// Default of [`Node::check_in_ms`].
+const DEFAULT_CHECK_IN_MS: u64 = 1_200;
+/// Longest interval at which servers renew their entries, in ms.
+const MAX_CHECK_IN_MS: u64 = 600_000;
+/// Intervals after which an entry that is still listed has been renewed: it is removed after three without, and the node
+/// learns of that within two more.
+const RENEWAL_INTERVALS: u32 = 5;
+
 /// Default bandwidth of a VM's link in Mbit/s.
 const DEFAULT_LINK_MBPS: f64 = 1_000.0;
 /// Bytes per second in one Mbit/s.
@@ -97,6 +109,10 @@
     DEFAULT_COLD_OVERSHOOT
 }
 
+fn default_check_in_ms() -> u64 {
+    DEFAULT_CHECK_IN_MS
+}
+
 fn default_link_mbps() -> f64 {
     DEFAULT_LINK_MBPS
 }
@@ -187,6 +203,9 @@
                 "milliseconds from 0 to 3600000",
             ));
         }
+        if !(1..=MAX_CHECK_IN_MS).contains(&node.check_in_ms) {
+            return Err(value("check_in_ms is out of range", "milliseconds from 1 to 600000"));
+        }
         if !(0.0..=MAX_COLD_OVERSHOOT).contains(&node.promises.cold_overshoot) {
             return Err(value("promises.cold_overshoot is out of range", "a factor from 0 to 100"));
         }
@@ -224,6 +243,11 @@
         Duration::from_millis(self.promises.drain_ms)
     }
 
+    /// Time in which an entry that is still listed was renewed by its server.
+    pub(crate) fn renewal_time(&self) -> Duration {
+        Duration::from_millis(self.check_in_ms) * RENEWAL_INTERVALS
+    }
+
     /// Time from being told to stop until the process has exited.
     pub fn grace_period(&self) -> Duration {
         Duration::from_secs_f64(self.promises.grace_s)
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use catalog::{Freshness, Membership, Settings};
+use catalog::{Membership, Settings};
 use clock::Clock;
 use driver::{Crashes, Driver};
 use http_client::{Pool, PoolLimits};
 use policy::{Mechanism, Reach, Scheduler};
+use replica::Replica;
 use slab::Slab;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
@@ -18,7 +19,9 @@
 use crate::adapter::{Adapter, Protocols};
 use crate::brittle;
 use crate::cold;
+use crate::contact::Contact;
 use crate::crossing::Crossing;
+use crate::effects;
 use crate::evacuation::Evacuations;
 use crate::gossip::Gossip;
 use crate::limits::{self, Limits};
@@ -26,9 +29,9 @@
 use crate::node::Node;
 use crate::peers::Peers;
 use crate::registry::Registry;
-use crate::replica::Replica;
 use crate::resumption::Resumption;
 use crate::source::{Delegates, Sources};
+use crate::standing;
 use crate::updates::{self, WorkReports};
 
 /// Idle connections kept to one server. Servers accept a limited number from all nodes together.
@@ -36,9 +39,6 @@
 /// Time that an idle connection is kept if the server doesn't state its own limit.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Servers that are logged one by one when they change together; a node that starts learns of thousands at once.
-const MAX_LOGGED_SERVERS: usize = 256;
-
 /// A point in time, by the runtime's clock and by one that also counts while the VM is suspended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Timestamp {
@@ -80,29 +80,17 @@
     pub(crate) reach: RefCell<Reach>,
     /// The settings in force; none before the first were read.
     pub(crate) settings: RefCell<Option<Rc<Settings>>>,
-    pub(crate) freshness: RefCell<Freshness>,
     pub(crate) membership: RefCell<Membership>,
     /// The newest revision of the settings is invalid, so an older one is in force.
     pub(crate) newest_invalid: Cell<bool>,
-    /// Consecutive failed reads of the store or of a peer in its place.
-    pub(crate) store_failures: Cell<u32>,
-    /// The last answer came from a peer and not from the store.
-    pub(crate) from_peer: Cell<bool>,
-    /// A peer reported that it can't reach the store, and no source has answered since.
-    pub(crate) seeds_lost_store: Cell<bool>,
-    /// Settings and servers were read at least once.
-    pub(crate) loaded: Cell<bool>,
     pub(crate) region: ids::Region,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) draining: Cell<bool>,
     /// Copy of the store's items.
     pub(crate) replica: RefCell<Replica>,
-    /// The store no longer has the history after the replica's position, so all items must be listed
-    /// again.
-    pub(crate) history_lost: Cell<bool>,
-    /// Notified when the replica, its proof of freshness or the number of failures changes.
-    pub(crate) updated: Notify,
+    pub(crate) contact: Contact,
+    pub(crate) standing: standing::Exchange,
     pub(crate) peer_client: awc::Client,
     /// Peers to which requests can be passed on.
     pub(crate) peers: Peers,
@@ -160,8 +148,8 @@
             ..listen::Limits::default()
         };
         let gossip = Gossip::new(rand::random(), node.room.link_bytes_per_second());
+        let max_proof_age = node.max_proof_age();
         let state = Rc::new(State {
-            freshness: RefCell::new(Freshness::new(node.max_proof_age())),
             node: RefCell::new(Rc::new(node)),
             switches,
             clock,
@@ -174,10 +162,6 @@
             settings: RefCell::default(),
             membership: RefCell::default(),
             newest_invalid: Cell::new(false),
-            store_failures: Cell::new(0),
-            from_peer: Cell::new(false),
-            seeds_lost_store: Cell::new(false),
-            loaded: Cell::new(false),
             region,
             pool: Pool::new(PoolLimits {
                 max_idle: MAX_IDLE_CONNECTIONS,
@@ -185,9 +169,9 @@
             }),
             metrics: Metrics::new(),
             draining: Cell::new(false),
-            replica: RefCell::default(),
-            history_lost: Cell::new(false),
-            updated: Notify::new(),
+            replica: RefCell::new(Replica::new(max_proof_age)),
+            contact: Contact::default(),
+            standing: standing::Exchange::default(),
             peer_client: updates::peer_client(),
             peers: Peers::default(),
             nearest_seed: Cell::new(None),
@@ -220,12 +204,12 @@
 
     /// Applies the node's own settings after they were read again, except for its addresses.
     pub(crate) fn reload(&self, node: Node) {
-        self.freshness.borrow_mut().set_max_age(node.max_proof_age());
+        self.replica.borrow_mut().freshness_mut().set_max_age(node.max_proof_age());
         self.driver.scheduler.borrow_mut().set_drain_time(node.drain_time());
         *self.node.borrow_mut() = Rc::new(node);
         self.apply_fleet_size();
         let all = self.membership.borrow().iter().map(|entry| entry.name.clone()).collect();
-        self.register_servers(all);
+        effects::register_servers(self, all);
         self.driver.run_actions();
     }
 
@@ -312,19 +296,19 @@
     /// once that it isn't ready, so that the load balancer has moved its callers to other nodes before
     /// it must refuse them. If the store is down for all nodes, the balancer keeps using all of them.
     pub(crate) fn ready(&self) -> bool {
-        let known = self.loaded.get() && self.settings.borrow().is_some();
-        let lost = self.store_failures.get() > 0 || !self.is_fresh();
+        let known = self.replica.borrow().is_loaded() && self.settings.borrow().is_some();
+        let lost = self.contact.failures.get() > 0 || !self.is_fresh();
         known && !lost && !self.draining.get()
     }
 
     /// Whether the proof that the settings are the newest is young enough to accept keys.
     pub(crate) fn is_fresh(&self) -> bool {
-        self.freshness.borrow().is_fresh(self.clock.boot_time())
+        self.replica.borrow().freshness().is_fresh(self.clock.boot_time())
     }
 
     /// Age of the proof that the settings are the newest, in ms; none without a proof.
     pub(crate) fn proof_age_ms(&self) -> Option<u64> {
-        let age = self.freshness.borrow().age(self.clock.boot_time())?;
+        let age = self.replica.borrow().freshness().age(self.clock.boot_time())?;
         Some(age.as_millis() as u64)
     }
 
@@ -361,32 +345,6 @@
         OpenRequest { state: self.clone(), key, bytes: 0 }
     }
 
-    /// Puts a revision of the settings in force if it is newer than the current one.
-    pub(crate) fn apply_settings(&self, settings: Settings) {
-        let last = self.settings.borrow().as_ref().map(|last| last.revision);
-        if last.is_some_and(|last| last >= settings.revision) {
-            return;
-        }
-        self.newest_invalid.set(false);
-        self.resumption.apply_settings(&settings);
-        self.registry
-            .borrow_mut()
-            .apply_settings(&mut self.driver.scheduler.borrow_mut(), &settings);
-        self.listener_limits.send_modify(|limits| {
-            limits.head_timeout = settings.limits.head_timeout;
-            // Callers reuse connections that were idle for nearly as long as this allows.
-            limits.keep_alive = settings.limits.idle_timeout;
-        });
-        log::info!(
-            revision = settings.revision, last = last, routes = settings.routes().count();
-            "settings in force"
-        );
-        self.metrics.settings.count_event("accepted");
-        self.metrics.settings.set_revision(settings.revision);
-        *self.settings.borrow_mut() = Some(Rc::new(settings));
-        self.driver.run_actions();
-    }
-
     /// Keeps the connection of an answer that has ended for further requests to its server, for `keep_alive` if the
     /// server stated that.
     pub(crate) fn keep_connection(
@@ -404,93 +362,6 @@
         }
     }
 
-    /// Updates the scheduler after these servers were listed, changed or removed.
-    pub(crate) fn apply_servers(&self, servers: Vec<String>) {
-        for (key, entry) in self.register_servers(servers) {
-            cold::apply_entry(self, key, &entry);
-        }
-        brittle::apply_servers(self);
-        self.driver.run_actions();
-    }
-
-    /// Registers servers that are listed with the scheduler and removes the others; returns those that are
-    /// listed. What their entries say of cold servers was true when they came, so it is applied only then.
-    fn register_servers(&self, servers: Vec<String>) -> Vec<(ids::Server, Rc<catalog::Entry>)> {
-        let mut listed = vec![];
-        if servers.is_empty() {
-            return listed;
-        }
-        let now = self.clock.now();
-        let membership = self.membership.borrow();
-        let mut registry = self.registry.borrow_mut();
-        let mut scheduler = self.driver.scheduler.borrow_mut();
-        let mut batch = scheduler.change_servers();
-        let each = servers.len() <= MAX_LOGGED_SERVERS;
-        if !each {
-            log::info!(servers = servers.len(); "servers listed or gone");
-        }
-        for name in servers {
-            let (before, after) = (registry.entry(&name), membership.get(&name));
-            self.resumption.apply_server(before.map(Rc::as_ref), after.map(Rc::as_ref), now);
-            match after {
-                Some(entry) => {
-                    if each {
-                        log::info!(
-                            server = name.as_str(), service = entry.service.as_str(),
-                            version = entry.version.as_str(), address = entry.address.as_str(),
-                            leaving = entry.leaving;
-                            "server listed"
-                        );
-                    }
-                    let evacuated = self.evacuations.contains(&entry.domain);
-                    let domains = &self.node().domains;
-                    let key = registry.set_server(&mut batch, entry, domains, evacuated, now);
-                    listed.push((key, entry.clone()));
-                }
-                None => {
-                    if each {
-                        log::info!(server = name.as_str(); "server gone");
-                    }
-                    registry.remove_server(&mut batch, &name);
-                    self.rate_limits.throttle.borrow_mut().forget(wire::key(&name));
-                }
-            }
-        }
-        drop(batch);
-        drop((membership, registry, scheduler));
-        limits::apply_to_scheduler(self);
-        listed
-    }
-}
-
-impl<A: Adapter> State<A> {
-    /// Starts or ends the evacuation of a failure domain. Its servers may be cold when it ends.
-    pub(crate) fn apply_evacuation(&self, domain: &str, in_force: bool) {
-        if !self.evacuations.set(domain, in_force, self.clock.now()) {
-            return;
-        }
-        self.metrics.set_evacuated_domains(self.evacuations.all().len());
-        let membership = self.membership.borrow();
-        let entries: Vec<_> =
-            membership.iter().filter(|entry| entry.domain == domain).cloned().collect();
-        drop(membership);
-        log::info!(domain = domain, in_force = in_force, servers = entries.len(); "evacuation");
-        let mut registry = self.registry.borrow_mut();
-        let mut scheduler = self.driver.scheduler.borrow_mut();
-        let domains = &self.node().domains;
-        let mut batch = scheduler.change_servers();
-        let now = self.clock.now();
-        let set = |entry| registry.set_server(&mut batch, entry, domains, in_force, now);
-        let changed: Vec<_> = entries.iter().map(set).collect();
-        drop(batch);
-        let returned = if in_force { vec![] } else { changed };
-        for key in returned {
-            scheduler.record_return(key, self.clock.now());
-        }
-        drop((registry, scheduler));
-        self.driver.run_actions();
-    }
-
     /// Whether a failure domain is evacuated.
     pub(crate) fn is_evacuated(&self, domain: &str) -> bool {
         self.evacuations.contains(domain)
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -12,13 +12,14 @@
 use awc::error::{ConnectError, SendRequestError};
 use clock::Clock;
 use futures_util::StreamExt;
-use wire::updates::{Presence, Update, UpdateRequest, Work};
+use wire::updates::{Items, Presence, Update, UpdateRequest, Work};
 
 use crate::adapter::{Adapter, StoreError};
 use crate::answer::Answer;
 use crate::gossip;
 use crate::hop;
 use crate::resumption;
+use crate::standing;
 use crate::state::State;
 
 /// Path on the listener for peers at which a node asks for updates.
@@ -74,6 +75,18 @@
     awc::Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
+/// A message of this node with its address, era and digest.
+fn message<A: Adapter>(state: &State<A>) -> UpdateRequest {
+    let replica = state.replica.borrow();
+    UpdateRequest {
+        from: state.node().name.clone(),
+        address: Some(state.node().peers),
+        era: replica.position().map(|position| position.era),
+        standing: replica.standing_digest(),
+        ..UpdateRequest::default()
+    }
+}
+
 /// The answer of a peer that has begun to arrive.
 pub(crate) struct Incoming {
     peer: SocketAddr,
@@ -87,13 +100,11 @@
     peer: SocketAddr,
     wait: Duration,
 ) -> Result<Incoming, StoreError> {
-    let known = state.replica.borrow().position();
     let ask = UpdateRequest {
-        from: state.node().name.clone(),
-        address: Some(state.node().peers),
-        position: known.filter(|_| !state.history_lost.get()),
+        revision: state.replica.borrow().continues_from().map(|known| known.revision),
         wait_ms: wait.as_millis() as u32,
         work: state.own_work(),
+        ..message(state)
     };
     let request = state.peer_client.post(format!("http://{peer}{UPDATES_PATH}"));
     let answer = tokio::time::timeout(wait + ANSWER_GRACE, request.send_body(ask.encode())).await;
@@ -155,13 +166,27 @@
     Presence::decode(&body).map_err(|cause| down(peer, &cause))
 }
 
+/// Asks a peer for what it knows better than the store.
+pub(crate) async fn request_standing<A: Adapter>(
+    state: &State<A>,
+    peer: SocketAddr,
+) -> Result<Update, StoreError> {
+    let url = format!("http://{peer}{}", standing::PATH);
+    let response = state.peer_client.post(url).send_body(message(state).encode()).await;
+    let response = response.map_err(|cause| down(peer, &cause))?;
+    match response.status() {
+        StatusCode::OK => Incoming { peer, response }.receive().await,
+        status => Err(down(peer, &status)),
+    }
+}
+
 /// Reports to another seed the work of this node and of the nodes that ask it.
 pub(crate) async fn report_work<A: Adapter>(
     state: &State<A>,
     seed: SocketAddr,
 ) -> Result<(), StoreError> {
     let work = state.own_work().plus(state.work_reports.sum(state.clock.now()));
-    let ask = UpdateRequest { from: state.node().name.clone(), work, ..UpdateRequest::default() };
+    let ask = UpdateRequest { work, ..message(state) };
     let request = state.peer_client.post(format!("http://{seed}{WORK_PATH}")).timeout(ANSWER_GRACE);
     let sent = request.send_body(ask.encode()).await;
     sent.map(|_| ()).map_err(|cause| StoreError::Unavailable(format!("seed {seed}: {cause}")))
@@ -182,7 +207,7 @@
     if request.method() == Method::POST && path == resumption::PATH {
         return resumption::answer(state, request).await;
     }
-    let known = [UPDATES_PATH, READY_PATH, WORK_PATH].contains(&path.as_str());
+    let known = [UPDATES_PATH, READY_PATH, WORK_PATH, standing::PATH].contains(&path.as_str());
     if request.method() != Method::POST || !known {
         return status(StatusCode::NOT_FOUND);
     }
@@ -193,13 +218,17 @@
     listen::mark_body_received(&request);
     let Ok(ask) = UpdateRequest::decode(&body) else { return status(StatusCode::BAD_REQUEST) };
     let now = state.clock.now();
+    if path == standing::PATH {
+        return standing::answer(&state);
+    }
+    standing::compare(&state, &ask);
     if path == WORK_PATH {
         state.seed_work_reports.record(&ask.from, ask.work, now);
         return status(StatusCode::OK);
     }
     if path == READY_PATH {
         let loaded = wait_until_loaded(&state, Duration::from_millis(ask.wait_ms.into())).await;
-        let ready = loaded && state.store_failures.get() == 0;
+        let ready = loaded && state.contact.failures.get() == 0;
         let presence = Presence { domain: state.node().domain.clone(), ready };
         let mut response = Response::build(StatusCode::OK);
         return response.body(presence.encode()).map_into_boxed_body();
@@ -218,8 +247,8 @@
 /// Waits until settings and servers are known, at most for a time; returns whether they are.
 async fn wait_until_loaded<A: Adapter>(state: &State<A>, within: Duration) -> bool {
     let loaded = async {
-        while !state.loaded.get() {
-            state.updated.notified().await;
+        while !state.replica.borrow().is_loaded() {
+            state.contact.updated.notified().await;
         }
     };
     tokio::time::timeout(within, loaded).await.is_ok()
@@ -230,8 +259,8 @@
 /// before the delegate has read the store.
 async fn wait_for_update<A: Adapter>(state: &State<A>) {
     loop {
-        state.updated.notified().await;
-        if state.is_seed() || state.store_failures.get() == 0 {
+        state.contact.updated.notified().await;
+        if state.is_seed() || state.contact.failures.get() == 0 {
             return;
         }
     }
@@ -240,27 +269,37 @@
 /// Answers once there is an update or a newer proof that there is none, or the wait is over.
 async fn answer_update<A: Adapter>(state: &State<A>, ask: &UpdateRequest) -> Answer {
     let asked = state.clock.boot_time();
-    let has_update = || state.replica.borrow().position() > ask.position;
-    if ask.position.is_some() && !has_update() {
+    let known = || {
+        let replica = state.replica.borrow();
+        (ask.position(replica.era()), replica.position())
+    };
+    let (from, own) = known();
+    if from.is_some() && own <= from {
         let wait = Duration::from_millis(ask.wait_ms.into());
         let _ = tokio::time::timeout(wait, wait_for_update(state)).await;
     }
-    let (base, items) = match ask.position {
-        Some(position) => (None, state.replica.borrow_mut().changes_since(position)),
+    let (from, own) = known();
+    let own = own.unwrap_or_default();
+    let (base, items) = match from {
+        Some(from) => (None, state.replica.borrow_mut().changes_since(from)),
         None => {
             let (base, newer) = state.replica.borrow_mut().snapshot();
             (Some(base), Some(newer))
         }
     };
+    let is_known = state.replica.borrow().standing_digest() == ask.standing;
+    let standing = if is_known { vec![] } else { state.replica.borrow().standing() };
     let now = state.clock.now();
     let update = Update {
-        position: state.replica.borrow().position().unwrap_or_default(),
+        revision: own.revision,
+        era: own.era,
         base,
         history_lost: items.is_none(),
         items: items.unwrap_or_default(),
+        standing: Items::pack(&standing),
         age_ms: state.proof_age_ms().map(|age| age.try_into().unwrap_or(u32::MAX)),
         waited_ms: state.clock.boot_time().saturating_sub(asked).as_millis() as u32,
-        store_lost: state.store_failures.get() > 0,
+        store_lost: state.contact.failures.get() > 0,
         store_returned_ms: state
             .membership
             .borrow()
--- a/components/forward/src/replica/tests.rs
+++ b/components/replica/tests/replica.rs
@@ -1,13 +1,73 @@
-use super::{MAX_CHANGES_SINCE_BASE, MIN_DELETIONS, Replica};
-use crate::adapter::Item;
+//! Tests of a replica of a store that doesn't come back from a copy.
+
+use std::time::{Duration, Instant};
+
+use replica::Content;
+use wire::updates::{Base, Item, Items, Position};
+
+/// As in the replica.
+const MIN_DELETIONS: usize = 1_000;
+const MAX_CHANGES_SINCE_BASE: usize = 100;
+
+/// Items that say nothing of themselves.
+struct Plain;
+
+impl Content for Plain {
+    fn is_renewed(&self, _key: &str) -> bool {
+        true
+    }
+
+    fn is_superseded(&self, _known: &Item, _offered: &Item) -> bool {
+        false
+    }
+
+    fn is_retracted(&self, _known: &Item, _offered: &Item) -> bool {
+        false
+    }
+}
+
+/// A replica of a store in its first era.
+struct Replica(replica::Replica);
+
+impl Default for Replica {
+    fn default() -> Self {
+        Replica(replica::Replica::new(Duration::from_secs(4)))
+    }
+}
+
+impl Replica {
+    fn replace(&mut self, items: Vec<Item>, revision: u64) -> Vec<Item> {
+        self.0.replace(items, at(revision), &Plain, Instant::now()).items
+    }
+
+    fn apply(&mut self, items: Vec<Item>, revision: u64) -> Vec<Item> {
+        self.0.apply(items, at(revision), &Plain, Instant::now()).items
+    }
+
+    fn position(&self) -> Option<u64> {
+        self.0.position().map(|position| position.revision)
+    }
+
+    fn changes_since(&mut self, revision: u64) -> Option<Items> {
+        self.0.changes_since(at(revision))
+    }
+
+    fn snapshot(&mut self) -> (Base, Items) {
+        self.0.snapshot()
+    }
+}
+
+fn at(revision: u64) -> Position {
+    Position { era: 1, revision }
+}
 
 fn item(key: &str, revision: u64) -> Item {
     let value = Some(vec![revision as u8].into());
-    Item { key: key.to_string(), revision, value }
+    Item { key: key.to_string(), revision, era: 1, origin: None, value }
 }
 
 fn deleted(key: &str, revision: u64) -> Item {
-    Item { key: key.to_string(), revision, value: None }
+    Item { value: None, ..item(key, revision) }
 }
 
 /// The changes that are sent to a peer at a position.
@@ -60,13 +120,13 @@
     assert_eq!(base, first, "the base was packed again for two changes");
     assert_eq!(newer.unpack().unwrap(), [deleted("s7", 4), item("s8", 5)]);
     let mut other = Replica::default();
-    other.replace(base.items.unpack().unwrap(), base.position);
+    other.replace(base.items.unpack().unwrap(), base.revision);
     other.apply(newer.unpack().unwrap(), 5);
     assert_eq!(other.changes_since(3), replica.changes_since(3));
     let many = (0..=MAX_CHANGES_SINCE_BASE).map(|n| item(&format!("s{n}"), 6)).collect();
     replica.apply(many, 6);
     let (base, newer) = replica.snapshot();
-    assert_eq!((base.position, newer.unpack().unwrap().len()), (6, 0));
+    assert_eq!((base.revision, newer.unpack().unwrap().len()), (6, 0));
 }
 
 /// The store dropped its history, and a server was deleted meanwhile. Whatever is missing from the complete
--- a/components/wire/src/updates.rs
+++ b/components/wire/src/updates.rs
@@ -18,6 +18,20 @@
 /// for the time it takes.
 const MIN_DEFLATED_BYTES: usize = 2 << 10;
 
+derives::value! {
+    /// A position in the store's history. The store begins a new era each time that it comes back from a copy, and then gives
+    /// out revisions again: revisions of different eras can't be compared, positions can.
+    #[derive(Default, Serialize, Deserialize)]
+    pub struct Position {
+        /// Number of the era; rises.
+        #[serde(rename = "e", default)]
+        pub era: u64,
+        /// Number of the change in it; rises within an era.
+        #[serde(rename = "r")]
+        pub revision: u64,
+    }
+}
+
 derives::data! {
     /// A node's request for changes.
     #[derive(Default, Serialize, Deserialize)]
@@ -28,10 +42,16 @@
         /// Address of the node's listener for peers; none if it doesn't answer update requests.
         #[serde(rename = "a", default)]
         pub address: Option<SocketAddr>,
-        /// Position in the store's history up to which the node knows all changes; none if it
+        /// Revision in the store's history up to which the node knows all changes; none if it
         /// knows nothing.
         #[serde(rename = "p", default)]
-        pub position: Option<u64>,
+        pub revision: Option<u64>,
+        /// Era of that revision; none if the node doesn't know of eras.
+        #[serde(rename = "e", default)]
+        pub era: Option<u64>,
+        /// Digest of the items whose version in the store is overruled by what the node knows; 0 for none.
+        #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
+        pub standing: u64,
         /// Longest time for which the answer may wait for a change, in milliseconds.
         #[serde(rename = "w", default)]
         pub wait_ms: u32,
@@ -75,9 +95,16 @@
     /// The answer to an [`UpdateRequest`]: the changes after its position.
     #[derive(Default, Serialize, Deserialize)]
     pub struct Update {
-        /// Position in the store's history up to which the answering node knows all changes.
+        /// Revision in the store's history up to which the answering node knows all changes.
         #[serde(rename = "p")]
-        pub position: u64,
+        pub revision: u64,
+        /// Era of that revision; 0 if the node doesn't know of eras.
+        #[serde(rename = "e", default)]
+        pub era: u64,
+        /// Items whose version in the store is overruled by what the answering node knows, if their digest differs from
+        /// the requested one.
+        #[serde(rename = "t", default, skip_serializing_if = "Items::is_empty")]
+        pub standing: Items,
         /// All items as of an earlier position, for a node that knows nothing.
         #[serde(rename = "b", default)]
         pub base: Option<Base>,
@@ -109,9 +136,12 @@
     /// All items as of a position.
     #[derive(Serialize, Deserialize)]
     pub struct Base {
-        /// Position in the store's history.
+        /// Revision in the store's history.
         #[serde(rename = "p")]
-        pub position: u64,
+        pub revision: u64,
+        /// Era of that revision.
+        #[serde(rename = "e", default)]
+        pub era: u64,
         /// The items.
         #[serde(rename = "i")]
         pub items: Items,
@@ -135,15 +165,59 @@
         /// Key of the item.
         #[serde(rename = "k")]
         pub key: String,
-        /// Position of the item's last change.
+        /// Revision of the item's last change.
         #[serde(rename = "r")]
         pub revision: u64,
+        /// Era of that revision.
+        #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
+        pub era: u64,
+        /// Position of the change that brought this version, if the store forgot it. The position of the item then is that
+        /// of the older version which the store has in its place; its revision is 0 if it has none.
+        #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+        pub origin: Option<Position>,
         /// Value of the item; none after its deletion.
         #[serde(rename = "v", default)]
         pub value: Option<ByteBuf>,
     }
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+impl Item {
+    /// Position of the item's last change in the store.
+    pub fn position(&self) -> Position {
+        Position { era: self.era, revision: self.revision }
+    }
+
+    /// Where the item stands in the order of its versions.
+    pub fn place(&self) -> (Position, Option<Position>) {
+        (self.position(), self.origin)
+    }
+}
+
+impl UpdateRequest {
+    /// Position up to which the node knows all changes. One that doesn't know of eras is taken to be in `era`.
+    pub fn position(&self, era: u64) -> Option<Position> {
+        Some(Position { era: self.era.unwrap_or(era), revision: self.revision? })
+    }
+}
+
+impl Update {
+    /// Position up to which the answering node knows all changes.
+    pub fn position(&self) -> Position {
+        Position { era: self.era, revision: self.revision }
+    }
+}
+
+impl Base {
+    /// Position in the store's history.
+    pub fn position(&self) -> Position {
+        Position { era: self.era, revision: self.revision }
+    }
+}
+
 impl Work {
     /// Sums the work of both.
     ///
@@ -168,7 +242,7 @@
     /// ```
     /// use wire::updates::{Item, Items};
     ///
-    /// let list = vec![Item { key: "servers/a".to_string(), revision: 7, value: None }];
+    /// let list = vec![Item { key: "servers/a".to_string(), revision: 7, era: 1, origin: None, value: None }];
     /// assert_eq!(Items::pack(&list).unpack().unwrap(), list);
     /// ```
     pub fn pack(list: &[Item]) -> Self {
@@ -185,6 +259,11 @@
         Items { raw_len: Some(plain.len() as u32), bytes }
     }
 
+    /// Whether the list is empty.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Decodes the list.
     ///
     /// # Errors
--- a/components/wire/tests/list.rs
+++ b/components/wire/tests/list.rs
@@ -24,7 +24,7 @@
         1_781_814_540_000 + random % 3_000,
     );
     let key = format!("servers/i-{:010x}", random >> 24);
-    Item { key, revision: index + 1, value: Some(value.into_bytes().into()) }
+    Item { key, revision: index + 1, era: 1, origin: None, value: Some(value.into_bytes().into()) }
 }
 
 /// A fleet starts. A list of 40 bytes a server would take the link of each seed for seconds, and nobody is served by
