--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -26,6 +26,9 @@
         Run,
         /// Writes bytes; `{id}` stands for the request's id and `{attempt}` for its attempt.
         Write(String),
+        /// Writes bytes again and again, with a pause after each time, until the other side ends the connection or has got
+        /// [`ENDLESS_BYTES`].
+        Repeat(String, Duration),
         /// Lets time pass.
         Wait(Duration),
         /// Ends the connection in order.
@@ -55,6 +58,9 @@
     }
 }
 
+/// Bytes after which [`Step::Repeat`] writes no more: a test at virtual time would never end otherwise.
+pub const ENDLESS_BYTES: usize = 8 << 20;
+
 type Script = Box<dyn Fn(u64) -> Vec<Step>>;
 
 struct State {
@@ -65,6 +71,8 @@
     runs: RefCell<HashMap<String, u32>>,
     seen: RefCell<Vec<Seen>>,
     open: Cell<u32>,
+    /// Connections in [`Step::Repeat`].
+    endless: Cell<u32>,
     /// Requests that occupy one of the server's slots.
     occupied: Cell<u32>,
     /// What it answers to questions for its health.
@@ -102,6 +110,7 @@
             runs: RefCell::default(),
             seen: RefCell::default(),
             open: Cell::new(0),
+            endless: Cell::new(0),
             occupied: Cell::new(0),
             health: RefCell::default(),
             rejections: RefCell::default(),
@@ -156,6 +165,11 @@
         *self.state.crashed.borrow()
     }
 
+    /// Connections that get bytes without end, and that the other side hasn't ended.
+    pub fn endless(&self) -> u32 {
+        self.state.endless.get()
+    }
+
     /// Connections that the other side hasn't ended.
     pub fn open(&self) -> u32 {
         self.state.open.get()
@@ -262,6 +276,26 @@
                 let text = text.replace("{id}", &id).replace("{attempt}", &value(head, ATTEMPT));
                 stream.write_all(text.as_bytes()).await?;
             }
+            Step::Repeat(text, pause) => {
+                let _counted = Slot::occupy(&state.endless);
+                let mut left = ENDLESS_BYTES;
+                while left > 0 {
+                    stream.write_all(text.as_bytes()).await?;
+                    left = left.saturating_sub(text.len());
+                    if !pause.is_zero() {
+                        tokio::select! {
+                            () = tokio::time::sleep(pause) => {}
+                            count = stream.read_buf(read) => {
+                                if count? == 0 {
+                                    return Ok(false);
+                                }
+                            }
+                        }
+                    }
+                }
+                while stream.read_buf(read).await? > 0 {}
+                return Ok(false);
+            }
             Step::Wait(time) => tokio::time::sleep(time).await,
             Step::Close => return Ok(false),
             Step::Reset => {
