--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -16,6 +16,9 @@
 /// has less free to 8 KiB.
 const READ_BYTES: usize = 3 << 10;
 
+/// Most bytes that frame chunks, extensions and trailers among them, without one of the body in between.
+const MAX_FRAMING_BYTES: usize = 64 << 10;
+
 /// The body of a response that is being received. Dropping it before its end closes the connection.
 pub struct Body {
     framing: Framing,
@@ -153,15 +156,21 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        let mut framing = 0;
         loop {
             if let Some(bytes) = self.codec.decode(&mut self.buf)? {
                 return Ok(bytes);
             }
             // Reuses the memory of the buffer once the bytes before were passed on.
             self.buf.reserve(BUFFER_BYTES - self.buf.len().min(READ_BYTES));
-            if self.io.read_buf(&mut (&mut self.buf).limit(READ_BYTES)).await? == 0 {
+            let count = self.io.read_buf(&mut (&mut self.buf).limit(READ_BYTES)).await?;
+            framing += count;
+            if count == 0 {
                 return Err(Error::Closed);
             }
+            if framing > MAX_FRAMING_BYTES {
+                return Err(Error::Unframed);
+            }
         }
     }
 }
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -45,6 +45,9 @@
     /// The body of the response is malformed.
     #[error("the body can't be read: {0}")]
     Body(#[from] PayloadError),
+    /// The bytes that frame the body don't end.
+    #[error("no byte of the body comes, only its framing")]
+    Unframed,
     /// The other side closed the connection before the end of the response.
     #[error("the connection ended early")]
     Closed,
