Bodies that no caller gets are read up to a bound, and none waits for them

What callers saw: a request that a server declined, or that got an answer to another request, ended with its caller's time although another server was free, and nothing said that it had not run. Cause: the rest of such an answer was read to its end, so that the connection could be used again. Now a declined request goes on at once while its connection is recycled by a task; 64 KiB and half a second bound both cases.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -28,6 +28,10 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Mismatched responses that are skipped on one connection.
 const MAX_MISMATCHED: u32 = 2;
+/// Most that is read of a body which no caller gets, so that its connection can be used again.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// Longest time for which such a body is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest answer that is buffered until it is complete, so that the request can still be retried at
 /// another server if it is interrupted. A larger one is passed on as it arrives.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -258,7 +262,7 @@
             Verdict::Answer => break statement.keep_alive,
             Verdict::Declined => {
                 let status = head.status.as_u16();
-                discard_body(state, server, body, statement.keep_alive).await;
+                actix_rt::spawn(recycle(state.clone(), server.clone(), body, statement.keep_alive));
                 return Err(AttemptError::Declined(status));
             }
             Verdict::Misdirected => return Err(AttemptError::Misdirected),
@@ -266,7 +270,10 @@
             Verdict::Mismatched if mismatched < MAX_MISMATCHED => {
                 mismatched += 1;
                 state.metrics.count_mismatched_answer();
-                while body.next().await.map_err(lost)?.is_some() {}
+                if !discard(&mut body).await.map_err(lost)? {
+                    let cause = "an answer to another request doesn't end";
+                    return Err(AttemptError::Lost(cause.to_string()));
+                }
                 (head, body) = body.next_response().await.map_err(lost)?;
             }
             Verdict::Mismatched => {
@@ -342,27 +349,40 @@
     Ok(Reply::Whole(whole))
 }
 
-/// Reads and drops the body of a response, so that its connection can be returned to the pool.
-async fn discard_body<A: Adapter>(
-    state: &State<A>,
-    server: &Entry,
+/// Reads and drops a body; returns whether it ended soon enough.
+async fn discard(body: &mut Body) -> Result<bool, http_client::Error> {
+    let reading = async {
+        let mut discarded = 0;
+        while let Some(bytes) = body.next().await? {
+            discarded += bytes.len();
+            if discarded > MAX_DISCARDED_BYTES {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    };
+    tokio::time::timeout(DISCARD_TIMEOUT, reading).await.unwrap_or(Ok(false))
+}
+
+/// Reads and drops the body of a response, and returns its connection to the pool.
+async fn recycle<A: Adapter>(
+    state: Rc<State<A>>,
+    server: Rc<Entry>,
     mut body: Body,
     keep_alive: Option<Duration>,
 ) {
-    loop {
-        match body.next().await {
-            Ok(Some(_)) => {}
-            Ok(None) => break,
-            Err(cause) => {
-                log::debug!(
-                    server = server.name.as_str(), cause:% = cause;
-                    "connection closed; a discarded response can't be read to its end"
-                );
-                return;
-            }
+    match discard(&mut body).await {
+        Ok(true) => state.keep_connection(&server, body, keep_alive),
+        Ok(false) => {
+            log::debug!(server = server.name.as_str(); "connection closed; a discarded response doesn't end");
+        }
+        Err(cause) => {
+            log::debug!(
+                server = server.name.as_str(), cause:% = cause;
+                "connection closed; a discarded response can't be read to its end"
+            );
         }
     }
-    state.keep_connection(server, body, keep_alive);
 }
 
 /// The request head of an attempt: the caller's method and target, and the adapter's headers.
