An event of a stream is held up to a bound

A server could send an event without end: it was held until the node's memory was full, and searched anew with each read. Now 128 KiB end the stream, which another server may continue where its route allows that.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -32,6 +32,8 @@
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// Longest time for which such a body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest event of a stream. It is held until it is whole, and hundreds of streams are open at once.
+const MAX_EVENT_BYTES: usize = 128 << 10;
 /// Largest answer that is buffered until it is complete, so that the request can still be retried at
 /// another server if it is interrupted. A larger one is passed on as it arrives.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -176,6 +178,9 @@
             if let Some(batch) = batch {
                 return Ok(Some(Chunk { bytes: batch.bytes, events: batch.events }));
             }
+            if self.cut_bytes() > MAX_EVENT_BYTES {
+                return Err(AttemptError::Lost("an event of the answer doesn't end".to_string()));
+            }
         }
         Ok(None)
     }
