Comments don't count as progress of a stream

A server that sent nothing but comments kept a stream from being continued by another one until its caller's time was over, as each chunk began the time anew after which a stream counts as stalled. Now that time is what was waited for since the last event; the caller's own pauses don't count.

--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -36,6 +36,8 @@
     began: Rc<Entry>,
     /// When the last chunk with events was passed on.
     last_chunk: Option<Instant>,
+    /// Time for which its server was waited for since then.
+    waited: Duration,
     /// Tokens passed on in an answer that hasn't ended regularly.
     tokens: u32,
     /// The answer was interrupted and isn't resumed; the caller's connection is closed.
@@ -50,7 +52,16 @@
     ) -> Self {
         let began = reply.server().clone();
         let (life, reply) = (Some(life), Some(reply));
-        Relay { active, life, reply, began, last_chunk: None, tokens: 0, broken: false }
+        Relay {
+            active,
+            life,
+            reply,
+            began,
+            last_chunk: None,
+            waited: Duration::ZERO,
+            tokens: 0,
+            broken: false,
+        }
     }
 
     /// The next bytes for the caller; none after the regular end of the answer. An error closes the
@@ -82,7 +93,9 @@
         }
         let repeatable = self.active.received.repeatable().is_some();
         let stalled = stall_after(self.active.received.route().target_pause);
-        let timeout = if repeatable { time_left.min(stalled) } else { time_left };
+        let patience = stalled.saturating_sub(self.waited);
+        let timeout = if repeatable { time_left.min(patience) } else { time_left };
+        let asked = self.active.state.clock.now();
         let mut next = tokio::time::timeout(timeout, reply.next_chunk()).await;
         if next.is_err() && repeatable && !self.active.submission.may_retry() {
             // No other server may continue the stream, so its own is waited for.
@@ -90,6 +103,10 @@
             next = tokio::time::timeout(time_left, reply.next_chunk()).await;
         }
         self.active.stats.end = Some((reply.delimiter(), reply.cut_bytes()));
+        // A server that sends nothing but comments is as good as silent.
+        let has_events = matches!(&next, Ok(Ok(Some(chunk))) if chunk.events > 0);
+        let waited = self.active.state.clock.now() - asked;
+        self.waited = if has_events { Duration::ZERO } else { self.waited + waited };
         next.unwrap_or(Err(AttemptError::TimedOut))
     }
 
@@ -208,6 +225,7 @@
                 Ok(Reply::Partial(reply)) => {
                     self.reply = Some(reply);
                     self.life = Some(life);
+                    self.waited = Duration::ZERO;
                     self.log_resumed(&server, last);
                     return true;
                 }
