A peer's answer must arrive at some pace

A peer that answered byte by byte kept a node from all changes: each chunk began the wait anew, up to 16 MiB. Now an answer that comes more slowly than 8 KiB a second ends after 0.9 s, and the next source is asked.

--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -38,6 +38,8 @@
 /// servers, may take longer as a whole: when all nodes start, a peer sends it to hundreds at once. If they gave up
 /// after a fixed time, all would ask again together, and none would ever get it.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(900);
+/// Slowest pace of an answer in bytes per second, counted from [`CHUNK_TIMEOUT`] after it began.
+const MIN_BYTES_PER_S: f64 = 8_192.0;
 /// Time to connect to a peer. One that runs takes a round trip, at most some 20 ms between regions. One
 /// without power doesn't answer at all, and would keep a starting node waiting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
@@ -124,11 +126,15 @@
 }
 
 impl Incoming {
-    /// Receives the whole answer, for as long as it goes on arriving.
+    /// Receives the whole answer, for as long as it goes on arriving at some pace.
     pub(crate) async fn receive(mut self) -> Result<Update, StoreError> {
-        let mut body = vec![];
+        let (mut body, begun) = (vec![], tokio::time::Instant::now());
         loop {
-            let chunk = tokio::time::timeout(CHUNK_TIMEOUT, self.response.next()).await;
+            let pace = Duration::from_secs_f64(body.len() as f64 / MIN_BYTES_PER_S);
+            let slowest =
+                (begun + CHUNK_TIMEOUT + pace).duration_since(tokio::time::Instant::now());
+            let chunk =
+                tokio::time::timeout(CHUNK_TIMEOUT.min(slowest), self.response.next()).await;
             let chunk = chunk.map_err(|_| down(self.peer, &"its answer stopped arriving"))?;
             let Some(chunk) = chunk else { break };
             body.extend_from_slice(&chunk.map_err(|cause| down(self.peer, &cause))?);
