--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -254,6 +254,9 @@
     /// Whether the writer of the item with this key renews it as long as it holds, and the store removes it otherwise.
     fn is_renewed(&self, key: &str) -> bool;
 
+    /// Whether an item can be the entry of a server that leaves; cheaper than decoding it.
+    fn may_leave(&self, item: &Item) -> bool;
+
     /// Decodes an item; none if it is neither settings nor a server nor an evacuation.
     fn decode(&self, item: &Item) -> Option<Record>;
 }
--- a/components/forward/src/effects.rs
+++ b/components/forward/src/effects.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use catalog::{Change, Settings};
+use catalog::{Change, Entry, Settings};
 use clock::Clock;
 use replica::{Changes, Content};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapter::{Adapter, Item, Record, Store};
 use crate::state::State;
@@ -36,13 +37,23 @@
         offered.is_some() && offered < revision(known)
     }
 
-    fn is_retracted(&self, known: &Item, offered: &Item) -> bool {
-        let entry = |item| match self.0.adapter.store.decode(item) {
-            Some(Record::Server(Change::Listed(entry))) => Some(entry),
+    fn start(&self, item: &Item) -> Option<u64> {
+        let entry = self.entry(item)?;
+        Some(xxh3_64(format!("{} {:?}", entry.name, entry.started).as_bytes()))
+    }
+
+    fn is_final(&self, item: &Item) -> bool {
+        self.0.adapter.store.may_leave(item) && self.entry(item).is_some_and(|entry| entry.leaving)
+    }
+}
+
+impl<A: Adapter> Reader<'_, A> {
+    /// The entry of a server, if the item is one.
+    fn entry(&self, item: &Item) -> Option<Entry> {
+        match self.0.adapter.store.decode(item)? {
+            Record::Server(Change::Listed(entry)) => Some(entry),
             _ => None,
-        };
-        let entries = entry(known).filter(|known| known.leaving).zip(entry(offered));
-        entries.is_some_and(|(known, offered)| !offered.leaving && known.started == offered.started)
+        }
     }
 }
 
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -173,7 +173,7 @@
     let now = state.clock.now();
     let changes = state.replica.borrow_mut().replace(value, position, &Reader(state), now);
     effects::apply(state, changes);
-    standing::learn(state, standing);
+    standing.into_iter().for_each(|known| standing::learn(state, known));
     confirm_freshness(state, asked);
     Ok(Duration::ZERO)
 }
@@ -270,7 +270,7 @@
     state.set_fleet_work(update.work);
     let garbled = |cause: wire::Error| StoreError::Malformed(cause.to_string());
     let changes = update.items.unpack().map_err(garbled)?;
-    let standing = update.standing.unpack().map_err(garbled)?;
+    let standing = standing::read(&update)?;
     if let Some(base) = &update.base {
         let all = base.items.unpack().map_err(garbled)?;
         let base = state.replica.borrow_mut().replace(all, base.position(), &Reader(state), now);
--- a/components/forward/src/standing.rs
+++ b/components/forward/src/standing.rs
@@ -14,7 +14,7 @@
 use futures_util::future::join_all;
 use wire::updates::{Items, Update, UpdateRequest};
 
-use crate::adapter::{Adapter, Item, StoreError};
+use crate::adapter::{Adapter, Item, Position, StoreError};
 use crate::answer::Answer;
 use crate::effects::{self, Reader};
 use crate::state::State;
@@ -35,31 +35,45 @@
     asked: Cell<Option<Instant>>,
 }
 
+/// What a peer at a position knows better than the store.
+pub(crate) struct Known {
+    items: Vec<Item>,
+    position: Position,
+}
+
 /// What the other seeds know better than the store, if this node is a seed.
-pub(crate) async fn fetch_from_seeds<A: Adapter>(state: &State<A>) -> Vec<Item> {
+pub(crate) async fn fetch_from_seeds<A: Adapter>(state: &State<A>) -> Vec<Known> {
     let seeds = state.other_seeds();
     let fetched = join_all(seeds.into_iter().map(|seed| fetch(state, seed, START_TIMEOUT))).await;
-    fetched.into_iter().filter_map(Result::ok).flatten().collect()
+    fetched.into_iter().filter_map(Result::ok).collect()
 }
 
 async fn fetch<A: Adapter>(
     state: &State<A>,
     peer: SocketAddr,
     timeout: Duration,
-) -> Result<Vec<Item>, StoreError> {
+) -> Result<Known, StoreError> {
     let answer = updates::request_standing(state, peer);
     let answer = tokio::time::timeout(timeout, answer).await;
     let update = answer.map_err(|_| StoreError::Unavailable(format!("peer {peer}")))??;
-    update.standing.unpack().map_err(|cause| StoreError::Malformed(cause.to_string()))
+    read(&update)
+}
+
+/// What the answer of a peer says that the peer knows better than the store.
+pub(crate) fn read(update: &Update) -> Result<Known, StoreError> {
+    let items = update.standing.unpack();
+    let items = items.map_err(|cause| StoreError::Malformed(cause.to_string()))?;
+    Ok(Known { items, position: update.position() })
 }
 
 /// Adopts what peers know better than the store.
-pub(crate) fn learn<A: Adapter>(state: &State<A>, standing: Vec<Item>) {
-    if standing.is_empty() {
+pub(crate) fn learn<A: Adapter>(state: &State<A>, known: Known) {
+    let Known { items, position } = known;
+    if items.is_empty() {
         return;
     }
     let now = state.clock.now();
-    let changes = state.replica.borrow_mut().learn(standing, &Reader(state), now);
+    let changes = state.replica.borrow_mut().learn(items, position, &Reader(state), now);
     let news = !changes.items.is_empty();
     effects::apply(state, changes);
     if news {
@@ -83,7 +97,7 @@
     let state = state.clone();
     actix_rt::spawn(async move {
         match fetch(&state, peer, TIMEOUT).await {
-            Ok(standing) => learn(&state, standing),
+            Ok(known) => learn(&state, known),
             Err(cause) => {
                 log::debug!(peer:% = peer, cause:% = cause; "a peer doesn't say what it knows better than the store")
             }
--- a/components/replica/src/content.rs
+++ b/components/replica/src/content.rs
@@ -8,7 +8,9 @@
     /// Whether `offered` is older than `known` by numbers that their writer gave them. It then never replaces it.
     fn is_superseded(&self, known: &Item, offered: &Item) -> bool;
 
-    /// Whether `offered` contradicts `known` in a way in which a writer doesn't change its mind. It then is the older one
-    /// unless it is certain that it was written later.
-    fn is_retracted(&self, known: &Item, offered: &Item) -> bool;
+    /// Identifies the start of the writer that wrote the item, if a writer starts again under the same key.
+    fn start(&self, item: &Item) -> Option<u64>;
+
+    /// Whether the writer says in the item that its present start ends.
+    fn is_final(&self, item: &Item) -> bool;
 }
--- a/components/replica/src/recall.rs
+++ b/components/replica/src/recall.rs
@@ -9,11 +9,16 @@
 /// Versions that are remembered. A copy of a store is some seconds old, and fewer items change in that time.
 const MAX_VERSIONS: usize = 4_096;
 
+/// Starts of writers that are remembered.
+const MAX_ENDED: usize = 512;
+
 /// Versions of items that were replaced, the oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct Recall {
     order: VecDeque<u64>,
     versions: HashSet<u64>,
+    /// Starts of writers that have ended, the oldest first.
+    ended: VecDeque<u64>,
 }
 
 impl Recall {
@@ -30,6 +35,22 @@
         }
     }
 
+    /// Remembers that the start of a writer has ended.
+    pub(crate) fn insert_ended(&mut self, start: u64) {
+        if self.ended.contains(&start) {
+            return;
+        }
+        self.ended.push_back(start);
+        if self.ended.len() > MAX_ENDED {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Whether the start of a writer is known to have ended.
+    pub(crate) fn has_ended(&self, start: u64) -> bool {
+        self.ended.contains(&start)
+    }
+
     pub(crate) fn contains(&self, item: &Item) -> bool {
         self.versions.contains(&version(item))
     }
--- a/components/replica/src/replica.rs
+++ b/components/replica/src/replica.rs
@@ -1,4 +1,5 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use catalog::Freshness;
@@ -18,8 +19,8 @@
 /// Number of positions for which packed changes are kept.
 const MAX_PACKED_POSITIONS: usize = 16;
 
-/// Number of former eras of which the last position is remembered.
-const MAX_ERAS: usize = 8;
+/// Number of gaps that are remembered.
+const MAX_GAPS: usize = 8;
 
 derives::data! {
     /// What became of items that a source sent.
@@ -56,7 +57,8 @@
 /// impl replica::Content for Plain {
 ///     fn is_renewed(&self, _key: &str) -> bool { false }
 ///     fn is_superseded(&self, _known: &Item, _offered: &Item) -> bool { false }
-///     fn is_retracted(&self, _known: &Item, _offered: &Item) -> bool { false }
+///     fn start(&self, _item: &Item) -> Option<u64> { None }
+///     fn is_final(&self, _item: &Item) -> bool { false }
 /// }
 ///
 /// let (mut replica, now) = (replica::Replica::new(Duration::from_secs(4)), Instant::now());
@@ -78,8 +80,9 @@
     position: Option<Position>,
     /// The first position that was known in its era. Later revisions are of changes that were made in it.
     entered: Position,
-    /// The last known positions of former eras.
-    former: Vec<Position>,
+    /// Pairs of positions between which not all changes are known, as everything was read anew or an era began. Items
+    /// that came and went between them aren't known to be gone.
+    gaps: VecDeque<(Position, Position)>,
     /// Deletions before this position aren't known.
     floor: Position,
     /// Changes after the position may be missing, so that everything must be read again.
@@ -101,7 +104,7 @@
             items: BTreeMap::new(),
             position: None,
             entered: Position::default(),
-            former: vec![],
+            gaps: VecDeque::new(),
             floor: Position::default(),
             incomplete: false,
             recall: Recall::default(),
@@ -163,8 +166,8 @@
         if self.is_outdated(position) {
             return Changes::default();
         }
-        let former_era = self.advance(position);
-        let mut changes = self.merge_all(items, content, now);
+        let former_era = self.advance(position, false);
+        let mut changes = self.merge_all(items, former_era.is_some(), content, now);
         changes.former_era = former_era;
         self.forget_oldest_deletions();
         changes
@@ -182,14 +185,19 @@
         if self.is_outdated(position) {
             return Changes::default();
         }
+        self.incomplete = false;
+        if self.position.is_some_and(|known| position < known) {
+            // What is known is newer, and a peer may send the changes since this list after it.
+            return Changes::default();
+        }
         if self.position.is_none() {
             self.floor = position;
         }
-        let former_era = self.advance(position);
-        self.incomplete = false;
-        let missing = self.missing(&items, position, content);
-        let mut changes = self.merge_all(missing, content, now);
-        let listed = self.merge_all(items, content, now);
+        let former_era = self.advance(position, true);
+        let enters = former_era.is_some();
+        let missing = self.missing(&items, position, enters, content);
+        let mut changes = self.merge_all(missing, enters, content, now);
+        let listed = self.merge_all(items, enters, content, now);
         changes.items.extend(listed.items);
         changes.overruled.extend(listed.overruled);
         changes.former_era = former_era;
@@ -197,11 +205,21 @@
         changes
     }
 
-    /// Adopts what a peer knows better than the store.
-    pub fn learn(&mut self, standing: Vec<Item>, content: &impl Content, now: Instant) -> Changes {
+    /// Adopts what a peer at a position knows better than the store. Of an item that this node doesn't know, the peer may
+    /// have missed a deletion before this node read everything.
+    pub fn learn(
+        &mut self,
+        standing: Vec<Item>,
+        position: Position,
+        content: &impl Content,
+        now: Instant,
+    ) -> Changes {
         let era = self.era();
-        let current = standing.into_iter().filter(|item| item.era == era).collect();
-        self.merge_all(current, content, now)
+        let is_recent = position >= self.entered;
+        let is_current =
+            |item: &Item| item.era == era && (is_recent || self.items.contains_key(&item.key));
+        let current = standing.into_iter().filter(is_current).collect();
+        self.merge_all(current, false, content, now)
     }
 
     /// Lets the store's versions take effect that were overruled for `time` although their writers renew them; returns
@@ -247,7 +265,8 @@
 
     /// All items as a packed base, and the changes since it was packed.
     pub fn snapshot(&mut self) -> (Base, Items) {
-        let recent = |base: &&Base| self.count_after(base.position()) <= MAX_CHANGES_SINCE_BASE;
+        let recent =
+            |base: &&Base| self.changed_after(base.position()).count() <= MAX_CHANGES_SINCE_BASE;
         if let Some(base) = self.base.as_ref().filter(recent).cloned()
             && let Some(newer) = self.changes_since(base.position())
         {
@@ -265,36 +284,55 @@
 }
 
 impl Replica {
-    /// Moves to a position, if it is later than the known one; returns the era before it if that has ended.
-    fn advance(&mut self, position: Position) -> Option<u64> {
-        let before = self.position;
-        self.position = before.max(Some(position));
-        let Some(former) = before.filter(|before| before.era < position.era) else {
-            if before.is_none() {
-                self.entered = position;
-            }
+    /// Moves to a position, if it is later than the known one, over a gap if changes in between may be `skipped`; returns
+    /// the era before it if that has ended.
+    fn advance(&mut self, position: Position, skipped: bool) -> Option<u64> {
+        let Some(before) = self.position else {
+            (self.position, self.entered) = (Some(position), position);
             return None;
         };
-        self.entered = position;
-        self.former.push(former);
-        let excess = self.former.len().saturating_sub(MAX_ERAS);
-        self.former.drain(..excess);
-        self.clear_packed();
-        Some(former.era)
+        self.position = Some(before.max(position));
+        let begins = before.era < position.era;
+        if before < position && (begins || skipped) {
+            self.gaps.push_back((before, position));
+            if self.gaps.len() > MAX_GAPS
+                && let Some((_, end)) = self.gaps.pop_front()
+            {
+                self.floor = self.floor.max(end);
+            }
+        }
+        if begins {
+            self.entered = position;
+            self.clear_packed();
+        }
+        begins.then_some(before.era)
     }
 
-    /// Whether this node knew everything up to a position at some time, or is behind it in the present era.
+    /// Whether all changes after a position are known.
     fn has_passed(&self, position: Position) -> bool {
-        if position.era >= self.era() {
-            return true;
+        let in_gap = |(from, to): &(Position, Position)| *from < position && position < *to;
+        !self.gaps.iter().any(in_gap)
+    }
+
+    /// Where an item stands in the order of its versions in the present era. What is of a former era was confirmed when this
+    /// node changed to the present one: the store had the same version, or none.
+    fn place(&self, item: &Item) -> (Position, Option<Position>) {
+        if item.era == self.era() || item.origin.is_some() {
+            return item.place();
         }
-        let last = self.former.iter().find(|last| last.era == position.era);
-        last.is_some_and(|last| position <= *last)
+        let revision = if item.value.is_some() { item.revision } else { self.entered.revision };
+        (Position { era: self.era(), revision }, None)
     }
 
     /// What the absence of items from the complete list at a position means: deletions, and items without a version in the
-    /// store.
-    fn missing(&self, listed: &[Item], position: Position, content: &impl Content) -> Vec<Item> {
+    /// store. With the list, this node `enters` the era.
+    fn missing(
+        &self,
+        listed: &[Item],
+        position: Position,
+        enters: bool,
+        content: &impl Content,
+    ) -> Vec<Item> {
         let listed: HashSet<_> = listed.iter().map(|item| item.key.as_str()).collect();
         let absent = self.items.values().filter(|item| !listed.contains(item.key.as_str()));
         let is_live =
@@ -305,24 +343,33 @@
                 let Position { era, revision } = position;
                 let deletion =
                     Item { revision, era, origin: None, value: None, key: item.key.clone() };
-                let stands = item.origin.is_some() && self.standing.version(&item.key).is_none();
-                match item.era < era {
-                    true if content.is_renewed(&item.key) => Some(deletion),
-                    true => Some(overrule(item, Position { era, revision: 0 })),
-                    false if stands || item.revision >= revision => None,
-                    false => Some(deletion),
+                if enters {
+                    let lasts = !content.is_renewed(&item.key);
+                    let unlisted = Position { era, revision: 0 };
+                    return Some(if lasts { overrule(item, unlisted) } else { deletion });
                 }
+                let stands = item.origin.is_some() && self.standing.version(&item.key).is_none();
+                let is_later = self.place(item).0 >= position;
+                (!stands && !is_later).then_some(deletion)
             })
             .collect()
     }
 
-    fn merge_all(&mut self, items: Vec<Item>, content: &impl Content, now: Instant) -> Changes {
+    /// Merges items of the present era, which this node `enters` with them or has entered before.
+    fn merge_all(
+        &mut self,
+        items: Vec<Item>,
+        enters: bool,
+        content: &impl Content,
+        now: Instant,
+    ) -> Changes {
         let mut changes = Changes::default();
         for item in items {
-            match self.judge(&item, content) {
+            match self.judge(&item, enters, content) {
                 Judgement::Known => {}
                 Judgement::Renewed => self.store(item, now),
                 Judgement::Newer => {
+                    self.record_ended(&item, enters, content);
                     self.store(item.clone(), now);
                     changes.items.push(item);
                 }
@@ -335,27 +382,65 @@
         changes
     }
 
-    fn judge(&self, offered: &Item, content: &impl Content) -> Judgement {
+    fn judge(&self, offered: &Item, enters: bool, content: &impl Content) -> Judgement {
         let Some(known) = self.items.get(&offered.key) else { return Judgement::Newer };
-        if offered.era < known.era || (offered.era == known.era && offered.place() <= known.place())
-        {
+        let is_confirmed = !enters || known.era == self.era();
+        if is_confirmed && offered.place() <= self.place(known) {
             return Judgement::Known;
         }
         // What was released stands no longer: the store's version is the one in effect.
         let effective = self.standing.released(&offered.key).unwrap_or(known);
-        if let Some(origin) = offered.origin {
-            return judge_standing(effective, offered, origin);
-        }
         if content.is_superseded(effective, offered) {
             return Judgement::Overruled;
         }
+        if let Some(origin) = offered.origin {
+            if self.has_ended(offered, content) {
+                return Judgement::Known;
+            }
+            let is_store_version = is_confirmed || effective.revision == offered.revision;
+            let is_older = effective.origin.is_none() && is_store_version;
+            return if is_older || content.is_superseded(offered, effective) {
+                Judgement::Newer
+            } else {
+                judge_standing(effective, origin)
+            };
+        }
         if effective.value == offered.value {
             let is_copy = effective.revision == offered.revision && effective.origin.is_none();
             return if is_copy { Judgement::Known } else { Judgement::Renewed };
         }
-        let is_certain = offered.era == known.era || offered.position() > self.entered;
-        let is_older = self.recall.contains(offered) || content.is_retracted(effective, offered);
-        if !is_certain && is_older { Judgement::Overruled } else { Judgement::Newer }
+        if self.is_certain(offered, enters) {
+            return Judgement::Newer;
+        }
+        let is_older = self.recall.contains(offered) || self.has_ended(offered, content);
+        if is_older { Judgement::Overruled } else { Judgement::Newer }
+    }
+
+    /// Whether an item that differs from the known one was written after it. A copy of the store may have older ones, but
+    /// doesn't list deletions.
+    fn is_certain(&self, offered: &Item, enters: bool) -> bool {
+        let known = self.items.get(&offered.key);
+        let is_confirmed = !enters || known.is_none_or(|known| known.era == self.era());
+        is_confirmed || offered.value.is_none() || offered.position() > self.entered
+    }
+
+    /// Whether the writer of an item is known to have ended, or to have started again.
+    fn has_ended(&self, item: &Item, content: &impl Content) -> bool {
+        content.start(item).is_some_and(|start| self.recall.has_ended(start))
+    }
+
+    /// Remembers the starts of writers that have ended, as a newer version of an item shows or says.
+    fn record_ended(&mut self, newer: &Item, enters: bool, content: &impl Content) {
+        let known = self.items.get(&newer.key).filter(|_| self.is_certain(newer, enters));
+        let known = known.and_then(|known| content.start(known));
+        if let Some(known) = known.filter(|known| content.start(newer) != Some(*known)) {
+            self.recall.insert_ended(known);
+        }
+        if content.is_final(newer)
+            && let Some(start) = content.start(newer)
+        {
+            self.recall.insert_ended(start);
+        }
     }
 
     /// Replaces what is known of an item.
@@ -391,16 +476,22 @@
             return vec![released.clone()];
         }
         let overruled = self.standing.version(key).cloned();
-        overruled.into_iter().chain([item.clone()]).collect()
+        let (position, _) = self.place(item);
+        let Position { era, revision } = position;
+        overruled.into_iter().chain([Item { era, revision, ..item.clone() }]).collect()
     }
 
-    fn items_after(&self, position: Position) -> Vec<Item> {
-        let newer = self.items.values().filter(|item| item.position() > position);
-        newer.flat_map(|item| self.versions(item)).collect()
+    /// Items that changed after a position. For one of a former era, those that the store still had when it came back
+    /// haven't changed since.
+    fn changed_after(&self, position: Position) -> impl Iterator<Item = &Item> {
+        let is_present = position.era == self.era();
+        let changed =
+            move |item: &Item| if is_present { self.place(item).0 } else { item.position() };
+        self.items.values().filter(move |item| changed(item) > position)
     }
 
-    fn count_after(&self, position: Position) -> usize {
-        self.items.values().filter(|item| item.position() > position).count()
+    fn items_after(&self, position: Position) -> Vec<Item> {
+        self.changed_after(position).flat_map(|item| self.versions(item)).collect()
     }
 
     fn clear_packed_changes(&mut self) {
@@ -430,15 +521,12 @@
     }
 }
 
-/// Judges an item that stands against the store's version at a peer.
-fn judge_standing(effective: &Item, offered: &Item, origin: Position) -> Judgement {
-    if effective.era == offered.era && effective.origin.is_none() {
-        return Judgement::Newer;
-    }
+/// Judges an item that stands against the store's version at a peer, by the position of the change that brought it.
+fn judge_standing(effective: &Item, origin: Position) -> Judgement {
     match effective.origin.unwrap_or(effective.position()).cmp(&origin) {
-        std::cmp::Ordering::Less => Judgement::Newer,
-        std::cmp::Ordering::Equal => Judgement::Renewed,
-        std::cmp::Ordering::Greater => Judgement::Overruled,
+        Ordering::Less => Judgement::Newer,
+        Ordering::Equal => Judgement::Renewed,
+        Ordering::Greater => Judgement::Overruled,
     }
 }
 
--- a/components/replica/tests/replica.rs
+++ b/components/replica/tests/replica.rs
@@ -21,7 +21,11 @@
         false
     }
 
-    fn is_retracted(&self, _known: &Item, _offered: &Item) -> bool {
+    fn start(&self, _item: &Item) -> Option<u64> {
+        None
+    }
+
+    fn is_final(&self, _item: &Item) -> bool {
         false
     }
 }
