The soak's stores come back from copies, servers answer without end, and nodes show their era

The soak's stores come back from copies up to 2.5 s old again and again, away for up to 1.2 s or not at all, and what was written since is written again in any order; servers also answer with heads, framing and answers to others that never end. /status shows the era, the position and what is overruled.

--- a/components/forward/src/operators.rs
+++ b/components/forward/src/operators.rs
@@ -48,12 +48,17 @@
         let since_ms = now.saturating_duration_since(since).as_millis() as u64;
         serde_json::json!({ "domain": domain, "since_ms": since_ms })
     });
+    let replica = state.replica.borrow();
+    let position = replica.position();
     serde_json::json!({
         "node": state.node().name,
         "ready": state.ready(),
         "draining": state.draining.get(),
         "revision": state.settings.borrow().as_ref().map(|settings| settings.revision),
         "age_ms": state.proof_age_ms(),
+        "era": position.map(|position| position.era),
+        "position": position.map(|position| position.revision),
+        "overruled": replica.overruled_keys().collect::<Vec<_>>(),
         "held": state.open_requests(),
         "quarantined": state.crashes.quarantine.borrow().blocked_count(now),
         "without": state.node().disabled,
--- a/components/replica/src/replica.rs
+++ b/components/replica/src/replica.rs
@@ -242,6 +242,11 @@
         self.standing.keys().flat_map(|key| self.versions(&self.items[key])).collect()
     }
 
+    /// Keys of the items that this node knows better than the store.
+    pub fn overruled_keys(&self) -> impl Iterator<Item = &str> {
+        self.standing.keys()
+    }
+
     /// Digest of the items that this node knows better than the store; 0 if there are none.
     pub fn standing_digest(&self) -> u64 {
         standing::digest(self.standing.keys().map(|key| &self.items[key]))
--- a/tests/soak/brittle.rs
+++ b/tests/soak/brittle.rs
@@ -6,7 +6,7 @@
 use fakes::{Raw, Step};
 
 use crate::fixture::{ATTEMPT_ID, BRITTLE_PATH, RESPONSE_HEAD, post, post_prompt, server_entry};
-use crate::world::Stores;
+use crate::stores::Stores;
 
 /// Service of these servers.
 const SERVICE: &str = "brittle";
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 #[path = "../../platform/tests/fixture/mod.rs"]
 mod fixture;
 mod nodes;
+mod stores;
 mod versions;
 mod watch;
 mod world;
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 
 use crate::fixture::{API_KEY, ATTEMPT_ID, STREAM_HEAD, server_entry};
-use crate::world::Stores;
+use crate::stores::Stores;
 
 /// Service of these servers.
 const SERVICE: &str = "versions";
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -12,15 +12,19 @@
 use tokio::net::TcpStream;
 
 use crate::brittle::{self, Brittle};
-use crate::fixture::store::{Mode, Store};
+use crate::fixture::store::Mode;
 use crate::fixture::{
     API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, MISDIRECTED, RESPONSE_HEAD,
     ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, server_entry, stream_event,
     success_response,
 };
 use crate::nodes::{ALLOWED, Node};
+use crate::stores::Stores;
 use crate::versions::Versions;
 
+/// Head of an answer to another request.
+const MISMATCHED_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nx-attempt-id: other\r\nx-server-signature: s.9\r\n";
 const NODES: usize = 4;
 const CALLERS: usize = 6;
 /// Callers that take streams up.
@@ -65,41 +69,6 @@
     told: Option<Reply>,
 }
 
-/// The stores of the nodes: one for all, or one for each, which differ in the addresses of servers only.
-pub struct Stores(Vec<Store>);
-
-impl Stores {
-    async fn start(count: usize) -> Self {
-        let mut stores = vec![];
-        for _ in 0..count {
-            stores.push(Store::start().await);
-        }
-        Stores(stores)
-    }
-
-    fn of_node(&self, node: usize) -> &Store {
-        &self.0[node % self.0.len()]
-    }
-
-    /// Writes a text under a key.
-    pub fn put(&self, key: &str, value: &str) {
-        self.0.iter().for_each(|store| store.put(key, value));
-    }
-
-    /// Deletes a key.
-    pub fn delete(&self, key: &str) {
-        self.0.iter().for_each(|store| store.delete(key));
-    }
-
-    fn set_mode(&self, mode: Mode) {
-        self.0.iter().for_each(|store| store.set_mode(mode));
-    }
-
-    fn drop_history(&self) {
-        self.0.iter().for_each(Store::drop_history);
-    }
-}
-
 pub struct World {
     seed: u64,
     stores: Stores,
@@ -134,7 +103,7 @@
 fn script(rng: &mut SmallRng, kind: Kind) -> Vec<Step> {
     let whole = success_response(kind);
     let cut = whole.len() * 2 / 3;
-    match rng.random_range(0..30) {
+    match rng.random_range(0..33) {
         0 => vec![Step::Reset],
         1 => vec![Step::Run, Step::Reset],
         2 => vec![Step::Run, Step::Close],
@@ -151,10 +120,24 @@
             Step::Write(whole[cut..].to_string()),
         ],
         10 => vec![Step::Write(MISDIRECTED.to_string())],
+        11 => endless("HTTP/1.1 200 OK\r\nx: ", "x", rng.random()),
+        12 => endless(
+            &format!("{RESPONSE_HEAD}transfer-encoding: chunked\r\n\r\n1;"),
+            "x",
+            rng.random(),
+        ),
+        13 => endless(&format!("{MISMATCHED_HEAD}\r\n"), "x", rng.random()),
         _ => vec![Step::Run, Step::Write(whole)],
     }
 }
 
+/// Runs a request and answers with bytes that never end, at full speed or one by one.
+fn endless(head: &str, text: &str, fast: bool) -> Vec<Step> {
+    let (text, pause) =
+        if fast { (text.repeat(4_096), Duration::ZERO) } else { (text.to_string(), SILENCE) };
+    vec![Step::Run, Step::Write(head.to_string()), Step::Repeat(text, pause)]
+}
+
 /// Runs a request and answers without a length or chunks. With a cut, a stream ends that many bytes into its
 /// second event, and another answer is reset.
 fn unframed(kind: Kind, cut: Option<usize>) -> Vec<Step> {
@@ -175,7 +158,7 @@
         let stores = Stores::start(if partitioned { NODES } else { 1 }).await;
         let (mut servers, mut links, mut paths) = (vec![], vec![], vec![]);
         for node in 0..NODES {
-            links.push(Link::start(stores.of_node(node).address()).await.unwrap());
+            links.push(Link::start(stores.address(node)).await.unwrap());
         }
         let addresses: Vec<_> = links.iter().map(Link::address).collect();
         paths.resize_with(if partitioned { NODES } else { 0 }, Vec::new);
@@ -194,7 +177,7 @@
             };
             for (node, paths) in paths.iter_mut().enumerate() {
                 let path = Path::open(to).unwrap();
-                stores.of_node(node).put(&key, &entry(path.address().unwrap()));
+                stores.put_for(node, &key, &entry(path.address().unwrap()));
                 paths.push(path);
             }
             if !partitioned {
@@ -325,7 +308,8 @@
             futures_util::future::join_all(resuming),
             self.poison(time),
             self.releases(time),
-            self.crowd(time)
+            self.crowd(time),
+            self.drills(time)
         );
     }
 
@@ -341,6 +325,12 @@
         self.crowded.set(None);
     }
 
+    /// The stores come back from copies, also while nodes are killed, frozen or cut off.
+    async fn drills(&self, time: Duration) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ 6);
+        self.stores.drills(&mut rng, time).await;
+    }
+
     /// Servers of streams are replaced by those of the next version, again and again.
     async fn releases(&self, time: Duration) {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ 3);
