--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -22,6 +22,7 @@
 mod mechanism;
 mod node;
 mod operators;
+mod passing;
 mod peers;
 mod proof;
 mod race;
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -17,11 +17,10 @@
 use tokio::sync::oneshot;
 
 use crate::adapter::{Adapter, CallerProtocol};
-use crate::answer::{Answer, Error, Origin};
+use crate::answer::{Answer, Error};
 use crate::attempt::{self, AttemptError, Plan, Reply, WholeReply};
-use crate::hop;
 use crate::intake::{self, Received};
-use crate::mechanism::Mechanism;
+use crate::passing::Passed;
 use crate::reach;
 use crate::resumption;
 use crate::state::{OpenRequest, State};
@@ -76,12 +75,6 @@
 /// Outcome in logs and metrics of a request whose caller disconnected.
 const CALLER_GONE: &str = "caller-gone";
 
-/// Servers that a request finds unreachable before it is passed on to a peer.
-const MAX_UNREACHED: u32 = 2;
-/// Pause after no peer took a request, in which it is tried at the servers.
-const PEER_PAUSE: Duration = Duration::from_millis(100);
-/// Peers that a request is passed on to before it is tried at the servers again.
-const MAX_PEERS: usize = 3;
 /// Attempts of a request without a connection that are logged one by one. There may be a hundred while no
 /// server can be reached.
 const LOGGED_UNREACHED: u32 = 2;
@@ -102,21 +95,13 @@
     /// Number of attempts.
     sends: u32,
     /// Number of attempts in which no connection was made.
-    unreached: Cell<u32>,
+    pub(crate) unreached: Cell<u32>,
     /// The peer that serves it.
-    peer: Option<SocketAddr>,
+    pub(crate) peer: Option<SocketAddr>,
     /// The scheduler's estimate for the engine of the latest attempt.
     expected: Option<Expected>,
 }
 
-/// What became of a request that was passed on.
-enum Passed {
-    /// A peer answers it.
-    Reply(Sending, SocketAddr, hop::Reply),
-    /// A peer may have run it; this is the answer to the caller.
-    Answer(Answer),
-}
-
 /// A request that is being served.
 pub(crate) struct ActiveRequest<A: Adapter> {
     pub(crate) state: Rc<State<A>>,
@@ -132,9 +117,9 @@
     /// Its outcome was logged.
     ended: Cell<bool>,
     /// When it was last passed on to peers and none took it.
-    peers_tried: Option<Instant>,
+    pub(crate) peers_tried: Option<Instant>,
     /// An attempt may have run it.
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     /// Error response of an earlier attempt, for the caller if no other attempt succeeds.
     error_reply: Option<WholeReply>,
 }
@@ -482,7 +467,7 @@
 
     /// Answers a request that may have run but brought no complete answer: with an earlier attempt's
     /// error response if there is one, or else with an error of the proxy.
-    fn answer_without_reply(&mut self, outcome: Outcome, timed_out: bool) -> Answer {
+    pub(crate) fn answer_without_reply(&mut self, outcome: Outcome, timed_out: bool) -> Answer {
         if let Some(whole) = self.error_reply.take() {
             return self.relay_whole(whole);
         }
@@ -492,7 +477,7 @@
     }
 
     /// Passes a complete answer on.
-    fn relay_whole(&mut self, whole: WholeReply) -> Answer {
+    pub(crate) fn relay_whole(&mut self, whole: WholeReply) -> Answer {
         let outcome = Outcome::Complete.as_str();
         if whole.status.is_success() {
             self.state.crashes.record_beginning(&self.received.subject);
@@ -523,95 +508,6 @@
     }
 }
 
-impl<A: Adapter> ActiveRequest<A> {
-    /// Whether this node can't reach the servers of the request's service, so that only a peer can serve it.
-    fn needs_peer(&self) -> bool {
-        let state = &self.state;
-        let lost = state.reach.borrow().is_lost(self.received.service);
-        let needed = lost || self.stats.unreached.get() >= MAX_UNREACHED;
-        let now = state.clock.now();
-        let paused = self.peers_tried.is_some_and(|at| now < at + PEER_PAUSE);
-        needed && !paused && state.switches.is_on(Mechanism::Hop)
-    }
-
-    /// Passes the request on to the first peer that takes it.
-    ///
-    /// # Errors
-    /// When none did and nothing ran, the request, which waits for a server of this node again.
-    async fn pass_on(&mut self, mut waiting: Waiting) -> Result<Passed, Waiting> {
-        self.state.peers.demand(self.state.clock.now());
-        let residency = self.received.found.residency();
-        let peers = self.state.peers.for_request(&self.state, &residency);
-        if peers.is_empty() {
-            return Err(waiting);
-        }
-        self.peers_tried = Some(self.state.clock.now());
-        let mut prior = self.submission.withdraw();
-        for peer in peers.into_iter().take(MAX_PEERS) {
-            let sending = waiting.send();
-            let sent = hop::send(&self.state, &self.received, peer, self.may_have_run, prior);
-            let error = match sent.await {
-                Ok(reply) => return Ok(Passed::Reply(sending, peer, reply)),
-                Err(error) => error,
-            };
-            // A peer that declines may have reached servers before it lost them.
-            prior.reached |= error.may_have_arrived();
-            log::warn!(
-                request = self.received.call.id.as_str(), peer:% = peer, cause:% = error;
-                "a peer gave no answer"
-            );
-            self.state.peers.remove(peer);
-            let timed_out = matches!(error, AttemptError::TimedOut);
-            // A request that a peer may have run isn't sent again: its part of the retry budget isn't known here.
-            let unsent = error.not_run_proof();
-            let repeatable = self.received.repeatable().filter(|_| unsent.is_some());
-            waiting = match sending.fail(unsent, repeatable) {
-                Ok(waiting) => waiting,
-                Err(outcome) => {
-                    return Ok(Passed::Answer(self.answer_without_reply(outcome, timed_out)));
-                }
-            };
-        }
-        self.submission.resubmit(policy::Request { prior, ..self.received.request.clone() });
-        Err(waiting)
-    }
-
-    /// Passes the answer of a peer on.
-    fn relay_from_peer(mut self, sending: Sending, peer: SocketAddr, reply: hop::Reply) -> Answer {
-        self.stats.peer = Some(peer);
-        match reply {
-            hop::Reply::Whole(Origin::Server, whole) => {
-                sending.complete();
-                self.relay_whole(whole)
-            }
-            // The peer knows of its own attempts only.
-            hop::Reply::Whole(Origin::NotRun, _) if self.may_have_run => {
-                self.answer_without_reply(Outcome::Unknown, false)
-            }
-            hop::Reply::Whole(origin, whole) => {
-                self.record_outcome(origin.as_str(), whole.status.as_u16());
-                whole.into_response()
-            }
-            hop::Reply::Partial(mut reply) => {
-                let mut response = Response::new(reply.head.status);
-                *response.headers_mut() = std::mem::take(&mut reply.head.headers);
-                response.set_body(hop::body(self, sending.stream(), reply)).map_into_boxed_body()
-            }
-        }
-    }
-
-    /// Answers a peer whose request can't be served here either.
-    fn refuse_unreachable(&mut self, waiting: Waiting) -> Answer {
-        let outcome = waiting.refuse(Reason::NoServer);
-        if outcome == Outcome::Unknown {
-            return self.answer_without_reply(outcome, false);
-        }
-        let error = Error::Unreachable;
-        self.record_outcome(error.as_str(), error.status().as_u16());
-        error.response()
-    }
-}
-
 /// Identifies a server for crash detection; a restart under the same name counts as another server.
 fn crash_target(server: &Entry) -> Target {
     let start = format!("{} {}", server.name, server.started.unwrap_or_default());
