--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -5,13 +5,16 @@
 mod script;
 mod site;
 
+use std::cell::Cell;
 use std::fmt::Write;
+use std::rc::Rc;
 use std::time::Duration;
 
 use fakes::Step;
 use script::{FAULTS, KINDS, Kind, good, resumed, resumed_text, script};
 use site::{Pair, Told};
 use tokio::io::AsyncWriteExt;
+use tokio::time::Instant;
 
 /// The rules that hold in every cell.
 fn check(cell: &str, kind: Kind, told: &Told, runs: u32) {
@@ -272,3 +275,32 @@
         assert_eq!(site.received(), before, "{leaving} leaves");
     }
 }
+
+/// A server turns a request away and asks for rest. Guards against sending it others before its rest is over, and against
+/// refusing them, as the other server takes them.
+#[actix_rt::test]
+async fn can_leave_a_server_alone_that_asks_for_rest() {
+    tokio::time::pause();
+    for status in ["503 Service Unavailable", "429 Too Many Requests"] {
+        let (asked, rest) = (Rc::new(Cell::new(None)), Duration::from_secs(5));
+        let first = asked.clone();
+        let declined = format!(
+            "HTTP/1.1 {status}\r\nx-request-id: {{id}}\r\nx-not-run: true\r\nretry-after: 5\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        let site = Pair::start(move |number| {
+            if number > 0 {
+                return good(Kind::Charge);
+            }
+            first.set(Some(Instant::now()));
+            vec![Step::Write(declined.clone())]
+        })
+        .await;
+        for _ in 0..90 {
+            assert_eq!(site.call(Kind::Charge).await.outcome, "complete");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let most = site.most_in_rest(asked.get().expect("a server that asked"), rest);
+        assert!(most <= 2, "{status}: {most} requests in its rest");
+    }
+}
--- a/tests/faults/site.rs
+++ b/tests/faults/site.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use configuration::wire::{Role, Vm};
 use fakes::{Closed, Platform, Raw, Step};
 use router::Router;
+use tokio::time::Instant;
 
 use crate::common::{node, post, session};
 use crate::script::Kind;
@@ -115,6 +117,14 @@
         self.servers.iter().map(Raw::total).sum()
     }
 
+    /// Most requests that one server got in the rest that it asked for when it received a request at `asked`.
+    pub fn most_in_rest(&self, asked: Instant, rest: Duration) -> usize {
+        let arrivals = |server: &Raw| server.seen().iter().map(|seen| seen.at).collect::<Vec<_>>();
+        let mut servers = self.servers.iter().map(arrivals);
+        let own = servers.find(|arrivals| arrivals.contains(&asked)).expect("a server that asked");
+        fakes::most_in_rest(&own, &[(asked, rest)])
+    }
+
     /// Requests that each server received.
     pub fn received(&self) -> Vec<u64> {
         self.servers.iter().map(Raw::received).collect()
