A second restore gives the writers of overruled items their time again

The time after which the store's version takes effect was counted from the first loss, so that a server that had left could be used again seconds after a second one. a_second_restore_gives_writers_their_time_again failed before and passes. A test of messages of the former program, which don't name an era.

--- a/components/replica/src/replica.rs
+++ b/components/replica/src/replica.rs
@@ -470,6 +470,10 @@
     fn stand_against(&mut self, version: Item, now: Instant) {
         self.clear_packed_changes();
         let known = self.items.get_mut(&version.key).expect("the item was judged");
+        if known.era < version.era {
+            // The writer has as much time again as after the first loss.
+            self.standing.remove(&version.key);
+        }
         *known = overrule(known, version.position());
         self.standing.insert(&version.key.clone(), Some(version), now);
     }
--- a/components/replica/tests/eras.rs
+++ b/components/replica/tests/eras.rs
@@ -349,3 +349,23 @@
         world.settle();
     }
 }
+
+/// Guards against a server that is used again too soon: the store comes back from a copy once more while the server's word that
+/// it leaves stands against the first one.
+#[test]
+fn a_second_restore_gives_writers_their_time_again() {
+    let mut world = World::new();
+    world.read(0);
+    world.step(Step::Change(0, 'l'));
+    world.read(0);
+    let pause = RENEWAL * 2 / 3;
+    for _ in 0..2 {
+        world.step(Step::Restore(0));
+        world.read(0);
+        world.now += pause;
+        let released = world.nodes[0].replica.release(RENEWAL, &Words, world.now);
+        assert_eq!(released, []);
+    }
+    world.now += pause;
+    assert_eq!(world.nodes[0].replica.release(RENEWAL, &Words, world.now).len(), 1);
+}
--- a/components/wire/tests/list.rs
+++ b/components/wire/tests/list.rs
@@ -1,6 +1,6 @@
 //! Size of the list of servers, which hundreds of nodes that start together get over the same link.
 
-use wire::updates::{Item, Items};
+use wire::updates::{Item, Items, Position, UpdateRequest};
 
 const SERVERS: u64 = 6_000;
 /// Bytes a server that a list may take: then a link of 200 Mbit/s brings it to two hundred nodes in about a second.
@@ -37,3 +37,18 @@
     assert!(bytes <= SERVERS * BYTES_PER_SERVER, "{} bytes a server", bytes / SERVERS);
     assert_eq!(packed.unpack().unwrap(), list);
 }
+
+/// Guards against a rollout in which nodes of the former program get no changes: their messages don't name an era.
+#[test]
+fn a_request_without_an_era_is_in_the_present_one() {
+    #[derive(serde::Serialize)]
+    struct Former {
+        f: &'static str,
+        p: Option<u64>,
+    }
+    let request = |p| rmp_serde::to_vec_named(&Former { f: "a", p }).unwrap();
+    let decoded = UpdateRequest::decode(&request(Some(7))).unwrap();
+    assert_eq!(decoded.position(3), Some(Position { era: 3, revision: 7 }));
+    let decoded = UpdateRequest::decode(&request(None)).unwrap();
+    assert_eq!(decoded.position(3), None);
+}
