--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -23,9 +23,6 @@
 use crate::stores::Stores;
 use crate::versions::Versions;
 
-/// Head of an answer to another request.
-const MISMATCHED_HEAD: &str =
-    "HTTP/1.1 200 OK\r\nx-attempt-id: other\r\nx-server-signature: s.9\r\n";
 const NODES: usize = 4;
 const CALLERS: usize = 6;
 /// Callers that take streams up.
@@ -130,7 +127,9 @@
             "x",
             rng.random(),
         ),
-        32 => endless(&format!("{MISMATCHED_HEAD}\r\n"), "x", rng.random()),
+        32 => {
+            endless(&format!("{}\r\n", RESPONSE_HEAD.replace("{id}", "other")), "x", rng.random())
+        }
         _ => vec![Step::Run, Step::Write(whole)],
     }
 }
