Engines have prefill rates of their own

Cause: every engine counts as one that prefills 75,000 tokens a second, and isolation groups are ordered by a hash of names and sized by number.

Change: a node derives a rate from each first token whose prefill is certain; rates set for engines order and size the isolation groups, weight preferred and sampled engines, and enter costs. Rates within a factor of 1.4 of the assumed one, and speeds within that of the median, count as equal, so other deployments are served as before.

Measured: unit tests only; rates aren't exchanged between nodes yet.

--- a/components/policy/src/cache.rs
+++ b/components/policy/src/cache.rs
@@ -166,6 +166,20 @@
         cached.map(|part| part.tokens).sum()
     }
 
+    /// Tokens at the start of a prompt that an engine has prefilled or used since a time.
+    pub(crate) fn surely_cached_tokens(
+        &self,
+        shared: &[Part],
+        server: ids::Server,
+        since: Instant,
+    ) -> u32 {
+        let recent = |part: &&Part| {
+            let entry = self.current_entry(part.id, server, since);
+            entry.is_some_and(|entry| entry.prefilled && entry.used >= since)
+        };
+        shared.iter().take_while(recent).map(|part| part.tokens).sum()
+    }
+
     /// The engines that cache the last part that a request shares with others, or were sent it.
     pub(crate) fn holders<'a>(
         &'a self,
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -231,7 +231,8 @@
             let in_reach = member.region == pending.request.region || may_cross;
             let engine_group = pool.engine_group(member);
             let in_group = engine_group.is_some_and(|own| group.is_none_or(|group| own == group));
-            (in_reach, in_group, mix64(pending.request.prefix ^ member.salt))
+            let hash = mix64(pending.request.prefix ^ member.salt);
+            (in_reach, in_group, weighted_hash(hash, member.speed))
         };
         let is_open = |member: &Member| {
             let state = &self.servers[member.server];
@@ -261,8 +262,8 @@
     /// region.
     fn has_long_prefix(&self, pending: &Pending, member: &Member) -> bool {
         let shared = f64::from(pending.request.shared_tokens());
-        let rate = self.servers[member.server].terms.prefill_rate;
-        rate.is_some_and(|rate| shared / f64::from(rate) > CROSS_REGION_SECONDS)
+        let rate = self.servers[member.server].prefill_rate();
+        rate.is_some_and(|rate| shared / rate > CROSS_REGION_SECONDS)
     }
 
     /// What a request is expected to cost at an engine; none if the engine's prefill rate isn't known.
@@ -398,10 +399,21 @@
         let interval = state.known_token_interval().unwrap_or(self.pools[pool].typical_interval());
         let seconds = prefill + tokens * interval / batch;
         let tolerance = self.pause_tolerance(&self.jobs[job]);
-        self.pools[pool].isolation.add_work(tolerance, seconds, now);
+        let work = seconds * self.relative_speed(&self.pools[pool], server);
+        self.pools[pool].isolation.add_work(tolerance, work, now);
     }
 }
 
+/// Weight of an engine in rendezvous hashing, so that the one with the highest weight is chosen in proportion to its
+/// speed (Schindelhauer and Schomaker, "Weighted distributed hash tables", 2005).
+fn weighted_hash(hash: u64, speed: f64) -> u64 {
+    if speed == 1.0 {
+        return hash;
+    }
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    (uniform.powf(1.0 / speed) * u64::MAX as f64) as u64
+}
+
 /// Cost of sending a request of one isolation group to an engine of another, in seconds of engine
 /// time. An engine in reserve is of none.
 fn isolation_cost(group: Option<Group>, engine: Option<Group>, prefill: f64, backlog: f64) -> f64 {
--- a/components/policy/src/isolation.rs
+++ b/components/policy/src/isolation.rs
@@ -81,6 +81,36 @@
     widest.filter(|(ratio, _)| *ratio >= TOLERANCE_RATIO).map(|(_, tolerance)| tolerance)
 }
 
+/// The active engines of a region, in the order of their ranks.
+#[derive(Debug, Default)]
+pub(crate) struct Capacity {
+    engines: usize,
+    /// Sum of the speeds of the engines up to each rank; empty if all are equal.
+    speeds: Vec<f64>,
+}
+
+impl Capacity {
+    /// The capacity of engines with the given speeds, which may `differ`.
+    pub(crate) fn new(speeds: impl ExactSizeIterator<Item = f64>, differ: bool) -> Self {
+        let engines = speeds.len();
+        let sums = speeds.scan(0.0, |sum, speed| {
+            *sum += speed;
+            Some(*sum)
+        });
+        Capacity { engines, speeds: if differ { sums.collect() } else { vec![] } }
+    }
+
+    /// Number of engines, with a fraction, of the lowest ranks that have a part of the whole capacity.
+    fn engines_for(&self, part: f64) -> f64 {
+        let Some(all) = self.speeds.last() else { return part * self.engines as f64 };
+        let wanted = part * all;
+        let whole = self.speeds.partition_point(|sum| *sum <= wanted);
+        let before = whole.checked_sub(1).map_or(0.0, |last| self.speeds[last]);
+        let next = self.speeds.get(whole).map_or(0.0, |sum| (wanted - before) / (sum - before));
+        whole as f64 + next
+    }
+}
+
 /// The isolation groups of one pool.
 #[derive(Debug)]
 pub(crate) struct Isolation {
@@ -201,16 +231,20 @@
         mixed.then(|| [strict / all, (strict + steady) / all])
     }
 
-    /// Moves the borders between the groups to follow the work; `engines` is the number of engines in
-    /// each region.
-    pub(crate) fn update_borders(&mut self, engines: &HashMap<ids::Region, usize>, now: Instant) {
+    /// Moves the borders between the groups to follow the work, given the engines of each region.
+    pub(crate) fn update_borders(
+        &mut self,
+        regions: &HashMap<ids::Region, Capacity>,
+        now: Instant,
+    ) {
         let shares = self.cumulative_shares(now);
         self.mixed = shares.is_some();
         let Some([strict, steady]) = shares else { return };
-        for (region, count) in engines {
+        for (region, capacity) in regions {
+            let count = capacity.engines;
             let last = count.saturating_sub(1);
-            let wanted = [strict * *count as f64, steady * *count as f64];
-            let split = self.strict.is_some() && *count >= GROUPS;
+            let wanted = [strict, steady].map(|part| capacity.engines_for(part));
+            let split = self.strict.is_some() && count >= GROUPS;
             let smallest = [usize::from(split), 1 + usize::from(split)];
             let largest = [last.saturating_sub(1), last];
             let rounded = std::array::from_fn(|border| {
@@ -218,7 +252,7 @@
                 (wanted[border].round() as usize).clamp(smallest, largest)
             });
             let borders = self.borders.entry(*region).or_insert(rounded);
-            let scale = (*count as f64 / FEW_ENGINES).max(1.0);
+            let scale = (count as f64 / FEW_ENGINES).max(1.0);
             for border in 0..borders.len() {
                 let lack = wanted[border] - borders[border] as f64;
                 if lack > GROW_AT * scale
--- a/components/policy/src/isolation/tests.rs
+++ b/components/policy/src/isolation/tests.rs
@@ -1,12 +1,12 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::{Group, Isolation};
+use super::{Capacity, Group, Isolation};
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
-fn engine_counts(count: usize) -> HashMap<ids::Region, usize> {
-    HashMap::from([(ids::Region::default(), count)])
+fn engine_counts(count: usize) -> HashMap<ids::Region, Capacity> {
+    HashMap::from([(ids::Region::default(), Capacity::new(vec![1.0; count].into_iter(), false))])
 }
 
 /// Steady streams and long prompts divide the engines in proportion to their work. On shared engines, each
@@ -173,3 +173,19 @@
         assert!((sum / expected - 1.0).abs() < 0.1, "{nodes} nodes: {sum} s a second, {expected}");
     }
 }
+
+/// Groups are sized by what their engines can do: the fast engines of the strictest streams are fewer than half of all if
+/// these streams are half of the work.
+#[test]
+fn groups_are_sized_by_the_speeds_of_their_engines() {
+    let (mut isolation, now) = (Isolation::default(), Instant::now());
+    isolation.add_work(MS(60), 100.0, now);
+    isolation.add_work(MS(250), 100.0, now);
+    let speeds = [1.6; 5].into_iter().chain([1.0; 5]).chain([0.6; 5]);
+    let speeds: Vec<f64> = speeds.collect();
+    let capacity = Capacity::new(speeds.into_iter(), true);
+    isolation.update_borders(&HashMap::from([(ids::Region::default(), capacity)]), now);
+    let steady =
+        (0..15).filter(|rank| isolation.engine_group(Default::default(), *rank) == Group::Steady);
+    assert_eq!(steady.count(), 5);
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -46,6 +46,7 @@
 mod scheduler;
 mod server;
 mod slots;
+mod speed;
 mod stall;
 mod status;
 mod suspect;
@@ -65,6 +66,7 @@
 pub use reach::Reach;
 pub use retries::retry_capacity;
 pub use scheduler::{RETRY_BURST, Scheduler};
+pub use speed::RateSample;
 pub use status::{Status, Unused};
 pub use suspect::{Crash, Evidence, MAX_PARTS, Subject};
 pub use terms::{
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -60,6 +60,8 @@
         LongStreams = "long-streams",
         /// Servers that fail some of their requests are chosen less often.
         FailureRate = "faults",
+        /// The rates at which engines prefill are measured; otherwise all have the assumed one.
+        MeasuredRates = "measured-rates",
     }
 }
 
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -10,11 +10,12 @@
 
 use crate::active::Active;
 use crate::forecast::Throughput;
-use crate::isolation::Isolation;
+use crate::isolation::{Capacity, Isolation};
 use crate::pick::mix64;
 use crate::queue::Lanes;
 use crate::server;
 use crate::slots::SendRate;
+use crate::speed::Speeds;
 use crate::terms::Server;
 
 /// Servers of a pool for which its statistics are computed in each tick. Those of a larger pool are computed in
@@ -103,8 +104,10 @@
     pub(crate) region: ids::Region,
     /// Hash of its name, the same on all nodes.
     pub(crate) salt: u64,
-    /// Its position among the members of its region, in an order by that hash.
+    /// Its position among the members of its region, in an order by speed and by that hash.
     pub(crate) rank: usize,
+    /// Its speed relative to the median of the pool's servers.
+    pub(crate) speed: f64,
 }
 
 /// A pool of backend servers.
@@ -127,6 +130,8 @@
     /// Ticks left until the statistics below are computed again.
     ticks_left: usize,
     pub(crate) isolation: Isolation,
+    /// Speeds of its servers.
+    pub(crate) speeds: Speeds,
     /// Sorted by tier, then class.
     pub(crate) queues: Vec<Queue>,
     /// Rate at which this node chooses among its servers.
@@ -157,6 +162,7 @@
             active: Active::default(),
             ticks_left: 0,
             isolation: Isolation::default(),
+            speeds: Speeds::new(std::iter::empty()),
             queues: vec![],
             sends: SendRate::default(),
             full_epoch: 0,
@@ -176,7 +182,12 @@
         let any_open = self.servers.iter().any(|key| !all[*key].leaving());
         let last_resort = self.scope.version.is_some() || !any_open;
         let open = |state: &server::State| !state.leaving() || last_resort;
-        self.members = rank_members(all, &self.servers, open);
+        let rate = |key: &ids::Server| {
+            let state = &all[*key];
+            state.measured_rate.or(state.terms.prefill_rate).map(f64::from)
+        };
+        self.speeds = Speeds::new(self.servers.iter().filter_map(rate));
+        self.members = rank_members(all, &self.servers, &self.speeds, open);
         self.versions.clear();
         for state in self.servers.iter().map(|key| &all[*key]).filter(|state| !state.leaving()) {
             if let Some(count) = self.versions.entry(state.terms.version) {
@@ -244,9 +255,12 @@
     /// Updates how many members are active, and their isolation groups.
     pub(crate) fn update_groups(&mut self, now: Instant) {
         self.active.update(self.isolation.work_per_second(now), now);
-        let sizes = self.region_ranges.iter().map(|(region, range)| (*region, range.len()));
-        let active = sizes.map(|(region, members)| (region, self.active.of(members)));
-        self.isolation.update_borders(&active.collect(), now);
+        let regions = self.region_ranges.iter().map(|(region, range)| {
+            let active = range.start..range.start + self.active.of(range.len());
+            let speeds = self.members[active].iter().map(|member| member.speed);
+            (*region, Capacity::new(speeds, self.speeds.differ))
+        });
+        self.isolation.update_borders(&regions.collect(), now);
     }
 
     /// Whether this node sends so few requests that it would hardly meet one of so many servers twice before it closes
@@ -296,16 +310,20 @@
 fn rank_members(
     all: &SecondaryMap<ids::Server, server::State>,
     servers: &[ids::Server],
+    speeds: &Speeds,
     is_open: impl Fn(&server::State) -> bool,
 ) -> Vec<Member> {
     let open = servers.iter().filter(|key| is_open(&all[**key]));
-    let mut open: Vec<_> = open.map(|key| (&all[*key].terms, *key)).collect();
-    open.sort_by_cached_key(|(terms, _)| (terms.region, mix64(terms.salt)));
+    let mut open: Vec<_> = open.map(|key| (&all[*key], *key)).collect();
+    open.sort_by_cached_key(|(state, _)| {
+        (state.terms.region, speeds.class(state), mix64(state.terms.salt))
+    });
     let mut ranked: Vec<Member> = vec![];
-    for (terms, server) in open {
-        let last = ranked.last().filter(|last| last.region == terms.region);
+    for (state, server) in open {
+        let (region, salt) = (state.terms.region, state.terms.salt);
+        let last = ranked.last().filter(|last| last.region == region);
         let rank = last.map_or(0, |last| last.rank + 1);
-        ranked.push(Member { server, region: terms.region, salt: terms.salt, rank });
+        ranked.push(Member { server, region, salt, rank, speed: speeds.of(state) });
     }
     ranked
 }
--- a/components/policy/src/prefix.rs
+++ b/components/policy/src/prefix.rs
@@ -63,11 +63,11 @@
 /// work for it: 30,000 to 60,000 at the users' engines.
 const ATTENTION_TOKENS: f64 = 40_000.0;
 
-/// Seconds in which an engine prefills a prompt from one token to another, at `rate` tokens a second
-/// plus attention to the tokens before.
-fn prefill_seconds(from: u32, to: u32, rate: f64) -> f64 {
+/// Work of prefilling a prompt from one token to another, as the number of tokens at the start of a prompt that take an
+/// engine as long: attention to the tokens before adds to it.
+pub(crate) fn prefill_work(from: u32, to: u32) -> f64 {
     let (from, to) = (f64::from(from), f64::from(to.max(from)));
-    (to - from) / rate * (1.0 + (from + to) / 2.0 / ATTENTION_TOKENS)
+    (to - from) * (1.0 + (from + to) / 2.0 / ATTENTION_TOKENS)
 }
 
 impl Scheduler {
@@ -164,8 +164,8 @@
         copies: &Copies,
         now: Instant,
     ) -> Option<Cost> {
-        let rate = f64::from(self.servers[server].terms.prefill_rate?.max(1));
-        let time = |from: u32, to: u32| prefill_seconds(from, to, rate);
+        let rate = self.servers[server].prefill_rate()?;
+        let time = |from: u32, to: u32| prefill_work(from, to) / rate;
         let (shared, prompt) = (pending.request.shared_tokens(), pending.request.prompt_tokens);
         let preference = copies.preferred.iter().position(|engine| *engine == Some(server));
         // The first copy belongs at the preferred engine, where it serves all requests of the session. So its
--- a/components/policy/src/sampling.rs
+++ b/components/policy/src/sampling.rs
@@ -37,7 +37,8 @@
         let mut considered: Vec<_> = preferred.into_iter().flatten().collect();
         considered.extend(self.prefixes.holders(&pending.request.shared));
         for (member, free) in members {
-            let keyed = (sampling_key(pending.jitter, member.salt, free), member.server);
+            let keyed =
+                (sampling_key(pending.jitter, member.salt, free * member.speed), member.server);
             match pool.engine_group(member) {
                 Some(group) => groups[group as usize].push(keyed),
                 None => reserve.push(keyed),
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::retries::Retries;
 use crate::server;
 use crate::slots;
+use crate::speed;
 use crate::terms::{Class, Demand, Fetch, Limits, Report, Request, Share, Workspace};
 use crate::throttle::{PERMIT_LIFETIME, Permits};
 
@@ -91,6 +92,8 @@
     pub(crate) connected: BTreeSet<ids::Server>,
     /// Engines at which other nodes last reported a backlog.
     pub(crate) peer_loaded: Vec<ids::Server>,
+    /// Measured prefill rates that wait to be reported.
+    pub(crate) rate_samples: speed::Samples,
 }
 
 impl Default for Scheduler {
@@ -156,6 +159,7 @@
             permitted: BTreeSet::new(),
             connected: BTreeSet::new(),
             peer_loaded: vec![],
+            rate_samples: speed::Samples::default(),
         }
         .with_limits()
     }
@@ -463,6 +467,12 @@
             (pending.request.class, pending.request.workspace, pending.sent_at);
         let first = last.is_none();
         let continued = pending.continued;
+        let ahead = pending.ahead;
+        if first && !continued {
+            let took = now.saturating_duration_since(sent).as_secs_f64();
+            self.record_rate_sample(job, speed::Observation { server, took, ahead }, now);
+        }
+        let Some(pending) = self.jobs.get_mut(job) else { return };
         if let Some(state) = self.servers.get_mut(server) {
             state.health.record_response();
             if let Some(cold_time) = state.terms.cold_time {
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -67,6 +67,8 @@
     report_received: Option<Instant>,
     /// Seconds between reports, averaged.
     report_interval: Option<f64>,
+    /// Prompt tokens per second that it prefills, as measured by the fleet.
+    pub(crate) measured_rate: Option<u32>,
 }
 
 impl State {
@@ -91,6 +93,7 @@
             first_token: None,
             report_received: None,
             report_interval: None,
+            measured_rate: None,
         }
     }
 
