Classes share engines with long prompts if they tolerate the pauses measured there

Cause: one interval of 75 ms between tokens, as of one kind of engine, decides for every deployment which classes are kept apart from long prompts.

Change: nodes measure the time between tokens at engines that have prefill queued; the mean over the fleet applies where it differs from the assumed one by more than a fifth. Engines too slow for a class's pauses cost it more.

--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -9,7 +9,7 @@
 use clock::Clock;
 use driver::{Crashes, Driver};
 use http_client::{Pool, PoolLimits};
-use policy::{Mechanism, Reach, Scheduler};
+use policy::{Interval, Mechanism, Reach, Scheduler};
 use replica::Replica;
 use slab::Slab;
 use telemetry::Metrics;
@@ -60,6 +60,22 @@
     policy::Limits { retry_percent, retry_burst: RETRY_BURST, link_bytes: REGION_LINK_BYTES }
 }
 
+/// Units on the wire of a second between two tokens.
+const INTERVAL_UNITS: f64 = 10_000.0;
+
+/// The number of measured intervals, and their sum, as they are sent.
+fn interval_to_wire(interval: Interval) -> (u32, u32) {
+    let sum = interval.seconds * f64::from(interval.samples) * INTERVAL_UNITS;
+    (interval.samples, sum.round() as u32)
+}
+
+/// The mean over all nodes.
+fn interval_from_wire(work: Work) -> Interval {
+    let samples = f64::from(work.intervals.max(1));
+    let seconds = f64::from(work.interval_sum) / samples / INTERVAL_UNITS;
+    Interval { seconds, samples: work.intervals }
+}
+
 /// Time that tasks may wait for the processor before new connections are closed unread.
 const MAX_TASK_DELAY: Duration = Duration::from_millis(80);
 
@@ -253,7 +269,9 @@
         let millis = |seconds: f64| (seconds * 1_000.0) as u32;
         let kib_per_s = self.crossing.kib_per_s(now);
         let (strict_ms, steady_ms, bulk_ms) = (millis(strict), millis(steady), millis(bulk));
-        Work { nodes: 1, strict_ms, steady_ms, bulk_ms, kib_per_s }
+        let interval = self.driver.scheduler.borrow().prefilling_interval(now);
+        let (intervals, interval_sum) = interval_to_wire(interval);
+        Work { nodes: 1, strict_ms, steady_ms, bulk_ms, kib_per_s, intervals, interval_sum }
     }
 
     /// Work of this node and of all nodes whose reports it has received.
@@ -282,6 +300,14 @@
         let bounded = self.switches.is_on(Own::RegionalAffinity);
         let crosses = !bounded || self.crossing.update_allowed(work.kib_per_s);
         self.driver.scheduler.borrow_mut().set_cross_region(crosses);
+        let interval = interval_from_wire(work);
+        let applied = self.driver.scheduler.borrow_mut().set_prefilling_interval(interval);
+        if let Some(seconds) = applied {
+            log::info!(
+                interval_ms = (seconds * 1_000.0).round(), samples = interval.samples;
+                "time between tokens beside long prompts"
+            );
+        }
         if work.nodes > 1 {
             let groups = [work.strict_ms, work.steady_ms, work.bulk_ms];
             let seconds = groups.map(|millis| f64::from(millis) / 1_000.0);
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -76,6 +76,7 @@
             sent_at: now,
             send_by: None,
             last_token: None,
+            busy_engine: false,
             returning: false,
             continued: false,
         };
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -75,7 +75,7 @@
         self.epoch += 1;
         self.link_budget.refill(self.limits.link_bytes as f64, now);
         for key in self.pools.keys().collect::<Vec<_>>() {
-            self.pools[key].update_groups(now);
+            self.pools[key].update_groups(self.prefilling_seconds, now);
             if self.pools[key].is_statistics_tick() {
                 self.update_pool_statistics(key);
             }
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -298,7 +298,8 @@
         let engine_group = pool.engine_group(member);
         let streams = self.streams_at(state, stricter, now);
         let isolation = isolation_cost(group, engine_group, prefill, backlog)
-            .max(prefill * streams * STREAM_DISTURBANCE);
+            .max(prefill * streams * STREAM_DISTURBANCE)
+            .max(self.slow_engine_cost(pending, member, group));
         let steady = group.is_some_and(|group| group < Group::Bulk);
         let stutter = if steady { backlog } else { 0.0 };
         let concurrency = f64::from(state.sent) * CONCURRENCY_SECONDS;
@@ -356,6 +357,18 @@
         }
     }
 
+    /// Cost of an engine that is so slow that a stream which tolerates long prompts elsewhere pauses too long beside them.
+    fn slow_engine_cost(&self, pending: &Pending, member: &Member, group: Option<Group>) -> f64 {
+        let pool = &self.pools[pending.pool];
+        let tolerance = self.pause_tolerance(pending);
+        let beside_prompts = group == Some(Group::Bulk);
+        if beside_prompts && !pool.isolation.tolerates_prefilling(tolerance, member.speed) {
+            TOLERANT_GROUP_SECONDS
+        } else {
+            0.0
+        }
+    }
+
     /// Cost of an engine for being in another region, in seconds; `whole_prefix` is the prefill time of the
     /// shared prefix.
     fn cross_region_cost(
--- a/components/policy/src/isolation.rs
+++ b/components/policy/src/isolation.rs
@@ -17,14 +17,13 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::prefilling;
+
 /// Half-life of work: long against the fluctuations of ordinary traffic, which average out over all nodes, and
 /// short against a burst.
 const HALF_LIFE: Duration = Duration::from_secs(1);
 /// Half-lives after which work is forgotten.
 const FORGOTTEN_AFTER: u32 = 10;
-/// Seconds between tokens at an engine that prefills all the time. Classes that tolerate less are kept apart
-/// from those that tolerate more.
-const PREFILLING_INTERVAL_SECONDS: f64 = 0.075;
 /// Ratio of the pause tolerances of two steady classes from which on they are kept apart.
 const TOLERANCE_RATIO: f64 = 1.4;
 /// Assumed engine time of each group before any is known, in seconds; it decays like real work. Without it
@@ -69,11 +68,15 @@
 }
 
 /// The largest pause tolerance of the strict group, in seconds, given the tolerance of each class: the steady
-/// classes are split where two neighbours differ most. None if they don't differ enough.
-fn strict_limit(tolerances: impl Iterator<Item = Duration>) -> Option<f64> {
+/// classes, which tolerate less than `prefilling_seconds`, are split where two neighbours differ most. None if they
+/// don't differ enough.
+fn strict_limit(
+    tolerances: impl Iterator<Item = Duration>,
+    prefilling_seconds: f64,
+) -> Option<f64> {
     let tolerances = tolerances.map(|tolerance| tolerance.as_secs_f64());
     let mut steady: Vec<_> = tolerances
-        .filter(|tolerance| *tolerance > 0.0 && *tolerance < PREFILLING_INTERVAL_SECONDS)
+        .filter(|tolerance| *tolerance > 0.0 && *tolerance < prefilling_seconds)
         .collect();
     steady.sort_by(f64::total_cmp);
     let pairs = steady.windows(2).map(|pair| (pair[1] / pair[0], pair[0]));
@@ -118,6 +121,9 @@
     tolerances: Vec<(Duration, Instant)>,
     /// Largest pause tolerance of the strict group, in seconds; none without such a group.
     strict: Option<f64>,
+    /// Seconds between tokens at an engine that prefills all the time. Classes that tolerate less are kept apart from
+    /// those that tolerate more.
+    prefilling_seconds: f64,
     /// Decayed engine time by group, in seconds.
     work: [f64; GROUPS],
     /// What is left of [`PRIOR_SECONDS`], by group.
@@ -136,6 +142,7 @@
         Isolation {
             tolerances: vec![],
             strict: None,
+            prefilling_seconds: prefilling::ASSUMED_SECONDS,
             work: [0.0; GROUPS],
             prior: PRIOR_SECONDS,
             decayed: None,
@@ -156,13 +163,31 @@
             None => self.tolerances.push((tolerance, now)),
         }
         if self.tolerances.len() != before {
-            self.strict = strict_limit(self.tolerances.iter().map(|(tolerance, _)| *tolerance));
+            self.update_strict_limit();
+        }
+    }
+
+    fn update_strict_limit(&mut self) {
+        let tolerances = self.tolerances.iter().map(|(tolerance, _)| *tolerance);
+        self.strict = strict_limit(tolerances, self.prefilling_seconds);
+    }
+
+    /// Sets the seconds between tokens at an engine of median speed that prefills all the time.
+    pub(crate) fn set_prefilling_seconds(&mut self, seconds: f64) {
+        if self.prefilling_seconds != seconds {
+            self.prefilling_seconds = seconds;
+            self.update_strict_limit();
         }
     }
 
+    /// Whether a class with a pause tolerance tolerates long prompts beside its streams at an engine of a speed.
+    pub(crate) fn tolerates_prefilling(&self, tolerance: Duration, speed: f64) -> bool {
+        tolerance.as_secs_f64() * speed >= self.prefilling_seconds
+    }
+
     pub(crate) fn group_for(&self, tolerance: Duration) -> Group {
         let tolerance = tolerance.as_secs_f64();
-        if tolerance >= PREFILLING_INTERVAL_SECONDS {
+        if tolerance >= self.prefilling_seconds {
             return Group::Bulk;
         }
         if self.strict.is_some_and(|strict| tolerance <= strict) {
--- a/components/policy/src/pending.rs
+++ b/components/policy/src/pending.rs
@@ -85,6 +85,8 @@
     /// Until when it must be sent, if its server is cold.
     pub(crate) send_by: Option<Instant>,
     pub(crate) last_token: Option<Instant>,
+    /// Its engine had prefill queued at its last token but the first.
+    pub(crate) busy_engine: bool,
     /// It was sent on the return from a rest of its server, which hasn't answered yet.
     pub(crate) returning: bool,
     /// It continues from a copy of its earlier run, without a prefill of its own.
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -252,8 +252,10 @@
         range.is_some_and(|(_, range)| member.rank < self.active.of(range.len()))
     }
 
-    /// Updates how many members are active, and their isolation groups.
-    pub(crate) fn update_groups(&mut self, now: Instant) {
+    /// Updates how many members are active, and their isolation groups. `prefilling_seconds` is the time between tokens
+    /// at an engine of median speed that prefills all the time.
+    pub(crate) fn update_groups(&mut self, prefilling_seconds: f64, now: Instant) {
+        self.isolation.set_prefilling_seconds(prefilling_seconds);
         self.active.update(self.isolation.work_per_second(now), now);
         let regions = self.region_ranges.iter().map(|(region, range)| {
             let active = range.start..range.start + self.active.of(range.len());
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -20,6 +20,7 @@
 use crate::pick::Candidate;
 use crate::pool::{Key, Pool, Scope};
 use crate::prefill::FirstToken;
+use crate::prefilling;
 use crate::retries::Retries;
 use crate::server;
 use crate::slots;
@@ -94,6 +95,10 @@
     pub(crate) peer_loaded: Vec<ids::Server>,
     /// Measured prefill rates that wait to be reported.
     pub(crate) rate_samples: speed::Samples,
+    /// Times between tokens at engines that prefill all the time, as measured by this node.
+    pub(crate) prefilling: prefilling::Samples,
+    /// The one that applies, in seconds.
+    pub(crate) prefilling_seconds: f64,
 }
 
 impl Default for Scheduler {
@@ -160,6 +165,8 @@
             connected: BTreeSet::new(),
             peer_loaded: vec![],
             rate_samples: speed::Samples::default(),
+            prefilling: prefilling::Samples::default(),
+            prefilling_seconds: prefilling::ASSUMED_SECONDS,
         }
         .with_limits()
     }
@@ -364,7 +371,7 @@
         pool.update_servers(&self.servers);
         let key = self.pools.insert(pool);
         self.pool_index.insert(scope, key);
-        self.pools[key].update_groups(now);
+        self.pools[key].update_groups(self.prefilling_seconds, now);
         self.update_pool_statistics(key);
         key
     }
@@ -472,6 +479,9 @@
             let took = now.saturating_duration_since(sent).as_secs_f64();
             self.record_rate_sample(job, speed::Observation { server, took, ahead }, now);
         }
+        if let Some(last) = last {
+            self.record_prefilling_interval(job, server, (now - last) / count.max(1), now);
+        }
         let Some(pending) = self.jobs.get_mut(job) else { return };
         if let Some(state) = self.servers.get_mut(server) {
             state.health.record_response();
--- a/components/wire/src/updates.rs
+++ b/components/wire/src/updates.rs
@@ -79,6 +79,12 @@
         /// Size of the requests sent to engines, in KiB per second.
         #[serde(rename = "k", default)]
         pub kib_per_s: u32,
+        /// Number of times between tokens that were measured at engines that prefill all the time.
+        #[serde(rename = "m", default, skip_serializing_if = "is_none_measured")]
+        pub intervals: u32,
+        /// Each node's median of these times multiplied by their number, in tenths of a millisecond.
+        #[serde(rename = "i", default, skip_serializing_if = "is_none_measured")]
+        pub interval_sum: u32,
     }
 
     /// The answer to the question whether a node can answer update requests.
@@ -218,11 +224,17 @@
     }
 }
 
+fn is_none_measured(number: &u32) -> bool {
+    *number == 0
+}
+
 impl Work {
     /// Sums the work of both.
     ///
     /// ```
-    /// let one = wire::updates::Work { nodes: 1, strict_ms: 3, steady_ms: 5, bulk_ms: 7, kib_per_s: 9 };
+    /// use wire::updates::Work;
+    ///
+    /// let one = Work { nodes: 1, strict_ms: 3, steady_ms: 5, bulk_ms: 7, ..Work::default() };
     /// assert_eq!(one.plus(one).bulk_ms, 14);
     /// ```
     pub fn plus(self, other: Work) -> Work {
@@ -232,6 +244,8 @@
             steady_ms: self.steady_ms.saturating_add(other.steady_ms),
             bulk_ms: self.bulk_ms.saturating_add(other.bulk_ms),
             kib_per_s: self.kib_per_s.saturating_add(other.kib_per_s),
+            intervals: self.intervals.saturating_add(other.intervals),
+            interval_sum: self.interval_sum.saturating_add(other.interval_sum),
         }
     }
 }
