The interval beside long prompts is that of engines that prefill all the time

Cause: what is queued is known as of the last reports, so intervals of engines that are idle again count.

Change: the median of the long intervals, held for a minute.

--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -301,7 +301,8 @@
         let crosses = !bounded || self.crossing.update_allowed(work.kib_per_s);
         self.driver.scheduler.borrow_mut().set_cross_region(crosses);
         let interval = interval_from_wire(work);
-        let applied = self.driver.scheduler.borrow_mut().set_prefilling_interval(interval);
+        let applied =
+            self.driver.scheduler.borrow_mut().set_prefilling_interval(interval, self.clock.now());
         if let Some(seconds) = applied {
             log::info!(
                 interval_ms = (seconds * 1_000.0).round(), samples = interval.samples;
--- a/components/policy/src/prefilling.rs
+++ b/components/policy/src/prefilling.rs
@@ -6,8 +6,9 @@
 //! doesn't needs engines of its own. With the figure of one kind of engine for all, classes are kept apart that needn't be:
 //! some engines are full while others have time to spare, and borders between groups move with each wave.
 //!
-//! Intervals count while the engine has prefill queued, from one token to the next. The median of all nodes' intervals
-//! applies once there are enough of them.
+//! Intervals count while the engine has prefill queued, from one token to the next. What is queued is only known as of the
+//! last reports, so some of them are from engines that prefilled for a part of the time or were idle. They are left out: the
+//! figure is the median of the longer ones.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -29,7 +30,13 @@
 /// Intervals that a node keeps.
 const MAX_SAMPLES: usize = 128;
 /// Intervals over all nodes from which on their mean counts.
-const MIN_FLEET_SAMPLES: u32 = 60;
+const MIN_FLEET_SAMPLES: u32 = 300;
+/// Quantile of the intervals that counts as a long one.
+const LONG_QUANTILE: f64 = 0.9;
+/// Intervals of at least this part of a long one are from engines that prefilled all the time.
+const LONG_PART: f64 = 0.5;
+/// Time for which a longer interval applies after it was last measured: engines may have been idle since.
+const HELD_FOR: Duration = Duration::from_secs(60);
 
 derives::data! {
     /// The time between tokens at engines that prefill all the time, as measured by one or more nodes.
@@ -54,24 +61,40 @@
         self.0.push_back((now, seconds));
     }
 
-    /// The median of those that count.
-    fn median(&self, now: Instant) -> Interval {
+    /// The median of the long ones among those that count.
+    fn typical(&self, now: Instant) -> Interval {
         let recent = self.0.iter().filter(|(at, _)| now < *at + LIFETIME);
         let mut recent: Vec<f64> = recent.map(|(_, seconds)| *seconds).collect();
         if recent.is_empty() {
             return Interval::default();
         }
-        let middle = recent.len() / 2;
-        let seconds = *recent.select_nth_unstable_by(middle, f64::total_cmp).1;
+        recent.sort_unstable_by(f64::total_cmp);
+        let long = recent[(recent.len() as f64 * LONG_QUANTILE) as usize];
+        let first = recent.partition_point(|seconds| *seconds < long * LONG_PART);
+        let seconds = recent[(first + recent.len()) / 2];
         Interval { seconds, samples: recent.len() as u32 }
     }
 }
 
-impl Interval {
+/// The longest interval that was measured in the last time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Held {
+    seconds: f64,
+    measured: Option<Instant>,
+}
+
+impl Held {
+    fn update(&mut self, seconds: f64, now: Instant) {
+        let expired = self.measured.is_none_or(|measured| now >= measured + HELD_FOR);
+        if seconds >= self.seconds || expired {
+            *self = Held { seconds, measured: Some(now) };
+        }
+    }
+
     /// The interval that applies, in seconds.
     fn effective_seconds(self) -> f64 {
         let near = NEAR_ASSUMED.contains(&(self.seconds / ASSUMED_SECONDS));
-        if self.samples < MIN_FLEET_SAMPLES || near { ASSUMED_SECONDS } else { self.seconds }
+        if near { ASSUMED_SECONDS } else { self.seconds }
     }
 }
 
@@ -83,7 +106,7 @@
     /// assert_eq!(policy::Scheduler::new().prefilling_interval(now).samples, 0);
     /// ```
     pub fn prefilling_interval(&self, now: Instant) -> Interval {
-        self.prefilling.median(now)
+        self.prefilling.typical(now)
     }
 
     /// Sets the mean of [`Scheduler::prefilling_interval`] over all nodes, weighted by their samples. Returns the seconds
@@ -92,16 +115,18 @@
     /// ```
     /// let mut scheduler = policy::Scheduler::new();
     /// let interval = policy::Interval { seconds: 0.03, samples: 200 };
-    /// assert_eq!(scheduler.set_prefilling_interval(interval), Some(0.03));
-    /// assert_eq!(scheduler.set_prefilling_interval(interval), None);
+    /// let now = std::time::Instant::now();
+    /// assert_eq!(scheduler.set_prefilling_interval(interval, now), Some(0.03));
+    /// assert_eq!(scheduler.set_prefilling_interval(interval, now), None);
     /// ```
-    pub fn set_prefilling_interval(&mut self, interval: Interval) -> Option<f64> {
-        if !self.switches.is_on(Mechanism::MeasuredRates) {
+    pub fn set_prefilling_interval(&mut self, interval: Interval, now: Instant) -> Option<f64> {
+        if !self.switches.is_on(Mechanism::MeasuredRates) || interval.samples < MIN_FLEET_SAMPLES {
             return None;
         }
-        let seconds = interval.effective_seconds();
-        let change = (seconds / self.prefilling_seconds - 1.0).abs();
-        if change <= NOTICEABLE_CHANGE {
+        let applied = self.prefilling_seconds;
+        self.prefilling_held.update(interval.seconds, now);
+        let seconds = self.prefilling_held.effective_seconds();
+        if (seconds / applied - 1.0).abs() <= NOTICEABLE_CHANGE {
             return None;
         }
         self.prefilling_seconds = seconds;
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -99,6 +99,8 @@
     pub(crate) prefilling: prefilling::Samples,
     /// The one that applies, in seconds.
     pub(crate) prefilling_seconds: f64,
+    /// The longest that the fleet has measured.
+    pub(crate) prefilling_held: prefilling::Held,
 }
 
 impl Default for Scheduler {
@@ -167,6 +169,7 @@
             rate_samples: speed::Samples::default(),
             prefilling: prefilling::Samples::default(),
             prefilling_seconds: prefilling::ASSUMED_SECONDS,
+            prefilling_held: prefilling::Held::default(),
         }
         .with_limits()
     }
