--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -16,9 +16,9 @@
 /// Requests of a class that may wait; more would exhaust the node's memory.
 const QUEUE_LIMIT: usize = 2_000;
 
-/// Prompt tokens that an engine prefills per second; corresponds to the users' engines. Only its order
-/// of magnitude matters: it weighs prompts against streams and against the delay to another region.
-const PREFILL_TOKENS_PER_SECOND: u32 = 75_000;
+/// Prompt tokens that an engine prefills per second; corresponds to the users' engines. It applies
+/// to engines whose rate isn't measured, and weighs prompts against streams and the delay to another region.
+pub(crate) const PREFILL_TOKENS_PER_SECOND: u32 = 75_000;
 
 /// Time before an engine receives the first token that it copies from another: some round trips.
 const FETCH_SETUP: Duration = Duration::from_millis(5);
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -76,6 +76,12 @@
         /// answer needn't hold a list.
         #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
         pub members: Option<u32>,
+        /// Rates at which engines prefilled for the node's requests since its last report.
+        #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+        pub rates: Vec<Rate>,
+        /// Version up to which the node knows the seed's estimates of such rates.
+        #[serde(rename = "h", default, skip_serializing_if = "is_zero")]
+        pub rates_known: u64,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -138,6 +144,13 @@
         /// node has.
         #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
         pub members: Vec<Peer>,
+        /// Estimates of the rates at which engines prefill that the node may not know.
+        #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+        pub rates: Vec<Rate>,
+        /// Version up to which the summary contains the estimates; 0 if the seed has none, and 1 if the node must ask
+        /// for all of them.
+        #[serde(rename = "h", default, skip_serializing_if = "is_zero")]
+        pub rates_version: u64,
     }
 
     /// A request, or a part of prompts, during which servers crashed. An array on the wire.
@@ -170,6 +183,35 @@
     }
 }
 
+derives::data! {
+    /// The rate at which an engine prefills. An array on the wire, without the samples if there are none.
+    #[derive(Copy, Default, Eq, Serialize, Deserialize)]
+    #[serde(from = "Vec<u32>", into = "Vec<u32>")]
+    pub struct Rate {
+        /// [`crate::key`] of the engine's name.
+        pub server: u32,
+        /// Hundreds of prompt tokens per second; 0 if the rate is no longer known.
+        pub hundreds: u32,
+        /// Number of recent samples that an estimate of another seed was taken from; 0 in other rows.
+        pub samples: u32,
+    }
+}
+
+impl From<Vec<u32>> for Rate {
+    fn from(row: Vec<u32>) -> Self {
+        let field = |index: usize| row.get(index).copied().unwrap_or_default();
+        Rate { server: field(0), hundreds: field(1), samples: field(2) }
+    }
+}
+
+impl From<Rate> for Vec<u32> {
+    fn from(rate: Rate) -> Self {
+        let mut row = vec![rate.server, rate.hundreds, rate.samples];
+        row.truncate(if rate.samples == 0 { 2 } else { 3 });
+        row
+    }
+}
+
 derives::data! {
     /// A node to which requests can be passed on. An array on the wire.
     #[derive(Eq, PartialOrd, Ord, Serialize, Deserialize)]
