--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -28,12 +28,14 @@
 mod detail;
 mod limits;
 mod pace;
+pub(crate) mod rates;
 mod seeds;
 mod suspects;
 mod table;
 
 use cursor::Cursor;
 use pace::Pace;
+use rates::Rates;
 use seeds::Seeds;
 use table::{Aggregate, SentReports, View};
 
@@ -62,6 +64,8 @@
     /// What this node aggregates as a seed.
     aggregate: RefCell<Aggregate>,
     pace: RefCell<Pace>,
+    /// Rates at which engines prefill.
+    rates: RefCell<Rates>,
 }
 
 impl Gossip {
@@ -71,6 +75,7 @@
         Gossip {
             aggregate: RefCell::new(Aggregate::new(boot)),
             pace: RefCell::new(Pace::new(MIN_REPORT_PAUSE, link_bytes)),
+            rates: RefCell::default(),
         }
     }
 }
@@ -105,10 +110,12 @@
         if last.replace(seed) != Some(seed) {
             view = View::default();
             (suspect_cursor, limit_cursor) = (Cursor::default(), Cursor::default());
+            rates::change_seed(&state);
         }
         let report = own_report(&state, &mut sent, view.position());
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
+        let report = rates::add_to_report(&state, report);
         let report = cold::add_to_report(&state, report);
         let report = peers::add_to_report(&state, report);
         // Seeds are compared first, and their lists may differ for a moment: one list is enough until then.
@@ -128,6 +135,7 @@
                 apply_cached_parts(&state, &summary.parts);
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
                 limits::apply_summary(&state, &mut limit_cursor, &summary);
+                rates::apply_summary(&state, &summary);
                 cold::apply_permits(&state, &summary.cold_permits, asked);
                 peers::apply_summary(&state, &summary);
                 if let Some(work) = summary.work {
@@ -187,6 +195,7 @@
         let report = Report { from, known, work: Some(work), members, ..Report::default() };
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
+        let report = rates::add_to_seed_report(&state, &name, report);
         let report = peers::add_to_report(&state, report);
         let answer = post_report(&state, seed, SEED_PATH, report).await;
         let now = state.clock.now();
@@ -196,6 +205,7 @@
                 state.resumption.members.borrow_mut().set_cluster(&name, members, now);
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
                 limits::apply_summary(&state, &mut limit_cursor, &summary);
+                rates::apply_seed_summary(&state, &name, &summary);
                 peers::apply_summary(&state, &summary);
                 let parts =
                     state.gossip.aggregate.borrow_mut().apply_seed_summary(&name, summary, now);
@@ -250,8 +260,10 @@
     }
     let (cold, permits_wanted) = (std::mem::take(&mut report.cold), report.permits_wanted);
     let (wants_peers, members_known) = (report.wants_peers, report.members);
+    let rates_known = report.rates_known;
     if !from_seed {
         peers::record_report(state, &report);
+        rates::record_report(state, &report);
         state.gossip.aggregate.borrow_mut().add_report(report, now);
     }
     refresh_sums(state);
@@ -271,6 +283,7 @@
     let permits = if from_seed { vec![] } else { issue_permits(state) };
     summary =
         limits::merge_and_add_to_summary(state, (&limits, limits_known), known, summary, permits);
+    summary = rates::add_to_summary(state, rates_known, known, from_seed, summary);
     if !from_seed {
         summary = cold::add_to_summary(state, (&cold, permits_wanted), summary);
         summary.work = Some(state.fleet_work());
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -99,6 +99,7 @@
         if state.switches.is_on(Mechanism::LoadGossip) {
             gossip::start(&state);
         }
+        gossip::rates::start(&state);
         state.driver.spawn_timer();
         Ok(Proxy { state, callers, operators, peers })
     }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -47,6 +47,8 @@
     request_counts: IntGaugeVec,
     first_token: HistogramVec,
     token_interval: HistogramVec,
+    engine_rates: IntGaugeVec,
+    rate_samples: IntCounter,
 }
 
 impl Metrics {
@@ -160,7 +162,24 @@
         )
         .expect("the metric's name is valid");
         registry.register(Box::new(request_counts.clone())).expect("the metric is registered once");
+        let engine_rates = IntGaugeVec::new(
+            Opts::new(
+                "godwitlever_engine_rate",
+                "Prompt tokens per second that an engine prefills, where they differ from the assumed rate",
+            ),
+            &["server"],
+        )
+        .expect("the metric's name is valid");
+        registry.register(Box::new(engine_rates.clone())).expect("the metric is registered once");
+        let rate_samples = IntCounter::new(
+            "godwitlever_rate_samples_total",
+            "Prefills from which this node measured the rates of engines",
+        )
+        .expect("the metric's name is valid");
+        registry.register(Box::new(rate_samples.clone())).expect("the metric is registered once");
         Metrics {
+            engine_rates,
+            rate_samples,
             failed_attempts,
             arrivals,
             notices,
@@ -324,6 +343,28 @@
         self.token_interval.with_label_values(&[class]).observe(time.as_secs_f64());
     }
 
+    /// Adds prefills from which this node measured the rate of an engine.
+    pub fn add_rate_samples(&self, count: u64) {
+        self.rate_samples.inc_by(count);
+    }
+
+    /// Sets the prompt tokens per second that an engine prefills; none if they don't differ from the assumed rate.
+    ///
+    /// ```
+    /// let metrics = telemetry::Metrics::new();
+    /// metrics.set_engine_rate("e1", Some(30_000));
+    /// assert!(metrics.render().contains("godwitlever_engine_rate{server=\"e1\"} 30000"));
+    /// metrics.set_engine_rate("e1", None);
+    /// assert!(!metrics.render().contains("e1"));
+    /// ```
+    pub fn set_engine_rate(&self, server: &str, tokens_per_second: Option<u32>) {
+        match tokens_per_second {
+            Some(rate) => self.engine_rates.with_label_values(&[server]).set(rate.into()),
+            // It has no series if it hasn't differed before.
+            None => drop(self.engine_rates.remove_label_values(&[server])),
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
