--- a/components/forward/src/gossip/rates.rs
+++ b/components/forward/src/gossip/rates.rs
@@ -4,7 +4,7 @@
 //! send each other the estimates of their own nodes. Nothing is sent to nodes while all engines are about as fast as
 //! assumed.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
@@ -39,6 +39,15 @@
     expires: Option<Instant>,
 }
 
+/// What operators were told of an engine's rate.
+#[derive(Debug)]
+struct Told {
+    /// Rate that was logged last, or the assumed one.
+    logged: u32,
+    /// Rate in the metrics, if it differs from the assumed one.
+    shown: Option<u32>,
+}
+
 /// What a node and a seed know of the rates of engines, by the keys of their names.
 #[derive(Debug)]
 pub(super) struct Rates {
@@ -56,8 +65,8 @@
     version: u64,
     /// When a seed last answered, or this node started.
     answered: Option<Instant>,
-    /// Rates by name that were logged last, of engines whose rate is measured.
-    logged: HashMap<String, u32>,
+    /// What operators were told, by the names of engines whose rate is measured.
+    told: HashMap<String, Told>,
 }
 
 impl Default for Rates {
@@ -70,7 +79,7 @@
             received: HashMap::new(),
             version: 0,
             answered: None,
-            logged: HashMap::new(),
+            told: HashMap::new(),
         }
     }
 }
@@ -363,13 +372,13 @@
     let answered = rates.is_answered(state.clock.now());
     let source = if asks && answered { Source::Seed } else { Source::Ledger };
     let in_force = rates.in_force(source);
-    if in_force.is_empty() && rates.logged.is_empty() {
+    if in_force.is_empty() && rates.told.is_empty() {
         return;
     }
     let registry = state.registry.borrow();
     let resolved = resolve(&registry, &in_force);
     state.driver.scheduler.borrow_mut().set_measured_rates(resolved);
-    log_changes(state, &mut rates.logged, &registry, &in_force);
+    tell(state, &mut rates.told, &registry, &in_force);
 }
 
 /// Rates by the scheduler's keys.
@@ -395,37 +404,40 @@
     engines.iter().map(rate).collect()
 }
 
-/// Logs the rates that have changed clearly, and shows those that differ from the assumed one as metrics.
-fn log_changes<A: Adapter>(
+/// Logs the rates that have changed clearly, and sets the metrics of those that differ from the assumed one.
+fn tell<A: Adapter>(
     state: &State<A>,
-    logged: &mut HashMap<String, u32>,
+    told: &mut HashMap<String, Told>,
     registry: &Registry,
     rates: &HashMap<u32, u32>,
 ) {
-    let mut measured = HashSet::new();
     for (_, entry) in registry.servers() {
         let Some(rate) = rates.get(&wire::key(&entry.name)).copied() else { continue };
-        measured.insert(entry.name.as_str());
+        if !told.contains_key(&entry.name) {
+            let logged = PREFILL_TOKENS_PER_SECOND;
+            told.insert(entry.name.clone(), Told { logged, shown: None });
+        }
+        let Some(known) = told.get_mut(&entry.name) else { continue };
         let shown = differs_from_assumed(rate).then_some(rate);
-        state.metrics.set_engine_rate(&entry.name, shown);
-        let before = logged.get(&entry.name).copied().unwrap_or(PREFILL_TOKENS_PER_SECOND);
-        let change = f64::from(rate.abs_diff(before));
-        if change > f64::from(before) * LOGGED_PART {
+        if known.shown != shown {
+            state.metrics.set_engine_rate(&entry.name, shown);
+            known.shown = shown;
+        }
+        let change = f64::from(rate.abs_diff(known.logged));
+        if change > f64::from(known.logged) * LOGGED_PART {
             log::debug!(
-                server = entry.name.as_str(), tokens_per_s = rate, before = before;
+                server = entry.name.as_str(), tokens_per_s = rate, before = known.logged;
                 "engine rate measured"
             );
-            logged.insert(entry.name.clone(), rate);
-        } else {
-            logged.entry(entry.name.clone()).or_insert(before);
+            known.logged = rate;
         }
     }
-    logged.retain(|name, _| {
-        let known = measured.contains(name.as_str());
-        if !known {
+    told.retain(|name, known| {
+        let measured = rates.contains_key(&wire::key(name)) && registry.entry(name).is_some();
+        if !measured && known.shown.is_some() {
             state.metrics.set_engine_rate(name, None);
         }
-        known
+        measured
     });
 }
 
