--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use crate::candidates::Candidates;
+use crate::costs::Costs;
 use crate::disturbance::Stricter;
 use crate::filters::Question;
 use crate::isolation::Group;
@@ -106,8 +107,7 @@
     preferred: bool,
     /// The engine from which it fetches the cached prefix.
     fetch: Option<ids::Server>,
-    /// Total cost, in seconds of engine time.
-    cost: f64,
+    pub(crate) costs: Costs,
 }
 
 impl Scheduler {
@@ -156,7 +156,7 @@
             let Some(estimate) = self.estimate_cost(pending, member, context, now) else {
                 continue;
             };
-            if best.is_none_or(|best| estimate.cost < best.cost) {
+            if best.is_none_or(|best| estimate.costs.total() < best.costs.total()) {
                 best = Some(estimate);
             }
         }
@@ -311,21 +311,23 @@
         let connection = if reuses && !state.is_connected(now) { CONNECTION_SECONDS } else { 0.0 };
         let queue = state.prefill.queued_ahead(u8::MAX, now) * QUEUE_WEIGHT;
         let reserve = if engine_group.is_none() { RESERVE_SECONDS } else { 0.0 };
-        let cost = prefill
-            + duplication
-            + queue
-            + lateness
-            + cross_region
-            + isolation
-            + self.border_cost(pending, member, group)
-            + reserve
-            + stutter
-            + concurrency
-            + failures
-            + connection
-            + not_preferred;
+        let costs = Costs {
+            prefill,
+            duplication,
+            queue,
+            lateness,
+            cross_region,
+            isolation,
+            border: self.border_cost(pending, member, group),
+            reserve,
+            stutter,
+            concurrency,
+            failures,
+            connection,
+            not_preferred,
+        };
         let prefill = prefill + uncertain_prefill;
-        Some(Estimate { server: member.server, prefill, backlog, overdue, preferred, fetch, cost })
+        Some(Estimate { server: member.server, prefill, backlog, overdue, preferred, fetch, costs })
     }
 
     /// Whether a node prefers engines to which it is connected: where it hardly meets one of the active ones twice.
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod cache;
 mod candidates;
 pub mod cold;
+mod costs;
 mod culprits;
 mod demand;
 mod dispatch;
@@ -56,6 +57,7 @@
 
 pub use action::{Action, Ending, Policy, Refusal};
 pub use brittle::brittle_share;
+pub use costs::Costs;
 pub use filters::{Hold, Reason};
 pub use isolation::GROUPS;
 pub use mechanism::Mechanism;
