--- a/components/policy/src/active.rs
+++ b/components/policy/src/active.rs
@@ -19,7 +19,7 @@
 const SHRINK_AFTER: Duration = Duration::from_secs(10);
 
 /// The number of active engines in each region of a pool.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Active {
     engines: usize,
     /// When that many were last needed.
--- a/components/policy/src/bucket.rs
+++ b/components/policy/src/bucket.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 /// A balance up to a capacity.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Bucket {
     balance: f64,
     capacity: f64,
--- a/components/policy/src/cache.rs
+++ b/components/policy/src/cache.rs
@@ -40,7 +40,7 @@
 }
 
 /// The parts of prompts that engines cache.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Index {
     /// By the part's identifier, and by engine in the order in which they were added. Thousands of engines cache
     /// a part that all sessions share.
--- a/components/policy/src/cold.rs
+++ b/components/policy/src/cold.rs
@@ -144,7 +144,7 @@
 }
 
 /// Whether one server is cold, as far as this node knows, and the permits to send to it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Guard {
     /// Until when it is cold by its entry.
     stated_until: Option<Instant>,
--- a/components/policy/src/demand.rs
+++ b/components/policy/src/demand.rs
@@ -22,7 +22,7 @@
 }
 
 /// Exponential moving averages of the waiting and in-flight requests, by class.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Averages {
     classes: SecondaryMap<ids::Class, Average>,
 }
--- a/components/policy/src/dispatch.rs
+++ b/components/policy/src/dispatch.rs
@@ -253,7 +253,7 @@
 
     /// Collects the servers that can take a request now: those in its region, or else those in other
     /// regions if it may cross the link. Returns whether any server had a free slot.
-    fn collect_candidates(
+    pub(crate) fn collect_candidates(
         &self,
         into: &mut Vec<Candidate>,
         pending: &Pending,
--- a/components/policy/src/fair.rs
+++ b/components/policy/src/fair.rs
@@ -26,7 +26,7 @@
 }
 
 /// The virtual token counters of classes and of workspaces within them.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Counters {
     classes: SecondaryMap<ids::Class, u64>,
     workspaces: HashMap<(ids::Class, ids::Workspace), u64>,
--- a/components/policy/src/forecast.rs
+++ b/components/policy/src/forecast.rs
@@ -19,7 +19,7 @@
 const MIN_RETRY_SECONDS: f64 = 0.2;
 
 /// The tokens a second that a class is served, as exponential means.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Throughput {
     fast: f64,
     slow: f64,
--- a/components/policy/src/health.rs
+++ b/components/policy/src/health.rs
@@ -28,7 +28,7 @@
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// The health of one backend server, by the outcomes of its attempts.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
     consecutive_failures: u32,
     ejected_until: Option<Instant>,
--- a/components/policy/src/isolation.rs
+++ b/components/policy/src/isolation.rs
@@ -82,7 +82,7 @@
 }
 
 /// The active engines of a region, in the order of their ranks.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Capacity {
     engines: usize,
     /// Sum of the speeds of the engines up to each rank; empty if all are equal.
@@ -112,7 +112,7 @@
 }
 
 /// The isolation groups of one pool.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Isolation {
     /// Pause tolerances of the classes, and when each last had work.
     tolerances: Vec<(Duration, Instant)>,
--- a/components/policy/src/length.rs
+++ b/components/policy/src/length.rs
@@ -71,7 +71,7 @@
 }
 
 /// The lengths of completed answers, by class and workspace.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Lengths {
     classes: SecondaryMap<ids::Class, Histogram>,
     workspaces: HashMap<(ids::Class, ids::Workspace), Histogram>,
--- a/components/policy/src/limit.rs
+++ b/components/policy/src/limit.rs
@@ -26,7 +26,7 @@
 const LOWEST_RISE: f64 = 0.001;
 
 /// The fraction of a backend server's slots that is in use, from [`MIN_FRACTION`] to 1.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Limit {
     fraction: f64,
     /// Lowest token interval, in seconds.
--- a/components/policy/src/notices.rs
+++ b/components/policy/src/notices.rs
@@ -62,7 +62,7 @@
 }
 
 /// The last notice of each server, by the hash of its name.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Notices {
     by_server: HashMap<u64, Notice>,
     /// Time for which a server that has said that it leaves still serves.
--- a/components/policy/src/pending.rs
+++ b/components/policy/src/pending.rs
@@ -44,7 +44,7 @@
 }
 
 /// A request that the scheduler owns.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Pending {
     pub(crate) request: Request,
     pub(crate) tier: u8,
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -31,7 +31,7 @@
 }
 
 /// The requests of one class that wait for a pool.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Queue {
     pub(crate) class: ids::Class,
     pub(crate) tier: u8,
@@ -111,7 +111,7 @@
 }
 
 /// A pool of backend servers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Pool {
     pub(crate) scope: Scope,
     /// Sorted.
--- a/components/policy/src/prefill.rs
+++ b/components/policy/src/prefill.rs
@@ -69,7 +69,7 @@
 }
 
 /// Estimates of the prefill at one engine; all times in seconds.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Estimator {
     /// Prefill of this node's prompts without a first token yet.
     own_queued: PerPriority,
@@ -111,6 +111,11 @@
         self.peers.filter(|(_, received)| now < *received + MAX_REPORT_AGE).map(|(peers, _)| peers)
     }
 
+    /// Time since other nodes last reported of the engine; none if they reported nothing.
+    pub(crate) fn peers_age(&self, now: Instant) -> Option<Duration> {
+        self.peers.map(|(_, received)| now.saturating_duration_since(received))
+    }
+
     /// Seconds by which other nodes' most overdue prompt of a priority or a higher one waits too long.
     pub(crate) fn peer_overdue(&self, priority: u8, now: Instant) -> f64 {
         self.current_peers(now).map_or(0.0, |peers| peers.overdue.max_up_to(priority))
--- a/components/policy/src/queue.rs
+++ b/components/policy/src/queue.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 /// The requests of one workspace, in order of arrival.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lane {
     jobs: BTreeSet<(Instant, ids::Job)>,
     /// Virtual token counter of the workspace (module `fair`).
@@ -18,7 +18,7 @@
 }
 
 /// The lanes of all workspaces, and the orders in which requests are served and evicted.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Lanes {
     /// Open lanes, by counter.
     by_counter: BTreeSet<(u64, ids::Workspace)>,
--- a/components/policy/src/retries.rs
+++ b/components/policy/src/retries.rs
@@ -15,7 +15,7 @@
 use crate::terms::Limits;
 
 /// The retry budgets of one node.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Retries {
     budgets: SecondaryMap<ids::Model, Bucket>,
     /// What a first attempt earns.
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -34,7 +34,7 @@
 const LINK_BURST_SECONDS: f64 = 2.0;
 
 /// Tracks how long a class has waited without a request being sent.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Unserved {
     /// Start of that wait: the last send if requests of the class still waited then, otherwise the first
     /// arrival after it.
@@ -42,7 +42,7 @@
 }
 
 /// Admits, queues and routes the requests of one node.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Scheduler {
     pub(crate) classes: SecondaryMap<ids::Class, Class>,
     pub(crate) workspaces: SecondaryMap<ids::Workspace, Workspace>,
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -33,7 +33,7 @@
 pub(crate) const DEFAULT_FIRST_TOKEN_SECONDS: f64 = 0.2;
 
 /// One backend server.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct State {
     pub(crate) terms: Server,
     /// Number of this node's requests there.
--- a/components/policy/src/slots.rs
+++ b/components/policy/src/slots.rs
@@ -29,7 +29,7 @@
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 
 /// Rate of requests sent, by priority, as an exponential moving average.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct SendRate {
     recent: PerPriority,
     updated: Option<Instant>,
@@ -57,7 +57,7 @@
 
 /// Pseudorandom numbers by which requests that know the same choose differently. The sequence is separate
 /// from the scheduler's other random numbers, so that disabling slot counts doesn't change those.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Jitter(u64);
 
 impl Jitter {
@@ -72,7 +72,7 @@
 }
 
 /// Rate at which other nodes send requests to engines, as reported.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct PeerRate {
     /// Requests a second.
     rate: PerPriority,
--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -57,7 +57,7 @@
 }
 
 /// Samples that wait to be taken.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Samples(Vec<RateSample>);
 
 impl Samples {
@@ -83,7 +83,7 @@
 }
 
 /// Speeds of the engines of a pool, relative to their median. All are 1 where they are nearly equal.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Speeds {
     median: f64,
     /// Whether any engine's speed isn't 1.
--- a/components/policy/src/throttle.rs
+++ b/components/policy/src/throttle.rs
@@ -38,7 +38,7 @@
 }
 
 /// The rate limits of the servers that announced one, with the version at which each last changed.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Throttle {
     limits: HashMap<u32, (RateLimit, u64)>,
     version: u64,
@@ -138,7 +138,7 @@
 }
 
 /// Issues permits for one part of the servers' rate limits.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Issuer {
     balances: HashMap<u32, Balance>,
 }
@@ -185,7 +185,7 @@
 }
 
 /// The permits of a node for one server.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Permits {
     /// How many were issued together, and when they expire; those that expire first come first.
     batches: VecDeque<(u32, Instant)>,
