--- a/components/policy/src/prefilling.rs
+++ b/components/policy/src/prefilling.rs
@@ -50,7 +50,7 @@
 }
 
 /// The intervals that this node has measured.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Samples(VecDeque<(Instant, f64)>);
 
 impl Samples {
