Cached prefixes count for as long as engines' memory holds them

Cause: a part of a prompt counts as cached for 10 s after its last use, however full the engine's memory is. Running requests alone can fill it.

Change: `policy::memory` estimates from running and inserted tokens how long an engine holds a part; the index of cached parts uses that time, costs weigh missing tokens by the probability that they were evicted, a request that doesn't fit into the memory counts a wait, and prompts at engines that evict within 5 s cost a quarter of what they evict. Nodes exchange both numbers in rows of load reports. Older nodes reject messages with longer rows (`LengthMismatch`), so both sides state that they can decode them. Nothing changes where memory isn't stated, or is less than half used within 10 s. The word `cache-memory` disables it.

--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -72,6 +72,8 @@
         /// Prompt tokens per second whose cached state one engine can fetch from another; `None` if its
         /// engines can't.
         pub fetch_tokens_per_second: Option<f64>,
+        /// Tokens of prompts and answers that the memory of one of its engines holds; `None` if that is unknown.
+        pub cache_tokens: Option<u32>,
         /// Its engines can keep a copy of a request that another one runs, and continue it.
         pub backups: bool,
         /// What its servers withstand while they are cold; `None` if they are never cold.
--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -50,6 +50,7 @@
 /// Time for which a report counts, as a multiple of the pause between reports: one report may be lost.
 const LIFETIME_PAUSES: u32 = 3;
 const MS_PER_S: f64 = 1_000.0;
+const TOKENS_PER_KILOTOKEN: f64 = 1_000.0;
 /// Time in seconds over which rates of requests are reported: on the wire they are whole numbers.
 const SENDS_SECONDS: f64 = 10.0;
 const MAX_REPORT_BYTES: usize = 256 << 10;
@@ -93,6 +94,7 @@
     let Some(mut seeds) = weak.upgrade().map(|state| Seeds::new(state.seeds())) else { return };
     let (mut view, mut sent, mut last) = (View::default(), SentReports::default(), None);
     let (mut suspect_cursor, mut limit_cursor) = (Cursor::default(), Cursor::default());
+    let mut seed_takes_memory = false;
     while let Some(state) = weak.upgrade() {
         let asked = state.clock.now();
         let Some(seed) = seeds.select(asked) else {
@@ -105,8 +107,9 @@
         if last.replace(seed) != Some(seed) {
             view = View::default();
             (suspect_cursor, limit_cursor) = (Cursor::default(), Cursor::default());
+            seed_takes_memory = false;
         }
-        let report = own_report(&state, &mut sent, view.position());
+        let report = own_report(&state, &mut sent, view.position(), seed_takes_memory);
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = cold::add_to_report(&state, report);
@@ -124,6 +127,7 @@
             Ok(mut summary) => {
                 let members = std::mem::take(&mut summary.members);
                 state.resumption.apply_members(members, now);
+                seed_takes_memory = summary.takes_memory;
                 let pause = Duration::from_millis(summary.pause_ms.into()).max(MIN_REPORT_PAUSE);
                 apply_cached_parts(&state, &summary.parts);
                 suspects::apply_summary(&state, &mut suspect_cursor, &summary);
@@ -157,7 +161,7 @@
     while let Some(state) = weak.upgrade() {
         let now = state.clock.now();
         let name = state.node().name.clone();
-        let report = own_report(&state, &mut sent, None);
+        let report = own_report(&state, &mut sent, None, true);
         state.gossip.aggregate.borrow_mut().add_report(report, now);
         refresh_sums(&state);
         state.resumption.refresh_members(peers::own_location(&state), now);
@@ -184,7 +188,9 @@
         let work = state.own_work().plus(state.work_reports.sum(state.clock.now()));
         let from = state.node().name.clone();
         let members = Some(state.resumption.members.borrow().cluster_digest(&name));
-        let report = Report { from, known, work: Some(work), members, ..Report::default() };
+        let takes_memory = state.registry.borrow().knows_memory();
+        let work = Some(work);
+        let report = Report { from, known, work, members, takes_memory, ..Report::default() };
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = peers::add_to_report(&state, report);
@@ -250,6 +256,7 @@
     }
     let (cold, permits_wanted) = (std::mem::take(&mut report.cold), report.permits_wanted);
     let (wants_peers, members_known) = (report.wants_peers, report.members);
+    let takes_memory = report.takes_memory;
     if !from_seed {
         peers::record_report(state, &report);
         state.gossip.aggregate.borrow_mut().add_report(report, now);
@@ -261,6 +268,10 @@
     } else {
         aggregate.fleet_summary(&from, known, now)
     };
+    if !takes_memory {
+        summary.loads = summary.loads.into_iter().map(Load::without_memory).collect();
+    }
+    summary.takes_memory = state.registry.borrow().knows_memory();
     summary = suspects::merge_and_add_to_summary(
         state,
         (evidence, suspects_known),
@@ -303,25 +314,34 @@
     let (registry, scheduler) = (state.registry.borrow(), state.driver.scheduler.borrow());
     let to_report = |load: Load| {
         let server = registry.server_by_wire_key(load.server);
-        let slots = server.and_then(|server| scheduler.slots(server)).unwrap_or_default();
-        let has_reserve = server.is_some_and(|server| scheduler.has_reserve(server));
-        detail::needed(load, slots, has_reserve)
+        let engine = server.map(|server| detail::Engine {
+            slots: scheduler.slots(server).unwrap_or_default(),
+            cache_tokens: scheduler.cache_tokens(server),
+            has_reserve: scheduler.has_reserve(server),
+        });
+        detail::needed(load, engine.unwrap_or_default())
     };
     let mut aggregate = state.gossip.aggregate.borrow_mut();
     let lifetime = state.gossip.pace.borrow().pause(aggregate.node_count()) * LIFETIME_PAUSES;
     aggregate.refresh(lifetime, to_report, state.clock.now());
 }
 
-/// This node's next report. `known` is its position in the seed's table.
+/// This node's next report. `known` is its position in the seed's table; `seed_takes_memory` tells whether the seed can
+/// decode rows with numbers on memory.
 fn own_report<A: Adapter>(
     state: &State<A>,
     sent: &mut SentReports,
     known: Option<Position>,
+    seed_takes_memory: bool,
 ) -> Report {
-    let (loads, parts, sends) = (own_loads(state), own_cached_parts(state), own_sends(state));
+    let (mut loads, parts, sends) = (own_loads(state), own_cached_parts(state), own_sends(state));
+    if !seed_takes_memory {
+        loads = loads.into_iter().map(Load::without_memory).collect();
+    }
+    let takes_memory = state.registry.borrow().knows_memory();
     let number = sent.record(loads.clone(), sends.clone());
     let from = state.node().name.clone();
-    Report { from, number, known, loads, parts, sends, ..Report::default() }
+    Report { from, number, known, loads, parts, sends, takes_memory, ..Report::default() }
 }
 
 /// Load of this node's requests at engines.
@@ -337,6 +357,8 @@
             first_token_age_ms: backlog
                 .since_first_token
                 .map(|age| age.as_millis().try_into().unwrap_or(u32::MAX)),
+            running_kilotokens: (backlog.running_tokens / TOKENS_PER_KILOTOKEN).round() as u32,
+            inserted_kilotokens: (backlog.inserted_tokens / TOKENS_PER_KILOTOKEN).round() as u32,
         })
     };
     backlogs.into_iter().filter_map(load).collect()
@@ -388,6 +410,8 @@
             overdue: load.overdue_ms.iter().map(seconds).collect(),
             occupied: load.occupied.iter().map(|slots| f64::from(*slots)).collect(),
             since_first_token: load.first_token_age_ms.map(|ms| Duration::from_millis(ms.into())),
+            running_tokens: f64::from(load.running_kilotokens) * TOKENS_PER_KILOTOKEN,
+            inserted_tokens: f64::from(load.inserted_kilotokens) * TOKENS_PER_KILOTOKEN,
         })
     };
     let backlogs: Vec<_> = loads.iter().filter_map(backlog).collect();
--- a/components/forward/src/gossip/detail.rs
+++ b/components/forward/src/gossip/detail.rs
@@ -13,8 +13,30 @@
 /// notice.
 const QUIET_MS: u32 = 150;
 
-/// What nodes are sent of the load of an engine with so many slots; none if that is nothing.
-pub(super) fn needed(mut load: Load, slots: u32, has_reserve: bool) -> Option<Load> {
+/// Part of an engine's memory that running requests and what is inserted in ten seconds must exceed: below it, nothing
+/// is evicted early, and nodes decide as if nothing was known of the memory.
+const CROWDED_MEMORY_PART: f64 = 0.5;
+/// Ten seconds, as a multiple of the time over which inserted tokens are stated.
+const TEN_SECONDS: f64 = 10.0 / 8.0;
+
+/// What a seed knows of an engine itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Engine {
+    pub(super) slots: u32,
+    /// Tokens that its memory holds; none if that isn't taken into account.
+    pub(super) cache_tokens: Option<u32>,
+    /// Other engines are in reserve.
+    pub(super) has_reserve: bool,
+}
+
+/// What nodes are sent of the load of an engine; none if that is nothing.
+pub(super) fn needed(mut load: Load, engine: Engine) -> Option<Load> {
+    let Engine { slots, cache_tokens, has_reserve } = engine;
+    let inserted = f64::from(load.inserted_kilotokens) * TEN_SECONDS;
+    let used = (f64::from(load.running_kilotokens) + inserted) * 1_000.0;
+    if cache_tokens.is_none_or(|tokens| used <= f64::from(tokens) * CROWDED_MEMORY_PART) {
+        load = load.without_memory();
+    }
     if has_reserve && load.prefill_ms.iter().sum::<u32>() <= QUIET_MS {
         load.prefill_ms.clear();
     }
@@ -23,7 +45,8 @@
         load.occupied.clear();
     }
     let amounts = [&load.prefill_ms, &load.overdue_ms, &load.occupied];
-    amounts.iter().any(|amounts| !amounts.is_empty()).then_some(load)
+    let any = amounts.iter().any(|amounts| !amounts.is_empty()) || load.has_memory();
+    any.then_some(load)
 }
 
 #[cfg(test)]
--- a/components/forward/src/gossip/detail/tests.rs
+++ b/components/forward/src/gossip/detail/tests.rs
@@ -1,8 +1,13 @@
 use wire::gossip::Load;
 
-use super::{QUIET_MS, needed};
+use super::{Engine, QUIET_MS};
 
 const SLOTS: u32 = 16;
+const CACHE_TOKENS: u32 = 200_000;
+
+fn needed(load: Load, slots: u32, has_reserve: bool) -> Option<Load> {
+    super::needed(load, Engine { slots, cache_tokens: Some(CACHE_TOKENS), has_reserve })
+}
 
 fn load(prefill_ms: u32, occupied: u32) -> Load {
     Load { prefill_ms: vec![0, prefill_ms], occupied: vec![0, occupied], ..Load::empty(7) }
--- a/components/forward/src/gossip/table.rs
+++ b/components/forward/src/gossip/table.rs
@@ -21,6 +21,8 @@
 const NOTICEABLE_MS: u32 = 24;
 /// Smallest change that is reported as a part of that time: one third.
 const NOTICEABLE_DIVISOR: u32 = 3;
+/// Smallest change of a number of tokens that is reported as a part of it: one sixth.
+const NOTICEABLE_TOKENS_DIVISOR: u32 = 6;
 /// Step in ms in which the longest delay of a request is reported.
 const DELAY_STEP_MS: u32 = 100;
 /// An engine's latest begun answer is reported again once it is newer than the reported one by this time in ms.
@@ -75,6 +77,9 @@
     let noticeable = |reported: u32, new: u32| {
         reported.abs_diff(new) >= NOTICEABLE_MS.max(reported / NOTICEABLE_DIVISOR)
     };
+    let tokens_differ = |reported: u32, new: u32| {
+        reported.abs_diff(new) >= (reported / NOTICEABLE_TOKENS_DIVISOR).max(1)
+    };
     let step = |ms: u32| ms.div_ceil(DELAY_STEP_MS);
     let any_differs = |a: &[u32], b: &[u32], differs: &dyn Fn(u32, u32) -> bool| {
         let at = |list: &[u32], priority: usize| list.get(priority).copied().unwrap_or(0);
@@ -88,6 +93,8 @@
         || any_differs(&reported.prefill_ms, &new.prefill_ms, &noticeable)
         || any_differs(&reported.overdue_ms, &new.overdue_ms, &|a, b| step(a) != step(b))
         || any_differs(&reported.occupied, &new.occupied, &|a, b| a != b)
+        || tokens_differ(reported.running_kilotokens, new.running_kilotokens)
+        || tokens_differ(reported.inserted_kilotokens, new.inserted_kilotokens)
 }
 
 impl Table {
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -35,6 +35,8 @@
 struct ServiceTerms {
     /// How an engine copies cached prompts from others; none if it can't.
     fetch: Option<policy::Fetch>,
+    /// Tokens that the memory of an engine holds; none if that is unknown.
+    cache_tokens: Option<u32>,
     /// Its engines keep copies of what others run.
     backups: bool,
     /// Time after its start in which a server is cold; none if it never is.
@@ -201,11 +203,17 @@
             resumes: true,
             prefill_rate: entry.engine.then_some(PREFILL_TOKENS_PER_SECOND),
             fetch: service.fetch,
+            cache_tokens: service.cache_tokens,
             backups: service.backups,
             cold_time: service.cold_time,
         }
     }
 
+    /// Whether the memory of any service's engines is known.
+    pub(crate) fn knows_memory(&self) -> bool {
+        self.services.values().any(|service| service.cache_tokens.is_some())
+    }
+
     fn service_terms(&self, service: &str) -> ServiceTerms {
         self.services.get(service).copied().unwrap_or_default()
     }
@@ -282,7 +290,8 @@
                 .map(|tokens_per_second| policy::Fetch { tokens_per_second, setup: FETCH_SETUP });
             // Without gossip no node gets a permit, so servers count as warm.
             let cold_time = service.cold.filter(|_| self.issues_permits).map(|cold| cold.time);
-            (name.clone(), ServiceTerms { fetch, backups: service.backups, cold_time })
+            let (cache_tokens, backups) = (service.cache_tokens, service.backups);
+            (name.clone(), ServiceTerms { fetch, cache_tokens, backups, cold_time })
         };
         let services: HashMap<_, _> = settings.services.iter().map(terms).collect();
         if services == self.services {
@@ -293,6 +302,7 @@
             let terms = self.service_terms(&entry.service);
             scheduler.set_fetch(key, terms.fetch);
             scheduler.set_backups(key, terms.backups);
+            scheduler.set_cache_tokens(key, terms.cache_tokens);
             scheduler.set_cold_time(key, terms.cold_time);
         }
     }
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -231,6 +231,7 @@
                     self.stats.sends += 1;
                     self.sent = self.state.clock.now();
                     self.stats.expected = self.submission.estimates();
+                    self.observe_horizon();
                     return Ok(server);
                 }
                 None if self.submission.end_attempt(Ending::Unreached) => {}
@@ -422,6 +423,7 @@
             backlog_ms = expected.map(|expected| millis(expected.backlog)),
             ahead_ms = expected.map(|expected| millis(expected.ahead)),
             overdue_ms = expected.map(|expected| millis(expected.overdue)),
+            survival = expected.and_then(|expected| expected.survival),
             fetched = expected.map(|expected| expected.fetch.is_some()),
             prompt = received.request.prompt_tokens, tokens = tokens,
             most_tokens = received.request.max_tokens, guess = received.call.prompt.length_hint,
@@ -431,6 +433,13 @@
         );
     }
 
+    /// Records for how long the chosen engine caches a prompt part, if its memory is crowded.
+    fn observe_horizon(&self) {
+        if let Some(horizon) = self.stats.expected.and_then(|expected| expected.horizon) {
+            self.state.metrics.observe_cache_horizon(&self.received.route().name, horizon);
+        }
+    }
+
     /// Answers a request for which no further attempt is made.
     fn refuse(&mut self, waiting: Waiting, refused: Refused) -> Answer {
         if let Some(whole) = self.error_reply.take() {
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -187,6 +187,7 @@
             evacuated: false,
             resumes: true,
             prefill_rate: None,
+            cache_tokens: None,
             fetch: None,
             cold_time: None,
             backups: false,
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -72,6 +72,7 @@
             avoid: None,
             prefill: 0.0,
             ahead: 0.0,
+            held: None,
             expected: None,
             sent_at: now,
             send_by: None,
--- a/components/policy/src/attempt.rs
+++ b/components/policy/src/attempt.rs
@@ -133,6 +133,7 @@
         let rests = self.servers.get(server).is_some_and(|state| self.rests(state, now));
         let turned_away = ending == Ending::NotRun && rests;
         let stalled = ending == Ending::Cancelled && self.stalled(&self.jobs[job], server, now);
+        self.end_run(job, server, now);
         let pending = &mut self.jobs[job];
         let (priority, prefill) = (pending.priority, std::mem::take(&mut pending.prefill));
         let sent_at = pending.sent_at;
--- a/components/policy/src/backlog.rs
+++ b/components/policy/src/backlog.rs
@@ -28,6 +28,7 @@
     let occupied: f64 = backlog.occupied.iter().sum();
     seconds > MIN_REPORTED_SECONDS
         || occupied > 0.0
+        || backlog.running_tokens + backlog.inserted_tokens > 0.0
         || backlog.since_first_token.is_some_and(|age| age < RECENT)
 }
 
@@ -38,11 +39,13 @@
     /// assert!(policy::Scheduler::new().backlogs(std::time::Instant::now()).is_empty());
     /// ```
     pub fn backlogs(&self, now: Instant) -> Vec<Backlog> {
-        let engines = self
-            .servers
-            .iter()
-            .filter(|(_, state)| state.terms.prefill_rate.is_some() && has_own_work(state, now));
-        let backlogs = engines.map(|(server, state)| Backlog {
+        let engines = self.servers.iter().filter(|(_, state)| state.terms.prefill_rate.is_some());
+        let with_memory =
+            engines.map(|(server, state)| (server, state, self.memory_to_report(state, now)));
+        let engines = with_memory.filter(|(_, state, (running, inserted))| {
+            has_own_work(state, now) || running + inserted > 0.0
+        });
+        let backlogs = engines.map(|(server, state, (running_tokens, inserted_tokens))| Backlog {
             server,
             prefill: state.prefill.own_queued().to_vec(),
             overdue: self.own_overdue(state, now).to_vec(),
@@ -51,6 +54,8 @@
                 .prefill
                 .last_own_first_token()
                 .map(|last| now.saturating_duration_since(last)),
+            running_tokens,
+            inserted_tokens,
         });
         backlogs.filter(worth_reporting).collect()
     }
@@ -61,6 +66,7 @@
         for server in std::mem::take(&mut self.peer_loaded) {
             if let Some(state) = self.servers.get_mut(server) {
                 state.prefill.set_peers(Peers::default(), now);
+                state.memory.set_peers(0.0, 0.0, now);
             }
         }
         for backlog in others {
@@ -73,11 +79,15 @@
                 last_first_token: backlog.since_first_token.and_then(|age| now.checked_sub(age)),
             };
             state.prefill.set_peers(peers, now);
+            state.memory.set_peers(backlog.running_tokens, backlog.inserted_tokens, now);
+            self.update_horizon(backlog.server, now);
         }
+        self.update_horizons(now);
     }
 
     /// Cached prompt parts to report to other nodes.
     pub fn cache_updates(&mut self, now: Instant) -> Vec<Cached> {
+        self.update_horizons(now);
         self.prefixes.parts_to_report(now)
     }
 
--- a/components/policy/src/backup.rs
+++ b/components/policy/src/backup.rs
@@ -89,6 +89,7 @@
         pending.expected = None;
         pending.ahead = 0.0;
         pending.continued = true;
+        self.begin_run(job, backup, now);
         self.send_to(job, backup, now);
         Some(backup)
     }
--- a/components/policy/src/cache.rs
+++ b/components/policy/src/cache.rs
@@ -7,17 +7,18 @@
 //!
 //! A part is cached once an engine has sent the first token of an answer for it. One that was only sent there
 //! will be, so the next requests follow, but no engine can fetch it yet. A part that wasn't used for a while may
-//! be evicted.
+//! be evicted: how long engines with little memory hold it, their horizon, is estimated in [`memory`].
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
+use crate::memory;
 use crate::terms::{Cached, Part, Request};
 
-/// Time after its last use for which a part counts as cached.
-const RETENTION: Duration = Duration::from_secs(10);
+/// Time after its last use for which a part counts as cached where nothing is known of the engine's memory.
+const RETENTION: Duration = memory::DEFAULT_HORIZON;
 /// Time after which a part that is still in use is reported again.
 const REPORT_AGAIN_AFTER: Duration = Duration::from_secs(5);
 /// Time for which a part is contained in each report, as one may be lost.
@@ -50,6 +51,8 @@
     /// Parts to report, and since when, in that order.
     updates: VecDeque<(Instant, Cached)>,
     swept: Option<Instant>,
+    /// Time after its last use for which an engine caches a part, for engines whose memory is crowded.
+    horizons: HashMap<ids::Server, Duration>,
 }
 
 impl Index {
@@ -77,6 +80,17 @@
         self.drop_old_updates(now);
     }
 
+    /// Records that a request has ended, which held its parts until now. Only at engines that evict parts early.
+    pub(crate) fn record_end(&mut self, request: &Request, server: ids::Server, now: Instant) {
+        if self.horizon(server).is_none() {
+            return;
+        }
+        for part in &request.shared {
+            let entry = self.entry(part.id, server, now);
+            (entry.prefilled, entry.used) = (true, now);
+        }
+    }
+
     /// Takes in that another node reported a part as cached.
     pub(crate) fn apply_update(&mut self, cached: Cached, now: Instant) {
         self.sweep(now);
@@ -104,6 +118,28 @@
         *self.losses.entry(server).or_insert(0) += 1;
     }
 
+    /// Sets for how long an engine caches a part after its last use; none if nothing is evicted before the default time.
+    pub(crate) fn set_horizon(&mut self, server: ids::Server, horizon: Option<Duration>) {
+        match horizon {
+            Some(horizon) => self.horizons.insert(server, horizon),
+            None => self.horizons.remove(&server),
+        };
+    }
+
+    pub(crate) fn servers_with_horizons(&self) -> Vec<ids::Server> {
+        self.horizons.keys().copied().collect()
+    }
+
+    /// The horizon of an engine; none if nothing is evicted there before the default time.
+    pub(crate) fn horizon(&self, server: ids::Server) -> Option<Duration> {
+        self.horizons.get(&server).copied()
+    }
+
+    /// Time after its last use for which a part counts as cached at an engine.
+    fn retention(&self, server: ids::Server) -> Duration {
+        self.horizon(server).unwrap_or(RETENTION)
+    }
+
     /// How often an engine has lost its cache since entries were last dropped.
     fn losses_of(&self, server: ids::Server) -> u32 {
         self.losses.get(&server).copied().unwrap_or(0)
@@ -111,10 +147,10 @@
 
     /// The entry of a part at an engine, added if there is none that counts.
     fn entry(&mut self, part: u64, server: ids::Server, now: Instant) -> &mut Entry {
-        let losses = self.losses_of(server);
+        let (losses, retention) = (self.losses_of(server), self.retention(server));
         let new = Entry { losses, prefilled: false, used: now, reported: None };
         let entry = self.parts.entry(part).or_default().entry(server).or_insert(new);
-        if now >= entry.used + RETENTION || entry.losses != losses {
+        if now >= entry.used + retention || entry.losses != losses {
             *entry = new;
         }
         entry
@@ -128,20 +164,25 @@
             return;
         }
         self.swept = Some(now);
-        let mut retention = RETENTION;
-        self.drop_unused(retention, now);
+        let mut halvings = 0;
+        self.drop_unused(halvings, now);
         while self.parts.len() >= MAX_PARTS {
-            retention /= 2;
-            self.drop_unused(retention, now);
+            halvings += 1;
+            self.drop_unused(halvings, now);
         }
     }
 
-    /// Drops entries that weren't used for `retention`, and those that are void.
-    fn drop_unused(&mut self, retention: Duration, now: Instant) {
+    /// Drops entries that weren't used for as long as they may be cached, halved several times, and those that are void.
+    fn drop_unused(&mut self, halvings: u32, now: Instant) {
         let losses = std::mem::take(&mut self.losses);
+        let horizons = &self.horizons;
+        let retention = |server: &ids::Server| {
+            let age = memory::eviction_age(horizons.get(server).copied());
+            Duration::from_nanos(age.as_nanos() as u64 >> halvings)
+        };
         let valid = |server: &ids::Server, entry: &mut Entry| {
             let void = entry.losses != losses.get(server).copied().unwrap_or(0);
-            now < entry.used + retention && !void
+            now < entry.used + retention(server) && !void
         };
         self.parts.retain(|_, entries| {
             entries.retain(valid);
@@ -150,11 +191,12 @@
         });
     }
 
-    /// The entry of a part at an engine, if it isn't older than [`RETENTION`] and the engine hasn't lost its
-    /// cache since.
+    /// The entry of a part at an engine, if it isn't older than the engine's retention time and the engine hasn't lost
+    /// its cache since.
     fn current_entry(&self, part: u64, server: ids::Server, now: Instant) -> Option<&Entry> {
         let entry = self.parts.get(&part)?.get(&server)?;
-        let current = now < entry.used + RETENTION && entry.losses == self.losses_of(server);
+        let current =
+            now < entry.used + self.retention(server) && entry.losses == self.losses_of(server);
         current.then_some(entry)
     }
 
@@ -166,6 +208,39 @@
         cached.map(|part| part.tokens).sum()
     }
 
+    /// The expected value of [`Index::cached_tokens`], as some of the parts may have been evicted.
+    pub(crate) fn expected_cached_tokens(
+        &self,
+        shared: &[Part],
+        server: ids::Server,
+        now: Instant,
+    ) -> u32 {
+        let survivals = self.survivals(shared, server, now);
+        let tokens: f64 = survivals.map(|(tokens, survival)| f64::from(tokens) * survival).sum();
+        tokens.round() as u32
+    }
+
+    /// The tokens of parts at the start of a prompt that an engine may cache, and the probability that it has evicted
+    /// neither the part nor one before it.
+    pub(crate) fn survivals(
+        &self,
+        shared: &[Part],
+        server: ids::Server,
+        now: Instant,
+    ) -> impl Iterator<Item = (u32, f64)> {
+        let (horizon, losses) = (self.horizon(server), self.losses_of(server));
+        let survival = move |part: &Part| {
+            let entry = self.parts.get(&part.id)?.get(&server)?;
+            let age = now.saturating_duration_since(entry.used);
+            (entry.losses == losses).then(|| memory::survival(age, horizon))
+        };
+        let until_lost = move |least: &mut f64, part: &Part| {
+            *least = survival(part)?.min(*least);
+            (*least > 0.0).then_some((part.tokens, *least))
+        };
+        shared.iter().scan(1.0, until_lost)
+    }
+
     /// Tokens at the start of a prompt that an engine has prefilled or used since a time.
     pub(crate) fn surely_cached_tokens(
         &self,
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -377,6 +377,7 @@
     pub(crate) fn record_engine_send(&mut self, job: ids::Job, estimate: Estimate, now: Instant) {
         let Estimate { server, prefill, backlog, overdue, preferred, fetch, .. } = estimate;
         let backup = self.choose_backup(job, server, now);
+        self.begin_run(job, server, now);
         let pending = &mut self.jobs[job];
         let state = &mut self.servers[server];
         pending.prefill = prefill;
@@ -389,6 +390,8 @@
             ahead: Duration::from_secs_f64(pending.ahead),
             overdue: Duration::from_secs_f64(overdue),
             fetch,
+            survival: pending.held.and_then(|held| held.survival),
+            horizon: pending.held.and_then(|held| held.horizon),
             backup,
         });
         state.prefill.prompt_sent(pending.priority, prefill);
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -62,6 +62,8 @@
         FailureRate = "faults",
         /// The rates at which engines prefill are measured; otherwise all have the assumed one.
         MeasuredRates = "measured-rates",
+        /// How long an engine caches a prefix follows from its memory; otherwise it is a fixed time.
+        CacheMemory = "cache-memory",
     }
 }
 
--- a/components/policy/src/pending.rs
+++ b/components/policy/src/pending.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::eviction::Held;
 use crate::pool::Key;
 use crate::queue::Entry;
 use crate::terms::Request;
@@ -38,6 +39,11 @@
         pub overdue: Duration,
         /// The engine from which it fetches the cached prefix of the prompt.
         pub fetch: Option<ids::Server>,
+        /// Probability in percent that the engine still caches the last part of the prefix that it was known to have; none
+        /// if it was known to have none.
+        pub survival: Option<u8>,
+        /// Time after its last use for which the engine caches a part; none if its memory isn't crowded.
+        pub horizon: Option<Duration>,
         /// The engine that keeps a copy of the run.
         pub backup: Option<ids::Server>,
     }
@@ -79,6 +85,8 @@
     pub(crate) prefill: f64,
     /// Seconds of prefill of other prompts known to be ahead of it when it was sent.
     pub(crate) ahead: f64,
+    /// What its attempt counts for in the memory of its engine.
+    pub(crate) held: Option<Held>,
     /// Estimates for the engine that it was last sent to.
     pub(crate) expected: Option<Expected>,
     pub(crate) sent_at: Instant,
--- a/components/policy/src/prefix.rs
+++ b/components/policy/src/prefix.rs
@@ -51,7 +51,7 @@
     pub(crate) prefill: f64,
     /// Prefill of the prefix at the preferred engine where no node knows whether it is cached there.
     pub(crate) uncertain_prefill: f64,
-    /// Cost of one more copy of the prefix.
+    /// Cost of one more copy of the prefix, or of what the prompt evicts.
     pub(crate) duplication: f64,
     /// Prefill of the whole prefix.
     pub(crate) whole_prefix: f64,
@@ -155,6 +155,19 @@
         self.prefixes.cached_tokens(&pending.request.shared, server, now)
     }
 
+    /// The same, with each part weighted by the probability that the engine hasn't evicted it.
+    pub(crate) fn expected_cached_tokens(
+        &self,
+        pending: &Pending,
+        server: ids::Server,
+        now: Instant,
+    ) -> u32 {
+        if !self.switches.is_on(Mechanism::PrefixIndex) {
+            return 0;
+        }
+        self.prefixes.expected_cached_tokens(&pending.request.shared, server, now)
+    }
+
     /// What an engine has to do before the first token of a request; none if its prefill rate isn't
     /// known.
     pub(crate) fn prefill_cost(
@@ -174,7 +187,7 @@
         let cached = match preference {
             Some(0) if first_copy => 0,
             Some(1) if !copies.known => shared / 2,
-            _ => self.cached_tokens(pending, server, now),
+            _ => self.expected_cached_tokens(pending, server, now),
         };
         let missing = time(cached.min(shared), shared);
         let known = self.cached_tokens(pending, server, now);
@@ -197,10 +210,11 @@
             None if first_copy => (0.0, missing, 0.0),
             None => (missing, 0.0, 0.0),
         };
+        let eviction = self.eviction_cost(server, time(cached.min(prompt), prompt));
         Some(Cost {
             prefill: time(shared, prompt) + prefix,
             uncertain_prefill,
-            duplication,
+            duplication: duplication.max(eviction),
             whole_prefix: time(0, shared),
             fetch: fetch.map(|(source, _)| source.server),
         })
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -471,6 +471,7 @@
         if first && !continued {
             let took = now.saturating_duration_since(sent).as_secs_f64();
             self.record_rate_sample(job, speed::Observation { server, took, ahead }, now);
+            self.record_inserted(job, server, now);
         }
         let Some(pending) = self.jobs.get_mut(job) else { return };
         if let Some(state) = self.servers.get_mut(server) {
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -11,6 +11,7 @@
 use crate::health::Health;
 use crate::limit::Limit;
 use crate::mechanism::{Mechanism, Switches};
+use crate::memory::Memory;
 use crate::notices::Incarnation;
 use crate::prefill::Estimator;
 use crate::priority::PerPriority;
@@ -69,6 +70,8 @@
     report_interval: Option<f64>,
     /// Prompt tokens per second that it prefills, as measured by the fleet.
     pub(crate) measured_rate: Option<u32>,
+    /// Use of its memory.
+    pub(crate) memory: Memory,
 }
 
 impl State {
@@ -94,6 +97,7 @@
             report_received: None,
             report_interval: None,
             measured_rate: None,
+            memory: Memory::default(),
         }
     }
 
--- a/components/policy/src/slots.rs
+++ b/components/policy/src/slots.rs
@@ -176,7 +176,7 @@
         state.occupied.sum_up_to(priority) + state.prefill.peer_occupied(priority, now)
     }
 
-    /// Seconds until a request gets a slot at an engine. Engines give a slot that comes free to the request of
+    /// Seconds until a request gets a slot at an engine, and memory. Engines give a slot that comes free to the request of
     /// the highest priority. So requests of lower priority aren't counted: they delay this one only until one of
     /// them ends.
     pub(crate) fn slot_wait(
@@ -186,13 +186,15 @@
         unreported: Unreported,
         now: Instant,
     ) -> f64 {
+        let memory_wait = self.memory_wait(pending, state, now);
         if !self.switches.is_on(Mechanism::SlotCounts) {
-            return 0.0;
+            return memory_wait;
         }
         let slots = f64::from(state.slots().max(1));
         let unreported = unreported.at_engine(self.free_slots(pending, state, now));
         let before = self.occupied_slots(state, pending.priority, now) + unreported;
         let behind = (before + 1.0 - slots).max(0.0);
-        behind * f64::from(pending.tokens) * state.token_interval() / slots
+        let slot_wait = behind * f64::from(pending.tokens) * state.token_interval() / slots;
+        slot_wait.max(memory_wait)
     }
 }
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -63,6 +63,8 @@
         pub prefill_rate: Option<u32>,
         /// How fast it fetches a cached prefix from another engine; none if it can't.
         pub fetch: Option<Fetch>,
+        /// Tokens of prompts and answers that its memory holds; none if that is unknown.
+        pub cache_tokens: Option<u32>,
         /// It can keep copies of what other engines run, and continue it.
         pub backups: bool,
         /// Time after a start for which it is cold and tolerates few requests; none if it is never cold.
@@ -127,6 +129,10 @@
         /// Time since the engine was last seen to produce the first token of an answer; none if it wasn't
         /// recently.
         pub since_first_token: Option<Duration>,
+        /// Tokens of the memory that their running requests occupy; 0 where the memory isn't crowded.
+        pub running_tokens: f64,
+        /// Tokens that their requests inserted into the memory in the last 8 s; 0 where it isn't crowded.
+        pub inserted_tokens: f64,
     }
 
     /// An engine's report of its load, which arrives with a lag.
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -53,6 +53,7 @@
         evacuated: false,
         resumes: true,
         prefill_rate: None,
+        cache_tokens: None,
         fetch: None,
         cold_time: None,
         backups: false,
--- a/components/policy/tests/common/prompts.rs
+++ b/components/policy/tests/common/prompts.rs
@@ -102,6 +102,6 @@
 pub fn report_peer_backlog(fixture: &mut Fixture, server: ids::Server, prefill: f64, overdue: f64) {
     let by_priority = |seconds| vec![0.0, 0.0, seconds];
     let (prefill, overdue) = (by_priority(prefill), by_priority(overdue));
-    let backlog = Backlog { server, prefill, overdue, occupied: vec![], since_first_token: None };
+    let backlog = Backlog { server, prefill, overdue, ..Backlog::default() };
     fixture.scheduler.set_backlogs(&[backlog], fixture.now);
 }
--- a/components/policy/tests/long_streams.rs
+++ b/components/policy/tests/long_streams.rs
@@ -115,6 +115,5 @@
 }
 
 fn backlog(server: ids::Server) -> Backlog {
-    let (prefill, overdue, occupied) = Default::default();
-    Backlog { server, prefill, overdue, occupied, since_first_token: None }
+    Backlog { server, ..Backlog::default() }
 }
--- a/components/policy/tests/priority.rs
+++ b/components/policy/tests/priority.rs
@@ -99,7 +99,7 @@
 
 /// A report that nothing waits at an engine.
 fn empty_backlog(server: ids::Server) -> Backlog {
-    Backlog { server, prefill: vec![], overdue: vec![], occupied: vec![], since_first_token: None }
+    Backlog { server, ..Backlog::default() }
 }
 
 proptest! {
--- a/components/router/src/scheduler.rs
+++ b/components/router/src/scheduler.rs
@@ -99,6 +99,7 @@
         evacuated: false,
         resumes: server.resumes,
         prefill_rate: None,
+        cache_tokens: None,
         fetch: None,
         cold_time: None,
         backups: false,
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -47,6 +47,7 @@
     request_counts: IntGaugeVec,
     first_token: HistogramVec,
     token_interval: HistogramVec,
+    cache_horizon: HistogramVec,
 }
 
 impl Metrics {
@@ -200,6 +201,10 @@
                 "godwitlever_token_interval_seconds",
                 "Time between tokens",
             ),
+            cache_horizon: class_histogram(
+                "godwitlever_cache_horizon_seconds",
+                "Time after its last use for which the chosen engine caches a prompt part, if its memory is crowded",
+            ),
             registry,
         }
     }
@@ -324,6 +329,17 @@
         self.token_interval.with_label_values(&[class]).observe(time.as_secs_f64());
     }
 
+    /// Records for how long the engine that a request is sent to caches a prompt part after its last use.
+    ///
+    /// ```
+    /// let metrics = telemetry::Metrics::new();
+    /// metrics.observe_cache_horizon("drafts", std::time::Duration::from_secs(4));
+    /// assert!(metrics.render().contains("cache_horizon_seconds_count{class=\"drafts\"} 1"));
+    /// ```
+    pub fn observe_cache_horizon(&self, class: &str, horizon: Duration) {
+        self.cache_horizon.with_label_values(&[class]).observe(horizon.as_secs_f64());
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -76,6 +76,9 @@
         /// answer needn't hold a list.
         #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
         pub members: Option<u32>,
+        /// Whether the sender can decode rows with numbers on memory.
+        #[serde(rename = "z", default, skip_serializing_if = "is_false")]
+        pub takes_memory: bool,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -138,6 +141,9 @@
         /// node has.
         #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
         pub members: Vec<Peer>,
+        /// Whether the seed can decode rows with numbers on memory.
+        #[serde(rename = "z", default, skip_serializing_if = "is_false")]
+        pub takes_memory: bool,
     }
 
     /// A request, or a part of prompts, during which servers crashed. An array on the wire.
@@ -154,7 +160,7 @@
 
     /// Outstanding requests at one engine. An array on the wire, because messages contain many of them.
     #[derive(Default, Eq, Serialize, Deserialize)]
-    #[serde(from = "Row", into = "Row")]
+    #[serde(from = "Row", into = "SentRow")]
     pub struct Load {
         /// [`crate::key`] of the engine's name.
         pub server: u32,
@@ -167,6 +173,10 @@
         pub occupied: Vec<u32>,
         /// Milliseconds since the last first token from the engine; none if there was no recent one.
         pub first_token_age_ms: Option<u32>,
+        /// Thousands of tokens that the requests occupy in the engine's memory; 0 where that isn't crowded.
+        pub running_kilotokens: u32,
+        /// Thousands of tokens that were inserted into that memory in the last 8 s.
+        pub inserted_kilotokens: u32,
     }
 }
 
@@ -241,18 +251,49 @@
     *number == 0
 }
 
-/// A [`Load`] on the wire: its fields by position.
-type Row = (u32, Vec<u32>, Vec<u32>, Vec<u32>, Option<u32>);
+/// A received [`Load`]: its fields by position. The last two are missing if they are 0, and in rows of older nodes.
+#[derive(Deserialize)]
+struct Row(
+    u32,
+    Vec<u32>,
+    Vec<u32>,
+    Vec<u32>,
+    Option<u32>,
+    #[serde(default)] u32,
+    #[serde(default)] u32,
+);
+
+/// A [`Load`] that is sent.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum SentRow {
+    WithMemory(u32, Vec<u32>, Vec<u32>, Vec<u32>, Option<u32>, u32, u32),
+    WithoutMemory(u32, Vec<u32>, Vec<u32>, Vec<u32>, Option<u32>),
+}
 
 impl From<Row> for Load {
-    fn from((server, prefill_ms, overdue_ms, occupied, first_token_age_ms): Row) -> Self {
-        Load { server, prefill_ms, overdue_ms, occupied, first_token_age_ms }
+    fn from(row: Row) -> Self {
+        Load {
+            server: row.0,
+            prefill_ms: row.1,
+            overdue_ms: row.2,
+            occupied: row.3,
+            first_token_age_ms: row.4,
+            running_kilotokens: row.5,
+            inserted_kilotokens: row.6,
+        }
     }
 }
 
-impl From<Load> for Row {
+impl From<Load> for SentRow {
     fn from(load: Load) -> Self {
-        (load.server, load.prefill_ms, load.overdue_ms, load.occupied, load.first_token_age_ms)
+        let Load { server, prefill_ms, overdue_ms, occupied, first_token_age_ms: age, .. } = load;
+        match (load.running_kilotokens, load.inserted_kilotokens) {
+            (0, 0) => SentRow::WithoutMemory(server, prefill_ms, overdue_ms, occupied, age),
+            (running, inserted) => SentRow::WithMemory(
+                server, prefill_ms, overdue_ms, occupied, age, running, inserted,
+            ),
+        }
     }
 }
 
@@ -271,6 +312,21 @@
         *self == Load::empty(self.server)
     }
 
+    /// Whether it has numbers on the engine's memory.
+    ///
+    /// ```
+    /// let load = wire::gossip::Load { running_kilotokens: 5, ..wire::gossip::Load::empty(7) };
+    /// assert!(load.has_memory() && !load.without_memory().has_memory());
+    /// ```
+    pub fn has_memory(&self) -> bool {
+        self.running_kilotokens > 0 || self.inserted_kilotokens > 0
+    }
+
+    /// The same without those numbers. Older nodes can't decode a row with them, nor the message that contains it.
+    pub fn without_memory(self) -> Self {
+        Load { running_kilotokens: 0, inserted_kilotokens: 0, ..self }
+    }
+
     /// Adds the load of other nodes at the same engine: amounts are summed, and of the delays and the
     /// ages of the last first token the longest delay and the smallest age remain.
     ///
@@ -283,10 +339,16 @@
     ///     overdue_ms: overdue.to_vec(),
     ///     occupied: vec![1],
     ///     first_token_age_ms,
+    ///     running_kilotokens: 20,
+    ///     inserted_kilotokens: 30,
     /// };
     /// let mut sum = load(&[5], &[40], Some(90));
     /// sum.add(&load(&[1, 2], &[30, 10], Some(20)));
-    /// assert_eq!(sum, Load { occupied: vec![2], ..load(&[6, 2], &[40, 10], Some(20)) });
+    /// assert_eq!((sum.running_kilotokens, sum.inserted_kilotokens), (40, 60));
+    /// let expected = load(&[6, 2], &[40, 10], Some(20));
+    /// let (running_kilotokens, inserted_kilotokens) = (40, 60);
+    /// let occupied = vec![2];
+    /// assert_eq!(sum, Load { occupied, running_kilotokens, inserted_kilotokens, ..expected });
     /// ```
     pub fn add(&mut self, other: &Load) {
         merge_amounts(&mut self.prefill_ms, &other.prefill_ms, u32::saturating_add);
@@ -294,6 +356,9 @@
         merge_amounts(&mut self.occupied, &other.occupied, u32::saturating_add);
         self.first_token_age_ms =
             self.first_token_age_ms.into_iter().chain(other.first_token_age_ms).min();
+        self.running_kilotokens = self.running_kilotokens.saturating_add(other.running_kilotokens);
+        self.inserted_kilotokens =
+            self.inserted_kilotokens.saturating_add(other.inserted_kilotokens);
     }
 
     /// Subtracts one node's load from a sum. The longest delay and the age of the last first token stay,
@@ -309,6 +374,9 @@
     pub fn subtract(&mut self, part: &Load) {
         merge_amounts(&mut self.prefill_ms, &part.prefill_ms, u32::saturating_sub);
         merge_amounts(&mut self.occupied, &part.occupied, u32::saturating_sub);
+        self.running_kilotokens = self.running_kilotokens.saturating_sub(part.running_kilotokens);
+        self.inserted_kilotokens =
+            self.inserted_kilotokens.saturating_sub(part.inserted_kilotokens);
     }
 }
 
