--- a/components/forward/src/gossip/detail/tests.rs
+++ b/components/forward/src/gossip/detail/tests.rs
@@ -28,3 +28,17 @@
     let overdue = Load { overdue_ms: vec![300], ..load(0, 1) };
     assert_eq!(needed(overdue, SLOTS, true).unwrap().overdue_ms, [300]);
 }
+
+/// Memory that is less than half used evicts nothing early. Passing its use on would cost bytes for each busy engine.
+#[test]
+fn memory_is_passed_on_once_it_is_crowded() {
+    let load = |running_kilotokens, inserted_kilotokens| Load {
+        running_kilotokens,
+        inserted_kilotokens,
+        ..Load::empty(7)
+    };
+    assert_eq!(needed(load(50, 40), SLOTS, true), None);
+    assert_eq!(needed(load(61, 40), SLOTS, true), Some(load(61, 40)));
+    let unknown = Engine { slots: SLOTS, ..Engine::default() };
+    assert_eq!(super::needed(load(61, 40), unknown), None, "memory isn't stated");
+}
--- a/components/forward/src/gossip/table/tests.rs
+++ b/components/forward/src/gossip/table/tests.rs
@@ -239,3 +239,23 @@
     }
     assert!(reports <= 4, "reported {reports} times");
 }
+
+/// Tokens in an engine's memory change with each request. Nodes are sent a change by a sixth: it moves the engine's horizon by
+/// less than what the survival probability leaves open.
+#[test]
+fn tokens_are_reported_in_steps_of_a_sixth() {
+    let (mut seed, mut now) = (Aggregate::new(1), Instant::now());
+    let [mut a, mut b] = ["a", "b"].map(Node::new);
+    let load = |running_kilotokens| Load { running_kilotokens, ..Load::empty(7) };
+    let known = |running, now| [(7, load(running))].into_iter().collect::<HashMap<_, _>>() == now;
+    for (running, expected) in [(120, 120), (139, 120), (140, 140), (118, 140), (117, 117)] {
+        now += PAUSE;
+        b.loads = vec![load(running)];
+        b.report_to(&mut seed, false, now);
+        a.report_to(&mut seed, false, now + REFRESH_INTERVAL);
+        assert!(known(expected, a.loads_of_others(now)), "{running}");
+    }
+    now += REPORT_LIFETIME * 2;
+    a.report_to(&mut seed, false, now);
+    assert!(a.loads_of_others(now).is_empty(), "the reports of the other node are lost");
+}
