Running requests count with what they add to an engine's memory

Cause: counted with the whole prompt, requests that share a prefix make engines seem full, and their sessions leave the engines that cache their prefixes.

--- a/components/policy/src/eviction.rs
+++ b/components/policy/src/eviction.rs
@@ -19,7 +19,7 @@
 /// What an attempt counts for in the memory of its engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Held {
-    /// Tokens of the request while it runs.
+    /// Tokens that the request adds while it runs.
     running: u32,
     /// Prompt tokens that the engine probably had to insert.
     missing: u32,
@@ -62,9 +62,12 @@
         let (prompt, shared) = (pending.request.prompt_tokens, &pending.request.shared);
         let cached = self.expected_cached_tokens(pending, server, now);
         let survival = self.prefixes.survivals(shared, server, now).last();
+        let missing = prompt.saturating_sub(cached);
         let held = Held {
-            running: prompt.saturating_add(pending.tokens),
-            missing: prompt.saturating_sub(cached),
+            // Requests that run at the same time share what is cached. Counted for each of them, it makes engines seem full,
+            // and requests leave those that cache their prefixes.
+            running: missing.saturating_add(pending.tokens),
+            missing,
             produced_before: pending.produced,
             survival: survival.map(|(_, survival)| (survival * 100.0).round() as u8),
             horizon: self.prefixes.horizon(server),
--- a/components/policy/src/memory.rs
+++ b/components/policy/src/memory.rs
@@ -13,8 +13,8 @@
 pub(crate) const DEFAULT_HORIZON: Duration = Duration::from_secs(10);
 /// Longest time for which a part counts as cached after its last use.
 const MAX_HORIZON: Duration = Duration::from_secs(30);
-/// Shortest horizon. Running requests hold the parts that they use, which are counted for each of them although they share
-/// them; at an engine with full memory answers take longer than this.
+/// Shortest horizon. Running requests hold the parts that they use, and at an engine with full memory answers take longer
+/// than this.
 const MIN_HORIZON: Duration = Duration::from_secs(2);
 /// A part is surely cached up to this fraction of the horizon, and surely evicted from the other one on.
 const SURELY_CACHED: f64 = 0.7;
@@ -78,7 +78,7 @@
         self.inserted.add(f64::from(tokens) * scale, now);
     }
 
-    /// Counts the tokens of a request that begins to run.
+    /// Counts the tokens that a request adds when it begins to run.
     ///
     /// ```
     /// let mut memory = policy::memory::Memory::default();
