--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -481,6 +481,7 @@
         if first && !continued {
             let took = now.saturating_duration_since(sent).as_secs_f64();
             self.record_rate_sample(job, speed::Observation { server, took, ahead }, now);
+            self.record_inserted(job, server, now);
         }
         if let Some(last) = last {
             self.record_prefilling_interval(job, server, (now - last) / count.max(1), now);
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -49,6 +49,7 @@
     token_interval: HistogramVec,
     engine_rates: IntGaugeVec,
     rate_samples: IntCounter,
+    cache_horizon: HistogramVec,
 }
 
 impl Metrics {
@@ -219,6 +220,10 @@
                 "godwitlever_token_interval_seconds",
                 "Time between tokens",
             ),
+            cache_horizon: class_histogram(
+                "godwitlever_cache_horizon_seconds",
+                "Time after its last use for which the chosen engine caches a prompt part, if its memory is crowded",
+            ),
             registry,
         }
     }
@@ -365,6 +370,17 @@
         }
     }
 
+    /// Records for how long the engine that a request is sent to caches a prompt part after its last use.
+    ///
+    /// ```
+    /// let metrics = telemetry::Metrics::new();
+    /// metrics.observe_cache_horizon("drafts", std::time::Duration::from_secs(4));
+    /// assert!(metrics.render().contains("cache_horizon_seconds_count{class=\"drafts\"} 1"));
+    /// ```
+    pub fn observe_cache_horizon(&self, class: &str, horizon: Duration) {
+        self.cache_horizon.with_label_values(&[class]).observe(horizon.as_secs_f64());
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
