--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -25,6 +25,7 @@
 use crate::state::State;
 
 mod cursor;
+mod demand;
 mod detail;
 mod limits;
 mod pace;
@@ -62,6 +63,7 @@
     /// What this node aggregates as a seed.
     aggregate: RefCell<Aggregate>,
     pace: RefCell<Pace>,
+    demand: demand::Exchange,
 }
 
 impl Gossip {
@@ -71,6 +73,7 @@
         Gossip {
             aggregate: RefCell::new(Aggregate::new(boot)),
             pace: RefCell::new(Pace::new(MIN_REPORT_PAUSE, link_bytes)),
+            demand: demand::Exchange::default(),
         }
     }
 }
@@ -111,6 +114,7 @@
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = cold::add_to_report(&state, report);
         let report = peers::add_to_report(&state, report);
+        let report = demand::add_to_report(&state, seed, report);
         // Seeds are compared first, and their lists may differ for a moment: one list is enough until then.
         let digest = state.resumption.members.borrow().digest();
         let members = (digest == 0 || seeds.nearest() == Some(seed)).then_some(digest);
@@ -130,6 +134,7 @@
                 limits::apply_summary(&state, &mut limit_cursor, &summary);
                 cold::apply_permits(&state, &summary.cold_permits, asked);
                 peers::apply_summary(&state, &summary);
+                demand::apply_summary(&state, &summary);
                 if let Some(work) = summary.work {
                     state.set_fleet_work(work);
                 }
@@ -146,6 +151,7 @@
                 MIN_REPORT_PAUSE
             }
         };
+        demand::observe(&state);
         drop(state);
         tokio::time::sleep(pause).await;
     }
@@ -162,6 +168,7 @@
         refresh_sums(&state);
         state.resumption.refresh_members(peers::own_location(&state), now);
         state.set_fleet_work(state.fleet_work());
+        demand::sum_at_seed(&state);
         let summary = state.gossip.aggregate.borrow().fleet_summary(&name, view.position(), now);
         apply_cached_parts(&state, &summary.parts);
         view.apply(summary, now);
@@ -188,6 +195,7 @@
         let report = suspects::add_to_report(&state, &mut suspect_cursor, report);
         let report = limits::add_to_report(&state, &mut limit_cursor, report);
         let report = peers::add_to_report(&state, report);
+        let report = demand::add_cluster_to_report(&state, seed, report);
         let answer = post_report(&state, seed, SEED_PATH, report).await;
         let now = state.clock.now();
         match answer {
@@ -249,6 +257,7 @@
         reports.record(&report.from, work, now);
     }
     let (cold, permits_wanted) = (std::mem::take(&mut report.cold), report.permits_wanted);
+    let reports_demand = demand::record_report(state, from_seed, &report);
     let (wants_peers, members_known) = (report.wants_peers, report.members);
     if !from_seed {
         peers::record_report(state, &report);
@@ -274,6 +283,9 @@
     if !from_seed {
         summary = cold::add_to_summary(state, (&cold, permits_wanted), summary);
         summary.work = Some(state.fleet_work());
+        if reports_demand {
+            summary = demand::add_to_summary(state, summary);
+        }
     }
     summary = peers::add_to_summary(state, &from, from_seed, wants_peers, summary);
     let members = state.resumption.members.borrow();
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -245,6 +245,9 @@
                 self.by_workspace.insert(workspace.to_string(), key);
                 let terms = policy::Workspace { weight: 1, in_flight: u32::MAX, servers: vec![] };
                 scheduler.set_workspace(key, terms);
+                if !workspace.is_empty() {
+                    scheduler.set_workspace_key(key, wire::key(workspace));
+                }
                 key
             }
         };
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -437,7 +437,9 @@
             return self.relay_whole(whole);
         }
         let outcome = waiting.refuse(match refused.refusal {
-            Refusal::Full | Refusal::Displaced => Reason::Full,
+            Refusal::Full | Refusal::Displaced | Refusal::OverShare | Refusal::Overloaded => {
+                Reason::Full
+            }
             Refusal::Late | Refusal::Resting => Reason::Late,
             Refusal::NoServer => Reason::NoServer,
             Refusal::Quarantined => Reason::Quarantined,
@@ -450,6 +452,8 @@
             Refusal::Displaced => "given up for a higher tier",
             Refusal::Late => "it can't be served in time",
             Refusal::Resting => "all backend servers ask for rest",
+            Refusal::OverShare => "over its share",
+            Refusal::Overloaded => "overload",
             Refusal::NoServer if self.received.request.regions.is_some() => {
                 "no backend server in its regions may take it"
             }
--- a/components/overload/src/lib.rs
+++ b/components/overload/src/lib.rs
@@ -59,8 +59,8 @@
     /// A request about which to decide.
     #[derive(Copy)]
     pub struct Ask {
-        /// Key of its workspace.
-        pub workspace: u32,
+        /// Key of its workspace; none if its caller has none.
+        pub workspace: Option<u32>,
         /// Its tier; 0 is the highest.
         pub tier: u8,
         /// Its caller was refused before and has come back.
@@ -122,7 +122,7 @@
 ///
 /// let (mut shares, now) = (Shares::default(), Instant::now());
 /// let ask = |workspace, draw| {
-///     let left = Duration::from_secs(3);
+///     let (workspace, left) = (Some(workspace), Duration::from_secs(3));
 ///     Ask { workspace, tier: 0, returning: false, chance: 1.0, draw, left }
 /// };
 /// assert_eq!(shares.decide(ask(7, 0.5), 10.0, now), Verdict::Admit, "nothing is known of the fleet");
@@ -144,16 +144,18 @@
 }
 
 impl Shares {
-    /// Records that a request is offered which takes so many seconds of engine time.
+    /// Records that a request is offered which takes so many seconds of engine time. Without a workspace it counts only in the
+    /// totals.
     ///
     /// ```
     /// let (mut shares, now) = (overload::Shares::default(), std::time::Instant::now());
-    /// shares.record(7, 0, 0.5, now);
+    /// shares.record(Some(7), 0, 0.5, now);
     /// assert_eq!(shares.top(8, 1, now).len(), 1);
     /// ```
-    pub fn record(&mut self, workspace: u32, tier: u8, seconds: f64, now: Instant) {
+    pub fn record(&mut self, workspace: Option<u32>, tier: u8, seconds: f64, now: Instant) {
         let tier = bounded(tier);
         self.totals[usize::from(tier)].add(seconds, now);
+        let Some(workspace) = workspace else { return };
         if self.offered.len() >= MAX_ENTRIES && !self.offered.contains_key(&(workspace, tier)) {
             self.prune(now);
         }
@@ -180,8 +182,8 @@
     ///
     /// ```
     /// let (mut shares, now) = (overload::Shares::default(), std::time::Instant::now());
-    /// shares.record(7, 0, 0.5, now);
-    /// shares.record(8, 1, 150.0, now);
+    /// shares.record(Some(7), 0, 0.5, now);
+    /// shares.record(Some(8), 1, 150.0, now);
     /// assert_eq!(shares.top(8, 1, now).len(), 2);
     /// assert_eq!(shares.top(1, 1, now)[0].workspace, 8);
     /// ```
@@ -206,7 +208,7 @@
     ///
     /// ```
     /// let (mut shares, now) = (overload::Shares::default(), std::time::Instant::now());
-    /// shares.record(7, 1, 0.5, now);
+    /// shares.record(Some(7), 1, 0.5, now);
     /// assert!(shares.totals(now)[1] > 0.3);
     /// ```
     pub fn totals(&self, now: Instant) -> [f64; TIERS] {
@@ -236,8 +238,18 @@
     /// ```
     pub fn utilization(&self, capacity: f64, now: Instant) -> Option<f64> {
         let fleet = self.fleet.as_ref()?;
-        let fresh = now.saturating_duration_since(fleet.at) < MAX_AGE;
-        (fresh && capacity > 0.0).then(|| fleet.totals.iter().sum::<f64>() / capacity)
+        (self.is_fresh(now) && capacity > 0.0).then(|| fleet.totals.iter().sum::<f64>() / capacity)
+    }
+
+    /// Whether the fleet's shares are known and recent enough.
+    ///
+    /// ```
+    /// let (shares, now) = (overload::Shares::default(), std::time::Instant::now());
+    /// assert!(!shares.is_fresh(now));
+    /// ```
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        let fleet = self.fleet.as_ref();
+        fleet.is_some_and(|fleet| now.saturating_duration_since(fleet.at) < MAX_AGE)
     }
 
     /// Decides about a request. `capacity` is what the reachable engines can process, in engines of median speed.
@@ -251,7 +263,7 @@
     ///
     /// let (mut shares, now) = (Shares::default(), std::time::Instant::now());
     /// let left = std::time::Duration::from_secs(3);
-    /// let ask = Ask { workspace: 7, tier: 1, returning: false, chance: 1.0, draw: 0.2, left };
+    /// let ask = Ask { workspace: None, tier: 1, returning: false, chance: 1.0, draw: 0.2, left };
     /// shares.set_fleet(vec![], [8.0, 8.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0], now);
     /// assert_eq!(shares.decide(Ask { tier: 0, ..ask }, 10.0, now), Verdict::Admit);
     /// assert!(matches!(shares.decide(ask, 10.0, now), Verdict::Refuse { .. }));
@@ -269,10 +281,9 @@
         if !plan.refuses(tier) {
             return Verdict::Admit;
         }
-        let own = fleet
-            .rows
-            .iter()
-            .position(|row| row.workspace == request.workspace && usize::from(row.tier) == tier);
+        let own = fleet.rows.iter().position(|row| {
+            Some(row.workspace) == request.workspace && usize::from(row.tier) == tier
+        });
         let share = own.map_or(1.0, |index| plan.shares[index]).clamp(MIN_ADMITTED, 1.0);
         let factor = plan.factors[tier];
         let rank = self.chances[tier].rank(request.chance, later_draw(request.draw, share), now);
--- a/components/overload/tests/fleet.rs
+++ b/components/overload/tests/fleet.rs
@@ -115,7 +115,9 @@
     for step in 0..SECONDS * 100 {
         let (now, second) = (start + STEP * step as u32, step / 100);
         for (index, node) in nodes.iter_mut().enumerate() {
-            if (step + index as u64) % EXCHANGE_STEPS == 0 && (fleet.informed)(index, second) {
+            if (step + index as u64).is_multiple_of(EXCHANGE_STEPS)
+                && (fleet.informed)(index, second)
+            {
                 reports[index] = (node.top(NODE_ROWS, rng.random(), now), node.totals(now));
                 let all = reports.iter().map(|(rows, totals)| (&rows[..], totals));
                 let (rows, totals) = overload::sum(all, FLEET_ROWS);
@@ -148,7 +150,7 @@
             let index = (fleet.node)(workspace, sent[workspace]);
             let index = index.unwrap_or_else(|| rng.random_range(0..NODES));
             sent[workspace] += 1;
-            let (key, tier_key) = (workspace as u32, tier as u8);
+            let (key, tier_key) = (Some(workspace as u32), tier as u8);
             nodes[index].record(key, tier_key, COST, now);
             let left = TIME_LIMIT.saturating_sub(STEP * (step - arrived) as u32);
             let ask = Ask {
--- a/components/policy/src/action.rs
+++ b/components/policy/src/action.rs
@@ -20,6 +20,10 @@
         Quarantined,
         /// All servers that may take it have asked for rest, for so long that its answer would be late.
         Resting,
+        /// The fleet is overloaded, and its workspace offers more than its fair share.
+        OverShare,
+        /// The fleet is overloaded, and has no capacity left for its tier.
+        Overloaded,
     }
 
     /// How an attempt ended.
--- a/components/policy/src/admit.rs
+++ b/components/policy/src/admit.rs
@@ -93,7 +93,9 @@
             return job;
         }
         self.update_estimates(job);
-        if let Some(retry_after) = self.late_retry_after(job, now) {
+        if let Some((refusal, retry_after)) = self.overload_refusal(job, now) {
+            self.refused.push((job, refusal, retry_after));
+        } else if let Some(retry_after) = self.late_retry_after(job, now) {
             self.refused.push((job, Refusal::Late, retry_after));
         } else if self.make_room(job, now) {
             self.enqueue(job, now);
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -400,6 +400,7 @@
         let seconds = prefill + tokens * interval / batch;
         let tolerance = self.pause_tolerance(&self.jobs[job]);
         let work = seconds * self.relative_speed(&self.pools[pool], server);
+        self.record_cost(job, prefill, seconds, work);
         self.pools[pool].isolation.add_work(tolerance, work, now);
     }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod mechanism;
 pub mod membership;
 mod notices;
+mod overload;
 mod pending;
 mod pick;
 mod pool;
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -62,6 +62,8 @@
         FailureRate = "faults",
         /// The rates at which engines prefill are measured; otherwise all have the assumed one.
         MeasuredRates = "measured-rates",
+        /// Requests are refused by the fair shares of the fleet while its engines are overloaded.
+        Overload = "overload",
     }
 }
 
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::length::Lengths;
 use crate::mechanism::{Mechanism, Switches};
 use crate::notices::Notices;
+use crate::overload::Overload;
 use crate::pending::{Expected, Pending, Stage};
 use crate::pick::Candidate;
 use crate::pool::{Key, Pool, Scope};
@@ -94,6 +95,7 @@
     pub(crate) peer_loaded: Vec<ids::Server>,
     /// Measured prefill rates that wait to be reported.
     pub(crate) rate_samples: speed::Samples,
+    pub(crate) overload: Overload,
 }
 
 impl Default for Scheduler {
@@ -160,6 +162,7 @@
             connected: BTreeSet::new(),
             peer_loaded: vec![],
             rate_samples: speed::Samples::default(),
+            overload: Overload::new(seed),
         }
         .with_limits()
     }
@@ -262,6 +265,7 @@
         self.classes.remove(key);
         self.unserved.remove(key);
         self.demand.remove_class(key);
+        self.overload.remove_class(key);
         self.fair.remove_class(key);
         self.lengths.remove_class(key);
         self.update_class_bounds();
@@ -271,6 +275,7 @@
     pub fn remove_workspace(&mut self, key: ids::Workspace) {
         self.workspaces.remove(key);
         self.fair.remove_workspace(key);
+        self.overload.remove_workspace(key);
         self.lengths.remove_workspace(key);
     }
 
--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -85,7 +85,7 @@
 /// Speeds of the engines of a pool, relative to their median. All are 1 where they are nearly equal.
 #[derive(Debug)]
 pub(crate) struct Speeds {
-    median: f64,
+    pub(crate) median: f64,
     /// Whether any engine's speed isn't 1.
     pub(crate) differ: bool,
 }
--- a/components/router/src/answer.rs
+++ b/components/router/src/answer.rs
@@ -137,6 +137,8 @@
         Refusal::Displaced => "given up for a higher tier",
         Refusal::Late => "it can't be served in time",
         Refusal::Resting => "all backend servers ask for rest",
+        Refusal::OverShare => "over its share",
+        Refusal::Overloaded => "overload",
         Refusal::NoServer => "no backend server may take it",
         Refusal::Quarantined => "servers ended under it",
     }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -311,7 +311,9 @@
 fn refuse(state: &State, payload: &Payload, waiting: Waiting, refused: Refused) -> Answer {
     let id = waiting.id();
     let outcome = waiting.refuse(match refused.refusal {
-        Refusal::Full | Refusal::Displaced => Reason::Full,
+        Refusal::Full | Refusal::Displaced | Refusal::OverShare | Refusal::Overloaded => {
+            Reason::Full
+        }
         Refusal::Late | Refusal::Resting => Reason::Late,
         Refusal::NoServer => Reason::NoServer,
         Refusal::Quarantined => Reason::Quarantined,
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the histogram buckets: close together around the classes' targets, and up to the
@@ -44,6 +44,7 @@
     /// Workspaces that have a histogram of their own.
     own_histogram: RefCell<BTreeSet<String>>,
     live_peers: IntGauge,
+    fleet_utilization: Gauge,
     request_counts: IntGaugeVec,
     first_token: HistogramVec,
     token_interval: HistogramVec,
@@ -160,7 +161,16 @@
         )
         .expect("the metric's name is valid");
         registry.register(Box::new(request_counts.clone())).expect("the metric is registered once");
+        let fleet_utilization = Gauge::new(
+            "godwitlever_fleet_utilization",
+            "Engine time that all nodes are offered, as a fraction of what the engines can process",
+        )
+        .expect("the metric's name is valid");
+        registry
+            .register(Box::new(fleet_utilization.clone()))
+            .expect("the metric is registered once");
         Metrics {
+            fleet_utilization,
             failed_attempts,
             arrivals,
             notices,
@@ -307,6 +317,17 @@
         self.live_peers.set(count as i64);
     }
 
+    /// Sets the engine time that all nodes are offered, as a fraction of what the engines can process.
+    ///
+    /// ```
+    /// let metrics = telemetry::Metrics::new();
+    /// metrics.set_fleet_utilization(1.25);
+    /// assert!(metrics.render().contains("fleet_utilization 1.25"));
+    /// ```
+    pub fn set_fleet_utilization(&self, utilization: f64) {
+        self.fleet_utilization.set(utilization);
+    }
+
     /// Sets the number of a class's requests that wait on this node and that are in flight at backend
     /// servers.
     pub fn set_request_counts(&self, class: &str, waiting: u32, in_flight: u32) {
--- a/components/wire/src/gossip.rs
+++ b/components/wire/src/gossip.rs
@@ -76,6 +76,12 @@
         /// answer needn't hold a list.
         #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
         pub members: Option<u32>,
+        /// Workspaces that offer most engine time: of the node, or of a seed and all nodes that report to it.
+        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+        pub offers: Vec<Offer>,
+        /// Engine time that all workspaces offer there by tier, in milliseconds per second.
+        #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+        pub offered: Vec<u32>,
     }
 
     /// Changes in a seed's table since the position in the report.
@@ -138,6 +144,12 @@
         /// node has.
         #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
         pub members: Vec<Peer>,
+        /// Workspaces of all nodes that offer most engine time, if the report contains those of the node.
+        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+        pub offers: Vec<Offer>,
+        /// Engine time that all workspaces offer at all nodes by tier, in milliseconds per second.
+        #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+        pub offered: Vec<u32>,
     }
 
     /// A request, or a part of prompts, during which servers crashed. An array on the wire.
@@ -209,6 +221,18 @@
     }
 }
 
+row! {
+    /// Engine time that a workspace offers in one tier.
+    pub struct Offer {
+        /// [`crate::key`] of the workspace's name.
+        pub workspace: u32,
+        /// Tier; 0 is the highest.
+        pub tier: u8,
+        /// Milliseconds of engine time per second.
+        pub ms_per_s: u32,
+    }
+}
+
 row! {
     /// A rate limit that a server stated.
     pub struct Limit {
