--- a/components/forward/src/gossip/demand.rs
+++ b/components/forward/src/gossip/demand.rs
@@ -211,3 +211,6 @@
     let total = |tier: usize| f64::from(offered.get(tier).copied().unwrap_or_default()) / MS_PER_S;
     (offers.iter().map(row).collect(), std::array::from_fn(total))
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/policy/src/overload.rs
+++ b/components/policy/src/overload.rs
@@ -23,8 +23,11 @@
 /// Utilization of the engines from which what is offered is reported to other nodes. Below it, even a burst of twice the
 /// load doesn't overload them before the next report.
 const REPORTED_FROM: f64 = 0.5;
-/// Time for which the capacity of all engines is kept: computing it examines thousands of them.
+/// Time for which the capacity of all engines is kept while requests may be refused by it: computing it examines thousands
+/// of engines.
 const CAPACITY_LIFETIME: Duration = Duration::from_millis(250);
+/// The same while none are, and it only decides whether rows are reported.
+const IDLE_CAPACITY_LIFETIME: Duration = Duration::from_secs(1);
 /// What is left of the weight of a request's cost once another one of its class is sent: the mean is over some fifty.
 const COST_DECAY: f64 = 0.98;
 
@@ -209,8 +212,10 @@
     /// What the engines can process that take work, in engines of median speed. It includes engines that serve other models
     /// than a request's, since what is offered isn't known by model.
     fn engine_capacity(&mut self, now: Instant) -> f64 {
+        let fresh = self.overload.shares.is_fresh(now);
+        let lifetime = if fresh { CAPACITY_LIFETIME } else { IDLE_CAPACITY_LIFETIME };
         if let Some((capacity, at)) = self.overload.capacity
-            && now.saturating_duration_since(at) < CAPACITY_LIFETIME
+            && now.saturating_duration_since(at) < lifetime
         {
             return capacity;
         }
