--- a/components/overload/tests/fleet.rs
+++ b/components/overload/tests/fleet.rs
@@ -54,33 +54,27 @@
     }
 }
 
-/// Callers, or requests, by second of their arrival.
-#[derive(Clone, Copy, Debug, Default)]
-struct Count {
-    offered: f64,
-    admitted: f64,
-}
-
 struct Outcome {
-    /// Callers by workspace and tier that were admitted, at once or when they came back.
-    callers: Vec<[Count; 3]>,
-    returns: [f64; SECONDS as usize + 5],
-    served: [f64; SECONDS as usize + 5],
+    /// Callers by workspace and tier: all, and those that were admitted, at once or when they came back.
+    callers: Vec<[[f64; 2]; 3]>,
+    returns: [f64; SECONDS as usize],
+    served: [f64; SECONDS as usize],
     /// Refused requests by node and second.
     refused: Vec<[u32; SECONDS as usize]>,
 }
 
 impl Outcome {
     fn sum(&self, counted: impl Fn(usize, usize) -> bool) -> f64 {
-        let mut sum = Count::default();
-        for (workspace, tiers) in self.callers.iter().enumerate() {
-            for (_, count) in tiers.iter().enumerate().filter(|(tier, _)| counted(workspace, *tier))
-            {
-                sum.offered += count.offered;
-                sum.admitted += count.admitted;
-            }
-        }
-        sum.admitted / sum.offered
+        let all = (0..WORKSPACES).flat_map(|own| (0..3).map(move |tier| (own, tier)));
+        let counts = all.filter(|(own, tier)| counted(*own, *tier));
+        let counts = counts.map(|(own, tier)| self.callers[own][tier]);
+        let [all, admitted] = counts.fold([0.0; 2], |sum, own| [sum[0] + own[0], sum[1] + own[1]]);
+        admitted / all
+    }
+
+    /// Requests that all nodes refused in a second.
+    fn refused_in(&self, second: usize) -> u32 {
+        self.refused.iter().map(|node| node[second]).sum()
     }
 
     /// Part of the callers of other workspaces that were admitted.
@@ -104,9 +98,9 @@
     let mut nodes: Vec<Shares> = (0..NODES).map(|_| Shares::default()).collect();
     let mut reports: Vec<(Vec<Row>, [f64; TIERS])> = vec![(vec![], [0.0; TIERS]); NODES];
     let mut outcome = Outcome {
-        callers: vec![[Count::default(); 3]; WORKSPACES],
-        returns: [0.0; SECONDS as usize + 5],
-        served: [0.0; SECONDS as usize + 5],
+        callers: vec![[[0.0; 2]; 3]; WORKSPACES],
+        returns: [0.0; SECONDS as usize],
+        served: [0.0; SECONDS as usize],
         refused: vec![[0; SECONDS as usize]; NODES],
     };
     // Callers that come back: when, workspace, tier, arrival in steps.
@@ -150,24 +144,16 @@
             let index = (fleet.node)(workspace, sent[workspace]);
             let index = index.unwrap_or_else(|| rng.random_range(0..NODES));
             sent[workspace] += 1;
-            let (key, tier_key) = (Some(workspace as u32), tier as u8);
-            nodes[index].record(key, tier_key, COST, now);
+            let (key, rank, draw) = (Some(workspace as u32), tier as u8, rng.random());
+            nodes[index].record(key, rank, COST, now);
             let left = TIME_LIMIT.saturating_sub(STEP * (step - arrived) as u32);
-            let ask = Ask {
-                workspace: key,
-                tier: tier_key,
-                returning: again,
-                chance: 1.0,
-                draw: rng.random(),
-                left,
-            };
-            let verdict = nodes[index].decide(ask, (fleet.capacity)(index), now);
-            let count = &mut outcome.callers[workspace][tier];
-            let counted = arrived / 100 >= COUNTED_FROM;
-            count.offered += f64::from(u8::from(counted && !again));
-            match verdict {
+            let ask = Ask { workspace: key, tier: rank, returning: again, chance: 1.0, draw, left };
+            let [all, admitted] = &mut outcome.callers[workspace][tier];
+            let counted = f64::from(u8::from(arrived / 100 >= COUNTED_FROM));
+            *all += if again { 0.0 } else { counted };
+            match nodes[index].decide(ask, (fleet.capacity)(index), now) {
                 Verdict::Admit => {
-                    count.admitted += f64::from(u8::from(counted));
+                    *admitted += counted;
                     outcome.served[second as usize] += 1.0;
                 }
                 Verdict::Refuse { after, .. } => {
@@ -196,10 +182,6 @@
         let before = run(&fleet);
         let hot = run(&Fleet { hot: |_| 7.5, ..fleet });
         let (before, after) = (before.others(), hot.others());
-        println!(
-            "{usual}: others {before:.3}, {after:.3}; hot {:.3}",
-            hot.sum(|own, _| own == HOT)
-        );
         assert!(
             (before - after).abs() < 0.02,
             "at {usual}: {before:.3} before, {after:.3} with it"
@@ -217,7 +199,6 @@
     // The tiers above take 6.5 times 0.6 of its usual load more; 0.4 of all load is in the lowest tier.
     let taken = size(HOT) * 0.95 * (7.5 * 0.6 - 0.6) - 0.05;
     let lowest = 0.4 * 0.95 * (1.0 - size(HOT));
-    println!("{:.3} {:.3}", others(2), 1.0 - taken / lowest);
     assert!(others(2) > 1.0 - taken / lowest - 0.02, "{}", others(2));
 }
 
@@ -239,7 +220,6 @@
     for usual in [1.2, 1.5, 2.4] {
         let outcome = run(&Fleet { usual, ..Fleet::default() });
         let [high, middle, low] = [0, 1, 2].map(|tier| outcome.tier(tier));
-        println!("{usual}: {high:.3} {middle:.3} {low:.3}");
         assert!(high > 0.98, "{high}");
         // Callers have two attempts, so a minimum of 1 in 20 admits about 1 in 10 of them.
         assert!(middle > 0.98 || low < 0.12, "{middle} in the middle, {low} in the lowest tier");
@@ -264,7 +244,6 @@
     let disagreed = run(&Fleet { usual: 1.3, capacity, ..Fleet::default() });
     for tier in 0..3 {
         let (agreed, disagreed) = (agreed.tier(tier), disagreed.tier(tier));
-        println!("tier {tier}: {agreed:.3} {disagreed:.3}");
         assert!((agreed - disagreed).abs() < 0.05, "tier {tier}: {agreed:.3} {disagreed:.3}");
     }
     assert!(disagreed.tier(1) > 0.99);
@@ -284,7 +263,7 @@
 fn load_that_has_gone_is_forgotten() {
     let hot = |second| if second < 15 { 12.0 } else { 1.0 };
     let outcome = run(&Fleet { hot, ..Fleet::default() });
-    let refused = |second: usize| outcome.refused.iter().map(|node| node[second]).sum::<u32>();
+    let refused = |second| outcome.refused_in(second);
     assert!(refused(14) > 50, "{}", refused(14));
     assert_eq!((18..30).map(refused).sum::<u32>(), 0);
 }
@@ -294,7 +273,7 @@
 fn old_shares_are_ignored() {
     let informed = |_, second| second < 15;
     let outcome = run(&Fleet { usual: 1.5, informed, ..Fleet::default() });
-    let refused = |second: usize| outcome.refused.iter().map(|node| node[second]).sum::<u32>();
+    let refused = |second| outcome.refused_in(second);
     assert!(refused(14) > 50 && refused(16) > 50, "{} {}", refused(14), refused(16));
     assert_eq!((18..30).map(refused).sum::<u32>(), 0);
 }
--- a/components/policy/src/overload.rs
+++ b/components/policy/src/overload.rs
@@ -31,6 +31,9 @@
 /// What is left of the weight of a request's cost once another one of its class is sent: the mean is over some fifty.
 const COST_DECAY: f64 = 0.98;
 
+/// Relative rise of the decoding time with each request, to follow a service whose model changes: it doubles within minutes.
+const DECODING_RISE: f64 = 0.000_5;
+
 /// The mean of a ratio over the last requests.
 #[derive(Clone, Copy, Debug, Default)]
 struct Ratio {
@@ -57,8 +60,9 @@
     keys: SecondaryMap<ids::Workspace, u32>,
     /// Prefill that requests of a class took, relative to prefilling their whole prompts: the rest was cached.
     prefill: SecondaryMap<ids::Class, Ratio>,
-    /// Engine seconds per token of an answer.
-    decoding: Ratio,
+    /// Lowest engine seconds per token of an answer. While an engine prefills, the time between tokens contains prefill, which
+    /// would be counted twice: a loaded fleet would seem overloaded.
+    decoding: Option<f64>,
     /// What the engines can process, and when that was computed.
     capacity: Option<(f64, Instant)>,
     /// Random number that changes with each report.
@@ -190,7 +194,7 @@
             let unshared = request.prompt_tokens.saturating_sub(request.shared_tokens());
             f64::from(unshared) / f64::from(request.prompt_tokens.max(1))
         });
-        let decoding = self.overload.decoding.mean().unwrap_or_default();
+        let decoding = self.overload.decoding.unwrap_or_default();
         whole * ratio + f64::from(pending.tokens) * decoding
     }
 
@@ -203,7 +207,9 @@
         }
         let speed = work / seconds;
         let whole = whole_prefill(pending, &self.pools[pending.pool]);
-        self.overload.decoding.add((seconds - prefill) * speed, f64::from(pending.tokens));
+        let decoding = (seconds - prefill) * speed / f64::from(pending.tokens.max(1));
+        let lowest = self.overload.decoding.unwrap_or(decoding) * (1.0 + DECODING_RISE);
+        self.overload.decoding = Some(lowest.min(decoding));
         if let Some(entry) = self.overload.prefill.entry(pending.request.class) {
             entry.or_default().add(prefill * speed, whole);
         }
--- a/components/policy/tests/overload.rs
+++ b/components/policy/tests/overload.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::prompts::{DRAFT, ENGINES, STEADY, fixture, request};
+use common::prompts::{DRAFT, ENGINES, PREFILL_RATE, STEADY, fixture, request};
 use common::{Fixture, new_keys};
 use overload::{Row, TIERS};
 use policy::{Action, Ending, Mechanism, Policy, Prior, Refusal, Request, Server, Workspace};
@@ -40,6 +40,15 @@
     fixture.scheduler.set_fleet_offered(rows, totals, fixture.now);
 }
 
+/// Changes the terms of the first servers.
+fn change_servers(fixture: &mut Fixture, count: usize, change: impl Fn(Server) -> Server) {
+    let mut batch = fixture.scheduler.change_servers();
+    for (index, key) in fixture.servers.iter().enumerate().take(count) {
+        let terms = common::server(index as u64 + 1, 128, fixture.model);
+        batch.set(*key, change(Server { prefill_rate: Some(PREFILL_RATE), ..terms }));
+    }
+}
+
 /// Submits a request; returns what became of it, and completes it if it was sent.
 fn run(fixture: &mut Fixture, request: Request) -> Vec<Action> {
     let job = fixture.scheduler.submit(request, fixture.now);
@@ -53,17 +62,16 @@
 
 /// Runs requests of both workspaces and two classes; returns all actions.
 fn run_mixed(fixture: &mut Fixture, utilization: Option<f64>) -> Vec<Action> {
-    let mut all = vec![];
-    for step in 0..400 {
-        if let Some(utilization) = utilization.filter(|_| step % 60 == 0) {
+    let step = |step: u64| {
+        if let Some(utilization) = utilization.filter(|_| step.is_multiple_of(60)) {
             set_utilization(fixture, utilization);
         }
-        let class = [STEADY, DRAFT][step as usize % 2];
         let workspace = fixture.workspaces[step as usize / 2 % 2];
+        let class = [STEADY, DRAFT][step as usize % 2];
         let request = Request { workspace, ..request(fixture, class, step % 17) };
-        all.extend(run(fixture, request));
-    }
-    all
+        run(fixture, request)
+    };
+    (0..400).flat_map(step).collect()
 }
 
 /// Refused requests of a workspace and class among 400, by reason, and the longest time after which one is to come back.
@@ -113,12 +121,7 @@
     let mut fixture = two_workspaces();
     set_utilization(&mut fixture, 0.8);
     assert_eq!(fixture.scheduler.fleet_utilization(fixture.now), Some(0.8));
-    let mut batch = fixture.scheduler.change_servers();
-    for (index, key) in fixture.servers.iter().enumerate().take(ENGINES / 2) {
-        let terms = common::server(index as u64 + 1, 128, fixture.model);
-        batch.set(*key, Server { prefill_rate: Some(75_000), leaving: true, ..terms });
-    }
-    drop(batch);
+    change_servers(&mut fixture, ENGINES / 2, |terms| Server { leaving: true, ..terms });
     fixture.now += Duration::from_millis(300);
     assert_eq!(fixture.scheduler.fleet_utilization(fixture.now), Some(1.6));
 }
@@ -145,11 +148,7 @@
     let actions = run_mixed(&mut fixture, None);
     assert!(actions.iter().all(|action| matches!(action, Action::Send { .. })));
     let mut fixture = two_workspaces();
-    let mut batch = fixture.scheduler.change_servers();
-    for (index, key) in fixture.servers.iter().enumerate() {
-        batch.set(*key, common::server(index as u64 + 1, 128, fixture.model));
-    }
-    drop(batch);
+    change_servers(&mut fixture, ENGINES, |terms| Server { prefill_rate: None, ..terms });
     let actions = run_mixed(&mut fixture, Some(5.0));
     assert!(actions.iter().all(|action| matches!(action, Action::Send { .. })));
 }
