--- a/components/calibration/src/estimator.rs
+++ b/components/calibration/src/estimator.rs
@@ -4,17 +4,12 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-/// Samples of one engine that count.
-const MAX_SAMPLES: usize = 24;
-/// Samples of one engine that count of one node. With 6 of 24, those of one node that measures too fast would contain the
-/// percentile that is taken.
-const MAX_NODE_SAMPLES: usize = 5;
+/// Nodes whose samples count for one engine, which bounds memory.
+const MAX_NODES: usize = 16;
 /// Fewest samples for an estimate.
-const MIN_SAMPLES: usize = 3;
-/// Time for which a sample counts.
+const MIN_SAMPLES: u32 = 3;
+/// Time for which a node's fastest sample counts. An engine that is busy for some seconds shows nothing but waits.
 const SAMPLE_LIFETIME: Duration = Duration::from_secs(20);
-/// Percentile of the samples that is the estimate: waits that nodes don't know of make samples too slow.
-const PERCENTILE: usize = 80;
 /// Largest ratio between a rate and the assumed one; others are measuring errors.
 const MAX_RATIO: u32 = 8;
 
@@ -29,25 +24,29 @@
     }
 }
 
+/// The fastest recent sample that a node took of an engine.
 #[derive(Debug)]
-struct Sample {
+struct Fastest {
     /// Hash of the node's name.
     node: u64,
     tokens_per_second: u32,
     at: Instant,
+    /// Samples of the node since then, itself included.
+    samples: u32,
 }
 
-impl Sample {
+impl Fastest {
     fn is_recent(&self, now: Instant) -> bool {
         now < self.at + SAMPLE_LIFETIME
     }
 }
 
-/// Recent samples by engine.
+/// Recent samples by engine: the fastest of each node, as waits that nodes don't know of make samples too slow. The second
+/// fastest node counts, so that one that measures too fast doesn't decide.
 #[derive(Debug)]
 pub struct Estimator<K> {
     assumed: u32,
-    samples: HashMap<K, VecDeque<Sample>>,
+    fastest: HashMap<K, Vec<Fastest>>,
 }
 
 impl<K: Copy + Eq + Hash> Estimator<K> {
@@ -58,7 +57,7 @@
     /// assert_eq!(estimator.estimate(7, std::time::Instant::now()), None);
     /// ```
     pub fn new(assumed: u32) -> Self {
-        Estimator { assumed, samples: HashMap::new() }
+        Estimator { assumed, fastest: HashMap::new() }
     }
 
     /// Whether a rate is near enough to the assumed one not to be a measuring error.
@@ -72,11 +71,11 @@
     /// ```
     /// let now = std::time::Instant::now();
     /// let mut estimator = calibration::Estimator::new(75_000);
-    /// for rate in [20_000, 30_000, 30_000, 9_000_000] {
-    ///     estimator.record(7, "a", rate, now);
+    /// for (node, rate) in [("a", 20_000), ("a", 31_000), ("b", 30_000), ("b", 9_000_000)].repeat(2) {
+    ///     estimator.record(7, node, rate, now);
     /// }
     /// let estimate = estimator.estimate(7, now).unwrap();
-    /// assert_eq!((estimate.tokens_per_second, estimate.samples), (30_000, 3));
+    /// assert_eq!((estimate.tokens_per_second, estimate.samples), (30_000, 6));
     /// ```
     pub fn record(&mut self, key: K, node: &str, tokens_per_second: u32, now: Instant) {
         if !self.is_plausible(tokens_per_second) {
@@ -85,15 +84,20 @@
         let mut hasher = DefaultHasher::new();
         node.hash(&mut hasher);
         let node = hasher.finish();
-        let samples = self.samples.entry(key).or_default();
-        samples.retain(|sample| sample.is_recent(now));
-        if samples.iter().filter(|sample| sample.node == node).count() >= MAX_NODE_SAMPLES {
-            let oldest = samples.iter().position(|sample| sample.node == node);
-            oldest.and_then(|oldest| samples.remove(oldest));
-        }
-        samples.push_back(Sample { node, tokens_per_second, at: now });
-        if samples.len() > MAX_SAMPLES {
-            samples.pop_front();
+        let new = Fastest { node, tokens_per_second, at: now, samples: 1 };
+        let nodes = self.fastest.entry(key).or_default();
+        nodes.retain(|known| known.is_recent(now));
+        match nodes.iter_mut().find(|known| known.node == node) {
+            Some(known) if tokens_per_second >= known.tokens_per_second => {
+                *known = Fastest { samples: known.samples + 1, ..new };
+            }
+            Some(known) => known.samples += 1,
+            None => {
+                if nodes.len() == MAX_NODES {
+                    nodes.remove(0);
+                }
+                nodes.push(new);
+            }
         }
     }
 
@@ -109,14 +113,16 @@
     /// assert_eq!(estimator.estimate(7, now + Duration::from_secs(20)), None);
     /// ```
     pub fn estimate(&self, key: K, now: Instant) -> Option<Estimate> {
-        let recent = self.samples.get(&key)?.iter().filter(|sample| sample.is_recent(now));
-        let mut rates: Vec<_> = recent.map(|sample| sample.tokens_per_second).collect();
-        if rates.len() < MIN_SAMPLES {
+        let recent =
+            || self.fastest.get(&key).into_iter().flatten().filter(|known| known.is_recent(now));
+        let samples = recent().map(|known| known.samples).sum();
+        if samples < MIN_SAMPLES {
             return None;
         }
-        let rank = (rates.len() - 1) * PERCENTILE / 100;
-        let tokens_per_second = *rates.select_nth_unstable(rank).1;
-        Some(Estimate { tokens_per_second, samples: rates.len() as u32 })
+        let mut rates: Vec<_> = recent().map(|known| known.tokens_per_second).collect();
+        rates.sort_unstable_by_key(|rate| std::cmp::Reverse(*rate));
+        let tokens_per_second = *rates.get(1).or(rates.first())?;
+        Some(Estimate { tokens_per_second, samples })
     }
 
     /// Drops the samples of an engine.
@@ -129,13 +135,13 @@
     /// assert_eq!(estimator.estimate(7, now), None);
     /// ```
     pub fn forget(&mut self, key: K) {
-        self.samples.remove(&key);
+        self.fastest.remove(&key);
     }
 
     /// The engines with an estimate; drops those without recent samples.
     pub(crate) fn estimates(&mut self, now: Instant) -> HashMap<K, Estimate> {
-        self.samples.retain(|_, samples| samples.iter().any(|sample| sample.is_recent(now)));
+        self.fastest.retain(|_, nodes| nodes.iter().any(|known| known.is_recent(now)));
         let estimate = |key: &K| Some((*key, self.estimate(*key, now)?));
-        self.samples.keys().filter_map(estimate).collect()
+        self.fastest.keys().filter_map(estimate).collect()
     }
 }
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -24,6 +24,7 @@
 use crate::pending::{Expected, Pending};
 use crate::pick::mix64;
 use crate::pool::{Member, Pool};
+use crate::prefilling;
 use crate::prefix::{Copies, Cost};
 use crate::scheduler::Scheduler;
 use crate::server;
@@ -45,6 +46,11 @@
 /// Cost of a prompt at an engine of a less tolerant group, as a multiple of its prefill time: it
 /// delays the tokens of all of that engine's streams, some dozens.
 const DISTURBANCE_FACTOR: f64 = 30.0;
+/// Longest answer in tokens, as limited by its caller, that has few events in which it may pause.
+const SHORT_ANSWER_TOKENS: u32 = 256;
+/// Factor by which a class with longer answers must tolerate more than the time between tokens beside long prompts: about
+/// the spread of that time.
+const LONG_ANSWER_FACTOR: f64 = 1.5;
 /// A prompt that is prefilled within so many seconds causes no noticeable pause in steady streams: it is a
 /// quarter of the pause that they tolerate.
 const SHORT_PREFILL_SECONDS: f64 = 0.06;
@@ -194,9 +200,14 @@
     }
 
     /// Longest time between tokens that the callers of a request's class tolerate.
+    /// Beside long prompts each event of a long answer is one more chance of a pause, so long answers count as less tolerant
+    /// where the pauses there are measured.
     fn pause_tolerance(&self, pending: &Pending) -> Duration {
         let class = self.classes.get(pending.request.class);
-        class.map(|class| class.token_interval).unwrap_or_default()
+        let tolerance = class.map(|class| class.token_interval).unwrap_or_default();
+        let long = pending.request.max_tokens.is_none_or(|most| most > SHORT_ANSWER_TOKENS);
+        let measured = self.prefilling_seconds != prefilling::ASSUMED_SECONDS;
+        if long && measured { tolerance.div_f64(LONG_ANSWER_FACTOR) } else { tolerance }
     }
 
     /// Whether an engine that isn't excluded may take a request now.
@@ -418,6 +429,7 @@
         let seconds = prefill + tokens * interval / batch;
         let tolerance = self.pause_tolerance(&self.jobs[job]);
         let work = seconds * self.relative_speed(&self.pools[pool], server);
+        self.record_cost(job, prefill, seconds, work);
         self.pools[pool].isolation.add_work(tolerance, work, now);
     }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod membership;
 pub mod memory;
 mod notices;
+mod overload;
 mod pending;
 mod pick;
 mod pool;
--- a/components/policy/src/mechanism.rs
+++ b/components/policy/src/mechanism.rs
@@ -64,6 +64,8 @@
         MeasuredRates = "measured-rates",
         /// How long an engine caches a prefix follows from its memory; otherwise it is a fixed time.
         CacheMemory = "cache-memory",
+        /// Requests are refused by the fair shares of the fleet while its engines are overloaded.
+        Overload = "overload",
     }
 }
 
--- a/components/policy/src/prefilling.rs
+++ b/components/policy/src/prefilling.rs
@@ -20,7 +20,7 @@
 pub(crate) const ASSUMED_SECONDS: f64 = 0.075;
 /// Bounds of a measured interval, as a multiple of the assumed one, between which the assumed one applies. Classes whose
 /// tolerance is near it would otherwise change their group with each new measurement.
-const NEAR_ASSUMED: std::ops::RangeInclusive<f64> = 0.8..=1.25;
+const NEAR_ASSUMED: std::ops::RangeInclusive<f64> = 0.75..=1.33;
 /// Change of the interval, as a part of it, that is applied: a smaller one isn't worth the move of a class.
 const NOTICEABLE_CHANGE: f64 = 0.1;
 /// Prefill that an engine must have queued to count as prefilling all the time, in seconds: several chunks.
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::length::Lengths;
 use crate::mechanism::{Mechanism, Switches};
 use crate::notices::Notices;
+use crate::overload::Overload;
 use crate::pending::{Expected, Pending, Stage};
 use crate::pick::Candidate;
 use crate::pool::{Key, Pool, Scope};
@@ -101,6 +102,7 @@
     pub(crate) prefilling_seconds: f64,
     /// The longest that the fleet has measured.
     pub(crate) prefilling_held: prefilling::Held,
+    pub(crate) overload: Overload,
 }
 
 impl Default for Scheduler {
@@ -170,6 +172,7 @@
             prefilling: prefilling::Samples::default(),
             prefilling_seconds: prefilling::ASSUMED_SECONDS,
             prefilling_held: prefilling::Held::default(),
+            overload: Overload::new(seed),
         }
         .with_limits()
     }
@@ -272,6 +275,7 @@
         self.classes.remove(key);
         self.unserved.remove(key);
         self.demand.remove_class(key);
+        self.overload.remove_class(key);
         self.fair.remove_class(key);
         self.lengths.remove_class(key);
         self.update_class_bounds();
@@ -281,6 +285,7 @@
     pub fn remove_workspace(&mut self, key: ids::Workspace) {
         self.workspaces.remove(key);
         self.fair.remove_workspace(key);
+        self.overload.remove_workspace(key);
         self.lengths.remove_workspace(key);
     }
 
