Measured rates apply only where the fleet as a whole differs from what is assumed

Cause: engines that are busy all the time show no prefill without a wait, and were measured too slow.

Change: an engine's estimate is the second fastest of the nodes' fastest samples of a minute; rates apply only while the highest median of the fleet in the last minute differs clearly from the assumed rate.

--- a/components/calibration/src/estimator.rs
+++ b/components/calibration/src/estimator.rs
@@ -1,15 +1,15 @@
 //! Estimates an engine's rate from recent samples.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 /// Nodes whose samples count for one engine, which bounds memory.
 const MAX_NODES: usize = 16;
 /// Fewest samples for an estimate.
-const MIN_SAMPLES: u32 = 3;
+const MIN_SAMPLES: u32 = 6;
 /// Time for which a node's fastest sample counts. An engine that is busy for some seconds shows nothing but waits.
-const SAMPLE_LIFETIME: Duration = Duration::from_secs(20);
+const SAMPLE_LIFETIME: Duration = Duration::from_secs(60);
 /// Largest ratio between a rate and the assumed one; others are measuring errors.
 const MAX_RATIO: u32 = 8;
 
--- a/components/forward/src/gossip/rates.rs
+++ b/components/forward/src/gossip/rates.rs
@@ -377,7 +377,7 @@
     }
     let registry = state.registry.borrow();
     let resolved = resolve(&registry, &in_force);
-    state.driver.scheduler.borrow_mut().set_measured_rates(resolved);
+    state.driver.scheduler.borrow_mut().set_measured_rates(resolved, state.clock.now());
     tell(state, &mut rates.told, &registry, &in_force);
 }
 
