Rows that older nodes can decode are chosen in one place

Reports to seeds and answers to nodes leave out the numbers on memory by the same function, with a test.

--- a/components/forward/src/gossip.rs
+++ b/components/forward/src/gossip.rs
@@ -268,9 +268,7 @@
     } else {
         aggregate.fleet_summary(&from, known, now)
     };
-    if !takes_memory {
-        summary.loads = summary.loads.into_iter().map(Load::without_memory).collect();
-    }
+    summary.loads = detail::decodable(summary.loads, takes_memory);
     summary.takes_memory = state.registry.borrow().knows_memory();
     summary = suspects::merge_and_add_to_summary(
         state,
@@ -334,10 +332,8 @@
     known: Option<Position>,
     seed_takes_memory: bool,
 ) -> Report {
-    let (mut loads, parts, sends) = (own_loads(state), own_cached_parts(state), own_sends(state));
-    if !seed_takes_memory {
-        loads = loads.into_iter().map(Load::without_memory).collect();
-    }
+    let loads = detail::decodable(own_loads(state), seed_takes_memory);
+    let (parts, sends) = (own_cached_parts(state), own_sends(state));
     let takes_memory = state.registry.borrow().knows_memory();
     let number = sent.record(loads.clone(), sends.clone());
     let from = state.node().name.clone();
--- a/components/forward/src/gossip/detail.rs
+++ b/components/forward/src/gossip/detail.rs
@@ -49,5 +49,10 @@
     any.then_some(load)
 }
 
+/// The rows that a node can decode: older ones reject a message that contains a row with numbers on memory.
+pub(super) fn decodable(loads: Vec<Load>, takes_memory: bool) -> Vec<Load> {
+    if takes_memory { loads } else { loads.into_iter().map(Load::without_memory).collect() }
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/forward/src/gossip/detail/tests.rs
+++ b/components/forward/src/gossip/detail/tests.rs
@@ -42,3 +42,11 @@
     let unknown = Engine { slots: SLOTS, ..Engine::default() };
     assert_eq!(super::needed(load(61, 40), unknown), None, "memory isn't stated");
 }
+
+/// During an update an older seed must still get the loads of newer nodes, without what it can't decode.
+#[test]
+fn older_nodes_are_sent_loads_without_memory() {
+    let loads = vec![Load { running_kilotokens: 90, ..load(QUIET_MS, 1) }];
+    assert_eq!(super::decodable(loads.clone(), false), [load(QUIET_MS, 1)]);
+    assert_eq!(super::decodable(loads.clone(), true), loads);
+}
