Engines are measured where the service states that they are of another kind

Cause: what busy engines show is worse than what is known of their kind.

Change: a service's memory per token tells whether the assumed figures are of its kind of engine; within a factor of two of it nothing is measured, and those deployments are served as before.

--- a/components/catalog/src/route.rs
+++ b/components/catalog/src/route.rs
@@ -74,6 +74,8 @@
         pub fetch_tokens_per_second: Option<f64>,
         /// Tokens of prompts and answers that the memory of one of its engines holds; `None` if that is unknown.
         pub cache_tokens: Option<u32>,
+        /// Memory of its engines that one token takes, in bytes; `None` if it isn't stated.
+        pub token_bytes: Option<f64>,
         /// Its engines can keep a copy of a request that another one runs, and continue it.
         pub backups: bool,
         /// What its servers withstand while they are cold; `None` if they are never cold.
--- a/components/forward/src/gossip/rates.rs
+++ b/components/forward/src/gossip/rates.rs
@@ -381,7 +381,7 @@
     }
     let registry = state.registry.borrow();
     let resolved = resolve(&registry, &in_force);
-    state.driver.scheduler.borrow_mut().set_measured_rates(resolved, state.clock.now());
+    state.driver.scheduler.borrow_mut().set_measured_rates(resolved);
     tell(state, &mut rates.told, &registry, &in_force);
 }
 
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -20,6 +20,12 @@
 /// to engines whose rate isn't measured, and weighs prompts against streams and the delay to another region.
 pub(crate) const PREFILL_TOKENS_PER_SECOND: u32 = 75_000;
 
+/// Memory in bytes that a token takes at the engines of which [`PREFILL_TOKENS_PER_SECOND`] is: it shows the size of the
+/// model, on which the time for a token depends.
+const KNOWN_TOKEN_BYTES: f64 = 35_000.0;
+/// Ratio of the memory of a token up to which engines count as of the same kind.
+const SAME_KIND_RATIO: f64 = 2.0;
+
 /// Time before an engine receives the first token that it copies from another: some round trips.
 const FETCH_SETUP: Duration = Duration::from_millis(5);
 
@@ -37,6 +43,8 @@
     fetch: Option<policy::Fetch>,
     /// Tokens that the memory of an engine holds; none if that is unknown.
     cache_tokens: Option<u32>,
+    /// Its engines are of another kind than those of which the assumed figures are.
+    is_measured: bool,
     /// Its engines keep copies of what others run.
     backups: bool,
     /// Time after its start in which a server is cold; none if it never is.
@@ -204,6 +212,7 @@
             prefill_rate: entry.engine.then_some(PREFILL_TOKENS_PER_SECOND),
             fetch: service.fetch,
             cache_tokens: service.cache_tokens,
+            is_measured: service.is_measured,
             backups: service.backups,
             cold_time: service.cold_time,
         }
@@ -294,7 +303,8 @@
             // Without gossip no node gets a permit, so servers count as warm.
             let cold_time = service.cold.filter(|_| self.issues_permits).map(|cold| cold.time);
             let (cache_tokens, backups) = (service.cache_tokens, service.backups);
-            (name.clone(), ServiceTerms { fetch, cache_tokens, backups, cold_time })
+            let is_measured = service.token_bytes.is_some_and(is_of_another_kind);
+            (name.clone(), ServiceTerms { fetch, cache_tokens, is_measured, backups, cold_time })
         };
         let services: HashMap<_, _> = settings.services.iter().map(terms).collect();
         if services == self.services {
@@ -306,11 +316,18 @@
             scheduler.set_fetch(key, terms.fetch);
             scheduler.set_backups(key, terms.backups);
             scheduler.set_cache_tokens(key, terms.cache_tokens);
+            scheduler.set_measured(key, terms.is_measured);
             scheduler.set_cold_time(key, terms.cold_time);
         }
     }
 }
 
+/// Whether engines whose tokens take so many bytes run a model of another kind than those of which the assumed figures are.
+fn is_of_another_kind(token_bytes: f64) -> bool {
+    let ratio = token_bytes / KNOWN_TOKEN_BYTES;
+    !(1.0 / SAME_KIND_RATIO..=SAME_KIND_RATIO).contains(&ratio)
+}
+
 /// The start of a server that an entry describes.
 pub(crate) fn incarnation(entry: &Entry) -> Incarnation {
     let salt = xxh3_64(entry.name.as_bytes());
--- a/components/policy/examples/patterns/driver/node.rs
+++ b/components/policy/examples/patterns/driver/node.rs
@@ -188,6 +188,7 @@
             resumes: true,
             prefill_rate: None,
             cache_tokens: None,
+            is_measured: false,
             fetch: None,
             cold_time: None,
             backups: false,
--- a/components/policy/src/prefilling.rs
+++ b/components/policy/src/prefilling.rs
@@ -142,7 +142,8 @@
         now: Instant,
     ) {
         let Some(state) = self.servers.get(server) else { return };
-        let busy = state.prefill.queued_ahead(u8::MAX, now) >= BUSY_SECONDS;
+        let queued = state.prefill.queued_ahead(u8::MAX, now);
+        let busy = state.terms.is_measured && queued >= BUSY_SECONDS;
         let Some(pending) = self.jobs.get_mut(job) else { return };
         let was_busy = std::mem::replace(&mut pending.busy_engine, busy);
         let pool = &self.pools[pending.pool];
--- a/components/policy/src/scheduler.rs
+++ b/components/policy/src/scheduler.rs
@@ -96,10 +96,6 @@
     pub(crate) peer_loaded: Vec<ids::Server>,
     /// Measured prefill rates that wait to be reported.
     pub(crate) rate_samples: speed::Samples,
-    /// Median of the fleet's measured rates.
-    pub(crate) fleet_rate: speed::Held,
-    /// It differs clearly from the assumed one.
-    pub(crate) fleet_rate_differs: bool,
     /// Times between tokens at engines that prefill all the time, as measured by this node.
     pub(crate) prefilling: prefilling::Samples,
     /// The one that applies, in seconds.
@@ -173,8 +169,6 @@
             connected: BTreeSet::new(),
             peer_loaded: vec![],
             rate_samples: speed::Samples::default(),
-            fleet_rate: speed::Held::default(),
-            fleet_rate_differs: false,
             prefilling: prefilling::Samples::default(),
             prefilling_seconds: prefilling::ASSUMED_SECONDS,
             prefilling_held: prefilling::Held::default(),
@@ -237,6 +231,13 @@
         }
     }
 
+    /// Sets whether the rate of a backend server is measured.
+    pub fn set_measured(&mut self, key: ids::Server, is_measured: bool) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.terms.is_measured = is_measured;
+        }
+    }
+
     /// Sets whether a backend server can keep copies of what others run, and continue it.
     pub fn set_backups(&mut self, key: ids::Server, backups: bool) {
         if let Some(state) = self.servers.get_mut(key) {
--- a/components/policy/src/server.rs
+++ b/components/policy/src/server.rs
@@ -69,8 +69,6 @@
     /// Seconds between reports, averaged.
     report_interval: Option<f64>,
     /// Prompt tokens per second that it prefills, as the fleet has measured.
-    pub(crate) reported_rate: Option<u32>,
-    /// The same where such rates apply.
     pub(crate) measured_rate: Option<u32>,
     /// Use of its memory.
     pub(crate) memory: Memory,
@@ -98,7 +96,6 @@
             first_token: None,
             report_received: None,
             report_interval: None,
-            reported_rate: None,
             measured_rate: None,
             memory: Memory::default(),
         }
--- a/components/policy/src/speed.rs
+++ b/components/policy/src/speed.rs
@@ -7,6 +7,9 @@
 //! A prompt whose prefill is known and that nothing waits ahead of shows its engine's rate. Waits that the node doesn't know
 //! of make a sample too slow, never too fast, so the estimate is taken from the fastest samples (`calibration`).
 //!
+//! Engines of a kind whose rate is known aren't measured (`Server::is_measured`): while they are busy all the time, no prompt
+//! is prefilled without a wait, and what is measured then is worse than what is known.
+//!
 //! The assumed rate applies to engines near it, and engines of nearly equal speed count as equal: neither their order nor what
 //! is weighed then changes with each new estimate.
 
@@ -32,10 +35,6 @@
 const OVERHEAD_SECONDS: f64 = 0.01;
 /// Prefill known to be ahead of a prompt up to which its sample counts, in seconds.
 const MAX_AHEAD_SECONDS: f64 = 0.002;
-/// Engines of which one must have a reported rate for the fleet's median to count.
-const ENGINES_PER_REPORT: usize = 3;
-/// Time for which the highest median of the fleet's rates counts: while engines are busy, all are measured too slow.
-const HELD_FOR: Duration = Duration::from_secs(60);
 /// Samples kept until they are taken; more than a node gets between two reports.
 const MAX_SAMPLES: usize = 64;
 
@@ -82,27 +81,6 @@
     }
 }
 
-/// The highest value of the last time.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Held {
-    value: f64,
-    since: Option<Instant>,
-}
-
-impl Held {
-    fn update(&mut self, value: f64, now: Instant) {
-        let expired = self.since.is_none_or(|since| now >= since + HELD_FOR);
-        if value >= self.value || expired {
-            *self = Held { value, since: Some(now) };
-        }
-    }
-}
-
-fn median(rates: &mut [u32]) -> Option<f64> {
-    let middle = rates.len().checked_sub(1)? / 2;
-    Some(f64::from(*rates.select_nth_unstable(middle).1))
-}
-
 fn nearly_equal(a: f64, b: f64) -> bool {
     a / b <= NEARLY_EQUAL && b / a <= NEARLY_EQUAL
 }
@@ -150,48 +128,28 @@
         std::mem::take(&mut self.rate_samples.0)
     }
 
-    /// Sets the rates that the fleet has measured of engines; the assumed rate applies to those without one.
+    /// Sets the rates that the fleet has measured of engines; the assumed rate applies to those without one, and to those
+    /// that aren't to be measured.
     ///
     /// ```
     /// let mut scheduler = policy::Scheduler::new();
-    /// let now = std::time::Instant::now();
-    /// scheduler.set_measured_rates([(ids::Server::default(), Some(40_000))], now);
+    /// scheduler.set_measured_rates([(ids::Server::default(), Some(40_000))]);
     /// ```
     pub fn set_measured_rates(
         &mut self,
         rates: impl IntoIterator<Item = (ids::Server, Option<u32>)>,
-        now: Instant,
     ) {
         if !self.switches.is_on(Mechanism::MeasuredRates) {
             return;
         }
+        let mut changed = false;
         for (server, rate) in rates {
             if let Some(state) = self.servers.get_mut(server) {
-                state.reported_rate = rate;
+                let rate = rate.filter(|_| state.terms.is_measured);
+                changed |= state.measured_rate != rate;
+                state.measured_rate = rate;
             }
         }
-        self.apply_reported_rates(now);
-    }
-
-    /// Applies the reported rates if the fleet as a whole differs clearly from what is assumed, or else the assumed rate.
-    /// Engines that are busy all the time are measured too slow, and then look different from each other though they aren't.
-    fn apply_reported_rates(&mut self, now: Instant) {
-        let engines = self.servers.values().filter_map(|state| state.terms.prefill_rate);
-        let (mut assumed, mut reported): (Vec<u32>, Vec<u32>) =
-            (engines.collect(), self.servers.values().filter_map(|s| s.reported_rate).collect());
-        let enough = reported.len() * ENGINES_PER_REPORT >= assumed.len();
-        if let Some((reported, assumed)) = median(&mut reported).zip(median(&mut assumed))
-            && enough
-        {
-            self.fleet_rate.update(reported, now);
-            self.fleet_rate_differs = !nearly_equal(self.fleet_rate.value, assumed);
-        }
-        let mut changed = false;
-        for state in self.servers.values_mut() {
-            let rate = state.reported_rate.filter(|_| self.fleet_rate_differs);
-            changed |= state.measured_rate != rate;
-            state.measured_rate = rate;
-        }
         if changed {
             self.rebuild_pools();
         }
@@ -220,8 +178,10 @@
     /// Tokens that an engine had to prefill for a request, with the attention to earlier tokens counted as further ones;
     /// none unless that is certain. Call it before the request's own parts are recorded as prefilled.
     fn certain_prefill(&self, pending: &Pending, seen: Observation, now: Instant) -> Option<f64> {
+        let is_measured =
+            self.servers.get(seen.server).is_some_and(|state| state.terms.is_measured);
         let fetched = pending.expected.is_some_and(|expected| expected.fetch.is_some());
-        if seen.ahead > MAX_AHEAD_SECONDS || fetched {
+        if !is_measured || seen.ahead > MAX_AHEAD_SECONDS || fetched {
             return None;
         }
         let (prompt, shared) = (pending.request.prompt_tokens, pending.request.shared_tokens());
--- a/components/policy/src/terms.rs
+++ b/components/policy/src/terms.rs
@@ -61,6 +61,9 @@
         /// Prompt tokens that it prefills per second; none if that is unknown or the server has no
         /// prefill.
         pub prefill_rate: Option<u32>,
+        /// Its rate and the pauses beside long prompts are measured, as it is of another kind than the engines of which the
+        /// assumed figures are.
+        pub is_measured: bool,
         /// How fast it fetches a cached prefix from another engine; none if it can't.
         pub fetch: Option<Fetch>,
         /// Tokens of prompts and answers that its memory holds; none if that is unknown.
--- a/components/policy/tests/common/mod.rs
+++ b/components/policy/tests/common/mod.rs
@@ -54,6 +54,7 @@
         resumes: true,
         prefill_rate: None,
         cache_tokens: None,
+        is_measured: false,
         fetch: None,
         cold_time: None,
         backups: false,
--- a/components/policy/tests/common/prompts.rs
+++ b/components/policy/tests/common/prompts.rs
@@ -30,6 +30,7 @@
     for (index, key) in fixture.servers.iter().enumerate() {
         let terms = Server {
             prefill_rate: Some(PREFILL_RATE),
+            is_measured: true,
             ..server(index as u64 + 1, slots, fixture.model)
         };
         batch.set(*key, terms);
--- a/components/policy/tests/explain.rs
+++ b/components/policy/tests/explain.rs
@@ -61,7 +61,7 @@
     let mut fixture = fixture();
     let (job, holder) = send(&mut fixture, DRAFT, 1);
     common::prompts::complete(&mut fixture, job, Duration::from_millis(120));
-    fixture.scheduler.set_measured_rates([(holder, Some(PREFILL_RATE / 3))], now);
+    fixture.scheduler.set_measured_rates([(holder, Some(PREFILL_RATE / 3))]);
     report_peer_backlog(&mut fixture, holder, 0.1, 0.0);
     let now = fixture.now + Duration::from_millis(50);
     let explanation = explain(&fixture.scheduler, &request(&fixture, DRAFT, 1), now);
--- a/components/policy/tests/measured_rates.rs
+++ b/components/policy/tests/measured_rates.rs
@@ -16,7 +16,7 @@
     let rates =
         fixture.servers.iter().enumerate().map(|(index, key)| (*key, Some(rates[index % 3])));
     let rates: Vec<_> = rates.collect();
-    fixture.scheduler.set_measured_rates(rates, fixture.now);
+    fixture.scheduler.set_measured_rates(rates);
     fixture
 }
 
@@ -73,7 +73,7 @@
         .zip(rates.iter().cycle())
         .map(|(key, rate)| (*key, Some(*rate)))
         .collect();
-    measured.scheduler.set_measured_rates(rates, measured.now);
+    measured.scheduler.set_measured_rates(rates);
     assert_eq!(sends(&mut before, DRAFT), sends(&mut measured, DRAFT));
 }
 
@@ -85,7 +85,7 @@
     let scheduler = std::mem::take(&mut disabled.scheduler);
     disabled.scheduler = scheduler.with_disabled(Mechanism::MeasuredRates);
     let rates: Vec<_> = disabled.servers.iter().map(|key| (*key, Some(PREFILL_RATE / 3))).collect();
-    disabled.scheduler.set_measured_rates(rates, disabled.now);
+    disabled.scheduler.set_measured_rates(rates);
     assert_eq!(sends(&mut before, DRAFT), sends(&mut disabled, DRAFT));
 }
 
--- a/components/router/src/scheduler.rs
+++ b/components/router/src/scheduler.rs
@@ -100,6 +100,7 @@
         resumes: server.resumes,
         prefill_rate: None,
         cache_tokens: None,
+        is_measured: false,
         fetch: None,
         cold_time: None,
         backups: false,
