--- a/components/calibration/src/estimator.rs
+++ b/components/calibration/src/estimator.rs
@@ -7,9 +7,9 @@
 /// Nodes whose samples count for one engine, which bounds memory.
 const MAX_NODES: usize = 16;
 /// Fewest samples for an estimate.
-const MIN_SAMPLES: u32 = 6;
+const MIN_SAMPLES: u32 = 3;
 /// Time for which a node's fastest sample counts. An engine that is busy for some seconds shows nothing but waits.
-const SAMPLE_LIFETIME: Duration = Duration::from_secs(60);
+const SAMPLE_LIFETIME: Duration = Duration::from_secs(20);
 /// Largest ratio between a rate and the assumed one; others are measuring errors.
 const MAX_RATIO: u32 = 8;
 
