--- a/components/forward/src/operators.rs
+++ b/components/forward/src/operators.rs
@@ -1,4 +1,7 @@
-//! Serves the listener for operators: liveness, readiness for the load balancer, metrics and status.
+//! Serves the listener for operators: liveness, readiness for the load balancer, metrics, status, and where a request would
+//! be sent.
+
+mod route;
 
 use std::rc::Rc;
 
@@ -15,6 +18,7 @@
         "/readyz" if state.ready() => Response::new(StatusCode::OK).map_into_boxed_body(),
         "/readyz" => Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body(),
         "/metrics" => text_response(state.metrics.render()),
+        "/route" => route::answer(&state, &request),
         "/status" => text_response(status_json(&state).to_string()),
         _ => Response::new(StatusCode::NOT_FOUND).map_into_boxed_body(),
     }
--- a/components/forward/src/registry.rs
+++ b/components/forward/src/registry.rs
@@ -106,6 +106,44 @@
         self.model_key(service, "")
     }
 
+    /// Key of a model, or with an empty one of the service as a whole; none if no server was listed with it.
+    pub(crate) fn known_model(&self, service: &str, model: &str) -> Option<ids::Model> {
+        self.by_model.get(&(service.to_string(), model.to_string())).copied()
+    }
+
+    /// Names of the models that servers of a service listed.
+    pub(crate) fn model_names(&self, service: &str) -> impl Iterator<Item = &str> {
+        let of_service = self.by_model.keys().filter(move |(own, _)| own == service);
+        of_service.map(|(_, model)| model.as_str()).filter(|model| !model.is_empty())
+    }
+
+    /// As [`Registry::allowed_regions`], without those of which no server or node was listed.
+    pub(crate) fn known_regions(&self, residency: &Residency) -> Option<Vec<ids::Region>> {
+        let regions = residency.regions()?;
+        Some(regions.filter_map(|region| self.by_region.get(region).copied()).collect())
+    }
+
+    /// Keys of a request's class and workspace; none if one of them is new.
+    pub(crate) fn known_class_and_workspace(
+        &self,
+        found: &Match,
+    ) -> Option<(ids::Class, ids::Workspace)> {
+        let class = self.by_class.get(&(found.route.name.clone(), found.workspace_tier()));
+        let workspace = found.workspace.as_ref().map_or("", |workspace| &workspace.name);
+        Some((*class?, *self.by_workspace.get(workspace)?))
+    }
+
+    /// A registry with the same classes and workspaces and nothing else.
+    pub(crate) fn copy_of_names(&self) -> Registry {
+        Registry {
+            classes: self.classes.clone(),
+            by_class: self.by_class.clone(),
+            workspaces: self.workspaces.clone(),
+            by_workspace: self.by_workspace.clone(),
+            ..Registry::default()
+        }
+    }
+
     /// Key that stands for a service as a whole.
     pub(crate) fn service_key(&mut self, service: &str) -> ids::Model {
         self.model_key(service, "")
