--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use clap_complete::Shell;
 
 use crate::messages::Format;
@@ -63,6 +63,12 @@
         #[arg(required = true)]
         addresses: Vec<SocketAddr>,
     },
+    /// Shows where a node would send a request now, and why, without sending it.
+    #[command(
+        after_help = "Example: godwitlever route 10.0.0.1:9002 --host desk.example --path /chat/ \
+                      --key - --model small --tokens 2000,100 < key"
+    )]
+    Route(Route),
     /// Tells from nodes' logs who wasn't served, and why.
     #[command(after_help = "Example: cat node-*.log | godwitlever losses --plot losses.svg")]
     Losses {
@@ -98,3 +104,31 @@
         keep: bool,
     },
 }
+
+/// A request that isn't sent, and the node that is asked about it.
+#[derive(Args)]
+pub struct Route {
+    /// Operators' address of the node.
+    pub node: SocketAddr,
+    /// Host that the request names.
+    #[arg(long)]
+    pub host: String,
+    /// Its path.
+    #[arg(long)]
+    pub path: String,
+    /// API key of its workspace, or - to read it from standard input. It is neither shown nor logged.
+    #[arg(long)]
+    pub key: Option<String>,
+    /// Model that it asks for; without one, it may go to any server of its service.
+    #[arg(long)]
+    pub model: Option<String>,
+    /// Tokens of the prompt, and the limit on those of the answer.
+    #[arg(long, value_name = "IN,OUT")]
+    pub tokens: Option<String>,
+    /// Parts of the prompt that other requests share, in order; ids as in `parts` of nodes' logs.
+    #[arg(long, value_name = "ID:TOKENS,...")]
+    pub prefix: Option<String>,
+    /// Prints the node's answer as JSON; the same as `--format json`.
+    #[arg(long)]
+    pub json: bool,
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -7,6 +7,7 @@
 use futures_util::future::join_all;
 use serde_json::Value;
 
+use super::cell;
 use crate::messages::{Format, Table};
 
 /// Time limit for a node's answer; a healthy node answers within milliseconds.
@@ -55,15 +56,6 @@
     Ok(())
 }
 
-/// Formats a JSON value as a cell of the table.
-fn cell(value: &Value) -> String {
-    match value {
-        Value::Null => "-".to_string(),
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
-
 /// Returns how a node's state differs from that of the others, and its problems with settings.
 fn remarks(status: &Value, highest: Option<u64>, all: &[Option<Value>]) -> Vec<String> {
     let mut remarks = vec![];
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,7 @@
         Command::Show { tree, kind } => cmd::show(&tree, kind.as_deref(), format),
         Command::Diff { old, new } => cmd::diff(&old, &new, format),
         Command::Status { addresses } => cmd::status(&addresses, format),
+        Command::Route(asked) => cmd::route(&asked, format),
         Command::Losses { files, plot } => cmd::losses(&files, plot.as_deref(), format),
         Command::Init { directory } => cmd::init(&directory),
         Command::Digest => cmd::digest(),
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -40,8 +40,7 @@
             Format::Text if stdout().is_terminal() => self.to_columns(),
             Format::Text => self.to_lines(),
         };
-        // A reader such as `head` may close the pipe early, so a failed write is no error.
-        let _ = stdout().write_all(text.as_bytes());
+        print_text(&text);
         Ok(())
     }
 
@@ -81,6 +80,12 @@
     }
 }
 
+/// Prints a text to standard output.
+pub fn print_text(text: &str) {
+    // A reader such as `head` may close the pipe early, so a failed write is no error.
+    let _ = stdout().write_all(text.as_bytes());
+}
+
 /// Prints an error with its causes to standard error.
 pub fn print_error(error: &anyhow::Error) {
     eprintln!("error: {error:#}");
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -82,18 +82,25 @@
 
 /// An operators' listener that answers each request with one status.
 fn node(status: serde_json::Value) -> String {
+    node_with("200 OK", status.to_string()).0
+}
+
+/// An operators' listener that answers each request with a status line and a body; the receiver gets the heads of the
+/// requests.
+fn node_with(status: &'static str, body: String) -> (String, std::sync::mpsc::Receiver<String>) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    let body = status.to_string();
+    let (sender, heads) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            let _ = std::io::Read::read(&mut stream, &mut [0; 4096]);
-            let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ";
+            let (mut stream, mut head) = (stream.unwrap(), [0; 4096]);
+            let length = std::io::Read::read(&mut stream, &mut head).unwrap_or(0);
+            let _ = sender.send(String::from_utf8_lossy(&head[..length]).into_owned());
+            let head = format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: ");
             let _ = write!(stream, "{head}{}\r\n\r\n{body}", body.len());
         }
     });
-    address
+    (address, heads)
 }
 
 #[test]
@@ -125,3 +132,66 @@
     }
     insta::assert_snapshot!(shown);
 }
+
+const ASKED: [&str; 8] =
+    ["--host", "desk.example", "--path", "/chat/a b", "--tokens", "9000,100", "--prefix", "a:6000"];
+
+/// The command asks with what it was given, and shows the node's answer as tables or as it is. The key is only in the header.
+#[test]
+fn can_show_where_a_request_would_go() {
+    let answer = serde_json::json!({
+        "node": "entry-0", "revision": 8, "age_ms": 120, "fresh": true, "route": "chat",
+        "workspace": "choir", "class": "chat/3", "tier": 2, "priority": 0, "service": "engines",
+        "model": null, "group": "strict", "waiting": 0, "servers": 3, "refused": null,
+        "candidates": [
+            {"server": "i-0", "domain": "riga-a", "cost_s": 0.0423, "costs": {"prefill": 0.04,
+             "queue": 0.0023, "border": 0.0}, "tokens_per_second": 36_600.0, "measured": true,
+             "speed": 0.61, "group": "strict", "cached_tokens": 6_000, "backlog_s": 0.023, "load": 2.25,
+             "slots": 32, "report_age_ms": null, "peers_age_ms": 140},
+            {"server": "desk", "domain": "riga-b", "cost_s": null, "costs": null,
+             "tokens_per_second": null, "measured": null, "speed": 1.0, "group": null, "cached_tokens": 0,
+             "backlog_s": 0.0, "load": 0.0, "slots": 8, "report_age_ms": 80, "peers_age_ms": null},
+        ],
+        "excluded": [{"server": "i-2", "domain": "riga-a", "reason": "resting", "for_ms": 250}],
+        "note": "The next request may go to another server.",
+    });
+    let (address, heads) = node_with("200 OK", answer.to_string());
+    let ask =
+        |more: &[&str], input: &str| run(&[&["route", &address], &ASKED[..], more].concat(), input);
+    let shown = ask(&["--key", "k-choir", "--model", "m"], "");
+    let head = heads.recv().unwrap();
+    let query = "GET /route?host=desk.example&path=%2Fchat%2Fa+b&model=m&tokens=9000%2C100&prefix=a%3A6000 ";
+    assert!(head.starts_with(query), "{head}");
+    assert!(head.to_lowercase().contains("authorization: bearer k-choir"), "{head}");
+    assert!(!shown.contains("k-choir"));
+    insta::assert_snapshot!("route", shown);
+    let json = ask(&["--json", "--key", "-"], "k-input\n");
+    assert!(heads.recv().unwrap().contains("Bearer k-input"), "the key comes from standard input");
+    assert_eq!(json, format!("exit 0\n{}\n", serde_json::to_string_pretty(&answer).unwrap()));
+    assert_eq!(ask(&["--format", "json"], ""), json);
+}
+
+/// The node doesn't answer, answers with something else, or tells a mistake. Each is told with what to do, the exit code
+/// shows it to scripts, and the key stays hidden.
+#[test]
+fn errors_where_a_node_cannot_tell_a_route() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let error = |text: &str| serde_json::json!({ "error": text }).to_string();
+    let table = [
+        (gone.to_string(), "gives no answer"),
+        (node_with("200 OK", "<html>".to_string()).0, "isn't JSON"),
+        (node_with("404 Not Found", String::new()).0, "has no adapter or is of an older version"),
+        (node_with("500 Internal Server Error", "{}".to_string()).0, "answers with status 500"),
+        (node_with("503 Service Unavailable", error("no settings yet")).0, "no settings yet"),
+        (node_with("404 Not Found", error("no route serves it")).0, "no route serves it"),
+        (node_with("401 Unauthorized", error("none has this key")).0, "none has this key"),
+    ];
+    for (address, cause) in table {
+        let shown = run(&[&["route", &address], &ASKED[..], &["--key", "k-choir"]].concat(), "");
+        assert!(shown.starts_with("exit 1\nerror: ") && shown.contains(cause), "{shown}");
+        assert!(!shown.contains("k-choir"), "{shown}");
+    }
+    let invalid =
+        run(&[&["route", &gone.to_string()], &ASKED[..], &["--key", "k\nchoir"]].concat(), "");
+    assert!(invalid.starts_with("exit 1") && !invalid.contains("choir"), "{invalid}");
+}
