--- a/components/forward/src/operators/route.rs
+++ b/components/forward/src/operators/route.rs
@@ -238,6 +238,8 @@
     match refusal {
         Refusal::Full | Refusal::Displaced => "the queue is full",
         Refusal::Late => "it can't be served in time",
+        Refusal::OverShare => "its workspace is over its share of an overloaded fleet",
+        Refusal::Overloaded => "the fleet is overloaded",
         Refusal::NoServer => "no backend server may take it",
         Refusal::Quarantined => "servers ended under it",
         Refusal::Resting => "all backend servers ask for rest",
