--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -37,6 +37,10 @@
         /// Mechanisms that the node disables, by the words that docs/SETTINGS.md lists.
         #[serde(default, rename = "without")]
         pub disabled: Vec<String>,
+        /// While the fleet is offered more than its engines can process, requests are refused on arrival by the fair shares
+        /// of workspaces.
+        #[serde(default)]
+        pub fair_shares: bool,
         /// Resources that the node may use.
         pub room: Resources,
         /// Guarantees to operators and callers.
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -152,6 +152,9 @@
         scheduler.set_limits(scheduler_limits(&node));
         scheduler.set_drain_time(node.drain_time());
         let switches = node.switches();
+        if !node.fair_shares {
+            scheduler = scheduler.with_disabled(Mechanism::Overload);
+        }
         for mechanism in &switches.policy_off {
             scheduler = scheduler.with_disabled(*mechanism);
         }
