--- a/components/policy/src/prefilling.rs
+++ b/components/policy/src/prefilling.rs
@@ -114,7 +114,7 @@
     ///
     /// ```
     /// let mut scheduler = policy::Scheduler::new();
-    /// let interval = policy::Interval { seconds: 0.03, samples: 200 };
+    /// let interval = policy::Interval { seconds: 0.03, samples: 500 };
     /// let now = std::time::Instant::now();
     /// assert_eq!(scheduler.set_prefilling_interval(interval, now), Some(0.03));
     /// assert_eq!(scheduler.set_prefilling_interval(interval, now), None);
