--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -261,3 +261,46 @@
     record.line(&format!("deployment {deployment}: requests with a key that was taken away: {number}; run: {late}"));
     late as usize
 }
+
+/// Bound after which a key that was taken away is no longer served.
+const REVOCATION: Duration = Duration::from_millis(5_000);
+
+/// CONFIG: a new version takes the last tenant away, with its keys. Requests with these keys run on.
+pub fn last_tenant(trouble: bool, record: &Record) -> bool {
+    let (store, address) = Store::start();
+    let runs = Runs::default();
+    store.put("op/config", &configuration(3, TENANT));
+    let terms = Terms { service: "desk-app", slots: 6, queue: 24, work: Duration::from_millis(15), garbled: 1 };
+    for n in 0..3 {
+        Runner::start(&format!("i-{n}"), terms.clone(), &store, &runs, record);
+    }
+    let fleet = Fleet::start(&[address; 3]);
+    let mut clients: Vec<_> = fleet.nodes.iter().map(|node| Client::new(vec![node.callers], 0)).collect();
+    std::thread::sleep(Duration::from_secs(2));
+    store.put("op/config", &configuration(7, if trouble { "[]" } else { TENANT }));
+    let ack = Instant::now();
+    record.line(if trouble { "version 7 without a tenant is acked" } else { "version 7 with the tenant is acked" });
+    let (mut ran, mut never_held) = (0, 0);
+    for number in 0..400 {
+        let client = &mut clients[number % 3];
+        let (id, odd_id) = (format!("t{number:04}"), format!("n{number:04}"));
+        let late = ack.elapsed() > REVOCATION;
+        let (status, _) = client.ask(&id);
+        let (odd_status, _) = client.ask_with(&odd_id, "key-that-never-was");
+        record.line(&format!("client gets {status} for {id}, and {odd_status} for {odd_id} with a key that never was"));
+        let runs = runs.lock().unwrap();
+        if trouble && late && runs.contains_key(&id) {
+            ran += 1;
+            record.line(&format!("CONFIG: {id} ran {} ms after the ack that took its key away", ack.elapsed().as_millis()));
+        }
+        if runs.contains_key(&odd_id) {
+            never_held += 1;
+            record.line(&format!("ROUTE: {odd_id} ran, whose key no configuration ever held"));
+        }
+        drop(runs);
+        std::thread::sleep(Duration::from_millis(25));
+    }
+    drop(fleet);
+    record.line(&format!("run with a key that was taken away: {ran}; with a key that never was: {never_held}"));
+    ran + never_held > 0
+}
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -23,6 +23,7 @@
     let broken = match case.as_str() {
         "repeated-refusal" => cases::repeated_refusal(trouble, &record),
         "circle" => cases::circle(trouble, &record),
+        "last-tenant" => cases::last_tenant(trouble, &record),
         _ => give_up("there is no such case"),
     };
     record.line(if broken { "the rule was broken" } else { "the rule held" });
