--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -304,3 +304,33 @@
     record.line(&format!("run with a key that was taken away: {ran}; with a key that never was: {never_held}"));
     ran + never_held > 0
 }
+
+/// Time after which a runner closes idle channels: never, as the largest number that it can state.
+const NEVER: u64 = i64::MAX as u64;
+
+/// LOST: a runner states that it keeps idle channels open practically for ever. Its answers don't reach clients.
+pub fn endless_keep_alive(trouble: bool, record: &Record) -> bool {
+    let (store, address) = Store::start();
+    let runs = Runs::default();
+    store.put("op/config", &configuration(3, TENANT));
+    let terms = Terms { service: "desk-app", slots: 6, queue: 24, work: Duration::from_millis(15), garbled: 1 };
+    let runners: Vec<_> =
+        (0..3).map(|n| Runner::start(&format!("i-{n}"), terms.clone(), &store, &runs, record).0).collect();
+    runners[0].keep_alive.store(if trouble { NEVER } else { 60 }, Ordering::Relaxed);
+    let fleet = Fleet::start(&[address; 3]);
+    let nodes: Vec<_> = fleet.nodes.iter().map(|node| node.callers).collect();
+    let until = Instant::now() + Duration::from_secs(15);
+    let answers = press(9, &nodes, until, Duration::from_millis(50), record);
+    drop(fleet);
+    let (answers, runs) = (answers.lock().unwrap(), runs.lock().unwrap());
+    let mut lost = 0;
+    for (id, _) in answers.iter().filter(|(id, status)| **status == 0 && runs.contains_key(*id)) {
+        lost += 1;
+        record.line(&format!("LOST: {id} ran at {}, and its channel was closed without an answer", runs[id][0].0));
+    }
+    record.line(&format!("requests: {}; run and not answered: {lost}", answers.len()));
+    lost > MOST_LOST
+}
+
+/// Requests that may be lost on kept channels.
+const MOST_LOST: usize = 3;
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -23,6 +23,7 @@
     let broken = match case.as_str() {
         "repeated-refusal" => cases::repeated_refusal(trouble, &record),
         "circle" => cases::circle(trouble, &record),
+        "endless-keep-alive" => cases::endless_keep_alive(trouble, &record),
         "last-tenant" => cases::last_tenant(trouble, &record),
         _ => give_up("there is no such case"),
     };
--- a/review/rig/runner.rs
+++ b/review/rig/runner.rs
@@ -32,6 +32,8 @@
     id: String,
     terms: Terms,
     pub garbles: Arc<AtomicBool>,
+    /// Seconds after which it closes idle channels, by its own word; it doesn't say if this is 0.
+    pub keep_alive: Arc<AtomicU64>,
     answers: Arc<AtomicU64>,
     /// Requests that run, and those that wait.
     load: Arc<(Mutex<(usize, usize)>, Condvar)>,
@@ -46,6 +48,7 @@
             id: id.to_string(),
             terms,
             garbles: Arc::default(),
+            keep_alive: Arc::default(),
             answers: Arc::default(),
             load: Arc::default(),
             runs: runs.clone(),
@@ -120,8 +123,12 @@
         load.lock().unwrap().0 -= 1;
         freed.notify_one();
         let body = format!("run of {id}\n");
+        let keep_alive = match self.keep_alive.load(Ordering::Relaxed) {
+            0 => String::new(),
+            seconds => format!("Keep-Alive: timeout={seconds}\r\n"),
+        };
         let answer = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: {}.{id}\r\nContent-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: {}.{id}\r\n{keep_alive}Content-Length: {}\r\n\r\n{body}",
             self.id,
             body.len()
         );
