--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -70,7 +70,13 @@
 }
 
 /// Clients that send requests until `until`; returns what each attempt was answered.
-fn press(clients: usize, nodes: &[SocketAddr], until: Instant, pause: Duration, record: &Record) -> Answers {
+fn press(
+    clients: usize,
+    nodes: &[SocketAddr],
+    until: Instant,
+    pause: Duration,
+    record: &Record,
+) -> Answers {
     let (answers, number) = (Answers::default(), Arc::new(AtomicU64::new(0)));
     let threads: Vec<_> = (0..clients)
         .map(|turn| {
@@ -84,7 +90,11 @@
                     record.line(&format!("client gets {status} for {id}"));
                     answers.lock().unwrap().insert(id, status);
                     // A client that is told to come back waits for as long as it is told.
-                    std::thread::sleep(if status == 200 { pause } else { pause.max(Duration::from_millis(100)) });
+                    std::thread::sleep(if status == 200 {
+                        pause
+                    } else {
+                        pause.max(Duration::from_millis(100))
+                    });
                 }
             })
         })
@@ -99,20 +109,28 @@
     let (store, address) = Store::start();
     let runs = Runs::default();
     store.put("op/config", &configuration(3, TENANT));
-    let terms =
-        Terms { service: "desk-app", slots: 6, queue: 2, work: Duration::from_millis(60), garbled: 34 };
-    let runners: Vec<_> =
-        (0..3).map(|n| Runner::start(&format!("i-{n}"), terms.clone(), &store, &runs, record).0).collect();
+    let terms = Terms {
+        service: "desk-app",
+        slots: 6,
+        queue: 2,
+        work: Duration::from_millis(60),
+        garbled: 34,
+    };
+    let runners: Vec<_> = (0..3)
+        .map(|n| Runner::start(&format!("i-{n}"), terms.clone(), &store, &runs, record).0)
+        .collect();
     let fleet = Fleet::start(&[address; 3]);
     let nodes: Vec<_> = fleet.nodes.iter().map(|node| node.callers).collect();
     let switch = runners.clone();
     let switching = trouble;
-    std::thread::spawn(move || loop {
-        // One of three runners is faulty for 5 s at a time.
-        for runner in &switch {
-            runner.garbles.store(switching, Ordering::Relaxed);
-            std::thread::sleep(Duration::from_secs(5));
-            runner.garbles.store(false, Ordering::Relaxed);
+    std::thread::spawn(move || {
+        loop {
+            // One of three runners is faulty for 5 s at a time.
+            for runner in &switch {
+                runner.garbles.store(switching, Ordering::Relaxed);
+                std::thread::sleep(Duration::from_secs(5));
+                runner.garbles.store(false, Ordering::Relaxed);
+            }
         }
     });
     let until = Instant::now() + Duration::from_secs(45);
@@ -136,14 +154,14 @@
         }
         if ran > 0 && promises.contains(status) {
             falsely += 1;
-            record.line(&format!("REFUSED: {id} was answered {status} and ran at {}", runs[id][0].0));
+            record
+                .line(&format!("REFUSED: {id} was answered {status} and ran at {}", runs[id][0].0));
         }
     }
     record.line(&format!("attempts by status: {by_status:?}; answered as not run though they ran: {falsely}; run twice: {twice}"));
     falsely + twice > 0
 }
 
-
 /// Bound for the effect of a configuration, and for keys.
 const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 const KEYS: usize = 400;
@@ -169,7 +187,8 @@
         std::thread::spawn(move || circle_of(number, times, trouble, &record))
     };
     let deployments: Vec<_> = ROUNDS.into_iter().enumerate().map(run).collect();
-    let results = deployments.into_iter().map(|run| run.join().expect("a deployment ran to its end"));
+    let results =
+        deployments.into_iter().map(|run| run.join().expect("a deployment ran to its end"));
     results.fold(false, |broken, result| broken | result)
 }
 
@@ -177,12 +196,19 @@
     let (store, address) = Store::start();
     let runs = Runs::default();
     store.put("op/config", &configuration(1, &tenant_with_keys(0)));
-    let terms = Terms { service: "desk-app", slots: 50, queue: 100, work: Duration::from_millis(5), garbled: 1 };
+    let terms = Terms {
+        service: "desk-app",
+        slots: 50,
+        queue: 100,
+        work: Duration::from_millis(5),
+        garbled: 1,
+    };
     for n in 0..3 {
         Runner::start(&format!("i-{n}"), terms.clone(), &store, &runs, record);
     }
     let ways: Vec<_> = (0..SEEDS).map(|_| Way::open(address)).collect();
-    let stores: Vec<_> = ways.iter().map(|(_, address)| *address).chain([address; OTHERS]).collect();
+    let stores: Vec<_> =
+        ways.iter().map(|(_, address)| *address).chain([address; OTHERS]).collect();
     let fleet = Fleet::start(&stores);
     let nodes: Vec<_> = fleet.nodes.iter().map(|node| node.callers).collect();
     let until = Instant::now() + CIRCLE_TIME;
@@ -194,7 +220,10 @@
             // Storms of 4 s, with a second without changes after each.
             let pause = if version % 12 == 0 { 1_000 } else { 330 };
             std::thread::sleep(Duration::from_millis(pause));
-            operator.put("op/config", &configuration(version as u64 * 3, &tenant_with_keys(version - 1)));
+            operator.put(
+                "op/config",
+                &configuration(version as u64 * 3, &tenant_with_keys(version - 1)),
+            );
             withdrawn.lock().unwrap().push(Instant::now());
         }
     });
@@ -208,7 +237,9 @@
             std::thread::sleep(lead);
             ways[1].0.set_cut(true);
             ways[2].0.set_cut(true);
-            cuts.line(&format!("deployment {deployment}: seeds 1 and 2 are cut off from the store"));
+            cuts.line(&format!(
+                "deployment {deployment}: seeds 1 and 2 are cut off from the store"
+            ));
             std::thread::sleep(hold);
             ways.iter().for_each(|(way, _)| way.set_cut(false));
             cuts.line(&format!("deployment {deployment}: all seeds reach the store"));
@@ -258,7 +289,9 @@
         .collect();
     threads.into_iter().for_each(|thread| thread.join().expect("a client ran to its end"));
     let (number, late) = (number.load(Ordering::Relaxed), late.load(Ordering::Relaxed));
-    record.line(&format!("deployment {deployment}: requests with a key that was taken away: {number}; run: {late}"));
+    record.line(&format!(
+        "deployment {deployment}: requests with a key that was taken away: {number}; run: {late}"
+    ));
     late as usize
 }
 
@@ -270,16 +303,27 @@
     let (store, address) = Store::start();
     let runs = Runs::default();
     store.put("op/config", &configuration(3, TENANT));
-    let terms = Terms { service: "desk-app", slots: 6, queue: 24, work: Duration::from_millis(15), garbled: 1 };
+    let terms = Terms {
+        service: "desk-app",
+        slots: 6,
+        queue: 24,
+        work: Duration::from_millis(15),
+        garbled: 1,
+    };
     for n in 0..3 {
         Runner::start(&format!("i-{n}"), terms.clone(), &store, &runs, record);
     }
     let fleet = Fleet::start(&[address; 3]);
-    let mut clients: Vec<_> = fleet.nodes.iter().map(|node| Client::new(vec![node.callers], 0)).collect();
+    let mut clients: Vec<_> =
+        fleet.nodes.iter().map(|node| Client::new(vec![node.callers], 0)).collect();
     std::thread::sleep(Duration::from_secs(2));
     store.put("op/config", &configuration(7, if trouble { "[]" } else { TENANT }));
     let ack = Instant::now();
-    record.line(if trouble { "version 7 without a tenant is acked" } else { "version 7 with the tenant is acked" });
+    record.line(if trouble {
+        "version 7 without a tenant is acked"
+    } else {
+        "version 7 with the tenant is acked"
+    });
     let (mut ran, mut never_held) = (0, 0);
     for number in 0..400 {
         let client = &mut clients[number % 3];
@@ -287,11 +331,16 @@
         let late = ack.elapsed() > REVOCATION;
         let (status, _) = client.ask(&id);
         let (odd_status, _) = client.ask_with(&odd_id, "key-that-never-was");
-        record.line(&format!("client gets {status} for {id}, and {odd_status} for {odd_id} with a key that never was"));
+        record.line(&format!(
+            "client gets {status} for {id}, and {odd_status} for {odd_id} with a key that never was"
+        ));
         let runs = runs.lock().unwrap();
         if trouble && late && runs.contains_key(&id) {
             ran += 1;
-            record.line(&format!("CONFIG: {id} ran {} ms after the ack that took its key away", ack.elapsed().as_millis()));
+            record.line(&format!(
+                "CONFIG: {id} ran {} ms after the ack that took its key away",
+                ack.elapsed().as_millis()
+            ));
         }
         if runs.contains_key(&odd_id) {
             never_held += 1;
@@ -301,7 +350,9 @@
         std::thread::sleep(Duration::from_millis(25));
     }
     drop(fleet);
-    record.line(&format!("run with a key that was taken away: {ran}; with a key that never was: {never_held}"));
+    record.line(&format!(
+        "run with a key that was taken away: {ran}; with a key that never was: {never_held}"
+    ));
     ran + never_held > 0
 }
 
@@ -313,9 +364,16 @@
     let (store, address) = Store::start();
     let runs = Runs::default();
     store.put("op/config", &configuration(3, TENANT));
-    let terms = Terms { service: "desk-app", slots: 6, queue: 24, work: Duration::from_millis(15), garbled: 1 };
-    let runners: Vec<_> =
-        (0..3).map(|n| Runner::start(&format!("i-{n}"), terms.clone(), &store, &runs, record).0).collect();
+    let terms = Terms {
+        service: "desk-app",
+        slots: 6,
+        queue: 24,
+        work: Duration::from_millis(15),
+        garbled: 1,
+    };
+    let runners: Vec<_> = (0..3)
+        .map(|n| Runner::start(&format!("i-{n}"), terms.clone(), &store, &runs, record).0)
+        .collect();
     runners[0].keep_alive.store(if trouble { NEVER } else { 60 }, Ordering::Relaxed);
     let fleet = Fleet::start(&[address; 3]);
     let nodes: Vec<_> = fleet.nodes.iter().map(|node| node.callers).collect();
@@ -326,7 +384,10 @@
     let mut lost = 0;
     for (id, _) in answers.iter().filter(|(id, status)| **status == 0 && runs.contains_key(*id)) {
         lost += 1;
-        record.line(&format!("LOST: {id} ran at {}, and its channel was closed without an answer", runs[id][0].0));
+        record.line(&format!(
+            "LOST: {id} ran at {}, and its channel was closed without an answer",
+            runs[id][0].0
+        ));
     }
     record.line(&format!("requests: {}; run and not answered: {lost}", answers.len()));
     lost > MOST_LOST
--- a/review/rig/net.rs
+++ b/review/rig/net.rs
@@ -58,14 +58,19 @@
 }
 
 /// Reads the body that belongs to a head. A response without a length lasts until its channel ends.
-pub fn read_body(reader: &mut impl BufRead, message: &mut Message, response: bool) -> io::Result<()> {
+pub fn read_body(
+    reader: &mut impl BufRead,
+    message: &mut Message,
+    response: bool,
+) -> io::Result<()> {
     if message.header("transfer-encoding").is_some_and(|value| value.contains("chunked")) {
         loop {
             let mut line = String::new();
             if reader.read_line(&mut line)? == 0 {
                 return Ok(());
             }
-            let size = usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+            let size =
+                usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
             let mut chunk = vec![0; size + 2];
             if reader.read_exact(&mut chunk).is_err() {
                 return Ok(());
--- a/review/rig/runner.rs
+++ b/review/rig/runner.rs
@@ -43,7 +43,13 @@
 
 impl Runner {
     /// Starts a runner that checks in at the store.
-    pub fn start(id: &str, terms: Terms, store: &Store, runs: &Runs, record: &Record) -> (Self, SocketAddr) {
+    pub fn start(
+        id: &str,
+        terms: Terms,
+        store: &Store,
+        runs: &Runs,
+        record: &Record,
+    ) -> (Self, SocketAddr) {
         let runner = Runner {
             id: id.to_string(),
             terms,
@@ -81,7 +87,11 @@
             net::read_body(&mut reader, &mut request, false)?;
             if let Some(extra) = extra.take() {
                 // The second copy of the answer before arrives where the answer to this request is due.
-                self.record.line(&format!("{} sends a second time: {}", self.id, extra.lines().next().unwrap_or("")));
+                self.record.line(&format!(
+                    "{} sends a second time: {}",
+                    self.id,
+                    extra.lines().next().unwrap_or("")
+                ));
                 stream.write_all(extra.as_bytes())?;
             }
             let (answer, described) = self.answer(&request);
@@ -99,10 +109,19 @@
     fn answer(&self, request: &Message) -> (String, &'static str) {
         let id = request.header("x-attempt-id").unwrap_or("");
         if request.target() == "/health" {
-            return (format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id), "health");
+            return (
+                format!(
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                ),
+                "health",
+            );
         }
         if request.header("x-expected-instance") != Some(self.id.as_str()) {
-            let answer = format!("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+            let answer = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
             return (answer, "is for another");
         }
         let (load, freed) = &*self.load;
@@ -118,7 +137,12 @@
         (now.0, now.1) = (now.0 + 1, now.1 - 1);
         drop(now);
         let tenant = request.header("x-tenant").unwrap_or("").to_string();
-        self.runs.lock().unwrap().entry(id.to_string()).or_default().push((self.id.clone(), tenant));
+        self.runs
+            .lock()
+            .unwrap()
+            .entry(id.to_string())
+            .or_default()
+            .push((self.id.clone(), tenant));
         std::thread::sleep(self.terms.work);
         load.lock().unwrap().0 -= 1;
         freed.notify_one();
--- a/review/rig/site.rs
+++ b/review/rig/site.rs
@@ -43,9 +43,13 @@
 
 impl Node {
     fn is_ready(&self) -> bool {
-        let Ok(mut channel) = Channel::open(self.operators, Duration::from_secs(1)) else { return false };
-        let asked = channel.send(b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
-        asked.is_ok() && channel.receive().is_ok_and(|answer| answer.is_some_and(|a| a.status() == 200))
+        let Ok(mut channel) = Channel::open(self.operators, Duration::from_secs(1)) else {
+            return false;
+        };
+        let asked =
+            channel.send(b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
+        asked.is_ok()
+            && channel.receive().is_ok_and(|answer| answer.is_some_and(|a| a.status() == 200))
     }
 }
 
@@ -60,7 +64,11 @@
     /// the seeds.
     pub fn start(stores: &[SocketAddr]) -> Self {
         let count = stores.len();
-        let folder = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), stores[0].port()));
+        let folder = std::env::temp_dir().join(format!(
+            "review-{}-{}",
+            std::process::id(),
+            stores[0].port()
+        ));
         std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
         let free = net::free_addresses(3 * count);
         let peers = &free[..count];
@@ -79,14 +87,17 @@
             );
             let path = fleet.folder.join(format!("boot-{index}.toml"));
             std::fs::write(&path, settings).expect("settings can be written");
-            let log = File::create(fleet.folder.join(format!("node-{index}.log"))).expect("a log can be written");
+            let log = File::create(fleet.folder.join(format!("node-{index}.log")))
+                .expect("a log can be written");
             let process = Command::new("target/release/godwitleverd")
                 .arg("--settings")
                 .arg(&path)
                 .stdout(Stdio::from(log))
                 .stderr(Stdio::inherit())
                 .spawn();
-            let process = process.unwrap_or_else(|cause| crate::give_up(&format!("the router can't be started: {cause}")));
+            let process = process.unwrap_or_else(|cause| {
+                crate::give_up(&format!("the router can't be started: {cause}"))
+            });
             fleet.nodes.push(Node { callers, operators, process });
         }
         let until = Instant::now() + START_TIMEOUT;
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -58,7 +58,8 @@
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(head) = net::read_head(&mut reader)? {
             let body = self.answer(head.target());
-            let (status, body) = body.map_or(("404 Not Found", String::new()), |body| ("200 OK", body));
+            let (status, body) =
+                body.map_or(("404 Not Found", String::new()), |body| ("200 OK", body));
             let length = body.len();
             stream.write_all(
                 format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}")
@@ -72,7 +73,10 @@
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(known, _)| *known == name).map(|(_, value)| value.replace("%2F", "/")).next()
+            pairs
+                .filter(|(known, _)| *known == name)
+                .map(|(_, value)| value.replace("%2F", "/"))
+                .next()
         };
         let prefix = field("pathPrefix").unwrap_or_default();
         match path {
@@ -84,7 +88,11 @@
                     .filter(|(key, _)| key.starts_with(&prefix))
                     .map(|(key, (revision, value))| item(key, *revision, value))
                     .collect();
-                Some(format!(r#"{{"entries":[{}],"hasMore":false,"at":{}}}"#, entries.join(","), items.revision))
+                Some(format!(
+                    r#"{{"entries":[{}],"hasMore":false,"at":{}}}"#,
+                    entries.join(","),
+                    items.revision
+                ))
             }
             "/v1/kv-watch" => {
                 let after: u64 = field("after")?.parse().ok()?;
@@ -92,11 +100,16 @@
                 let until = Instant::now() + Duration::from_millis(wait);
                 let mut items = self.0.0.lock().unwrap();
                 loop {
-                    let newer = |change: &&Change| change.0 > after && change.1.starts_with(&prefix);
+                    let newer =
+                        |change: &&Change| change.0 > after && change.1.starts_with(&prefix);
                     let events: Vec<_> = items.history.iter().filter(newer).map(event).collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
-                        return Some(format!(r#"{{"events":[{}],"at":{}}}"#, events.join(","), items.revision));
+                        return Some(format!(
+                            r#"{{"events":[{}],"at":{}}}"#,
+                            events.join(","),
+                            items.revision
+                        ));
                     }
                     items = self.0.1.wait_timeout(items, left).unwrap().0;
                 }
@@ -108,7 +121,9 @@
 
 fn item(key: &str, revision: u64, value: &str) -> String {
     let value = base64(value.as_bytes());
-    format!(r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{revision},"lease":0}}"#)
+    format!(
+        r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{revision},"lease":0}}"#
+    )
 }
 
 fn event((revision, key, value): &Change) -> String {
