Nodes say by which nodes they have what the store publishes

The logs have `store lost` and `answers again`, but not who answers a node, nor from where that one has its answers: a circle of nodes, a delegate that doesn't read the store, and a chain of waits look alike.

A message of a program without the field counts as unknown. The decisions are the same.

--- a/components/forward/src/contact.rs
+++ b/components/forward/src/contact.rs
@@ -1,9 +1,10 @@
 //! Tracks this node's contact with the store, by itself or by way of peers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
+use upstream::Path;
 
 use crate::adapter::{Adapter, StoreError};
 use crate::mechanism::Mechanism;
@@ -14,12 +15,13 @@
 const MIN_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Contact with the store.
-#[derive(Default)]
 pub(crate) struct Contact {
     /// Consecutive failed reads of the store or of a peer in its place.
     pub(crate) failures: Cell<u32>,
     /// The last answer came from a peer and not from the store.
     pub(crate) from_peer: Cell<bool>,
+    /// The nodes between the store and the last answer.
+    pub(crate) path: RefCell<Path>,
     /// A peer reported that it can't reach the store, and no source has answered since.
     seeds_lost_store: Cell<bool>,
     /// When everything was last read from the store.
@@ -28,7 +30,28 @@
     pub(crate) updated: Notify,
 }
 
+impl Default for Contact {
+    fn default() -> Self {
+        Contact {
+            failures: Cell::default(),
+            from_peer: Cell::default(),
+            path: RefCell::new(Path::stated(None)),
+            seeds_lost_store: Cell::default(),
+            listed: Cell::default(),
+            updated: Notify::new(),
+        }
+    }
+}
+
 impl Contact {
+    /// Records by which path an answer came that is about to be applied.
+    pub(crate) fn set_path(&self, path: Path) {
+        let before = self.path.replace(path.clone());
+        if before != path {
+            log::info!(path:% = path, before:% = before; "settings and servers come by another path");
+        }
+    }
+
     /// Pause before everything is read from the store again because it has lost its history.
     pub(crate) fn pause_before_list(&self, now: Instant) -> Duration {
         let since = self.listed.get().map(|listed| now.saturating_duration_since(listed));
--- a/components/forward/src/effects.rs
+++ b/components/forward/src/effects.rs
@@ -147,7 +147,8 @@
         limits.keep_alive = settings.limits.idle_timeout;
     });
     log::info!(
-        revision = settings.revision, last = last, routes = settings.routes().count();
+        revision = settings.revision, last = last, routes = settings.routes().count(),
+        path:% = state.contact.path.borrow(), age_ms = state.proof_age_ms();
         "settings in force"
     );
     state.metrics.settings.count_event("accepted");
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -6,6 +6,7 @@
 
 use clock::Clock;
 use rand::Rng;
+use upstream::Path;
 use wire::updates::Update;
 
 use crate::adapter::{Adapter, Position, Store, StoreError, Versioned, WatchReply};
@@ -168,6 +169,7 @@
     let (listed, standing) = tokio::join!(listing, standing::fetch_from_seeds(state));
     let Versioned { value, position } = listed?;
     check_era(state, position)?;
+    state.contact.set_path(Path::store());
     state.membership.borrow_mut().mark_available(state.clock.now());
     state.contact.listed.set(Some(state.clock.now()));
     let now = state.clock.now();
@@ -202,6 +204,7 @@
         }
     };
     check_era(state, position)?;
+    state.contact.set_path(Path::store());
     let now = state.clock.now();
     state.membership.borrow_mut().mark_available(now);
     let waited = state.clock.boot_time().saturating_sub(asked);
@@ -253,6 +256,7 @@
         return Err(StoreError::LostByPeer(peer));
     }
     check_era(state, update.position())?;
+    state.contact.set_path(Path::stated(update.path.clone()).through(peer));
     if update.history_lost {
         log::info!(peer:% = peer; "the peer no longer knows all changes after this node's position; asking for everything");
         state.replica.borrow_mut().mark_incomplete();
@@ -289,7 +293,7 @@
         proof::from_peer(asked, Duration::from_millis(update.waited_ms.into()), age),
     );
     if age > MAX_PEER_PROOF_AGE {
-        log::debug!(
+        log::info!(
             peer:% = peer, age_ms = age.as_millis() as u64;
             "the peer's proof is too old; it has lost contact with the store"
         );
--- a/components/forward/src/operators.rs
+++ b/components/forward/src/operators.rs
@@ -60,6 +60,7 @@
         "draining": state.draining.get(),
         "revision": state.settings.borrow().as_ref().map(|settings| settings.revision),
         "age_ms": state.proof_age_ms(),
+        "path": state.contact.path.borrow().to_string(),
         "era": position.map(|position| position.era),
         "position": position.map(|position| position.revision),
         "overruled": replica.overruled_keys().collect::<Vec<_>>(),
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -312,6 +312,7 @@
             .time_since_return(now)
             .map(|ago| ago.as_millis() as u32),
         work: state.fleet_work(),
+        path: state.contact.path.borrow().nodes().map(<[SocketAddr]>::to_vec),
     };
     let mut response = Response::build(StatusCode::OK);
     response.body(update.encode()).map_into_boxed_body()
--- a/components/wire/src/updates.rs
+++ b/components/wire/src/updates.rs
@@ -137,6 +137,10 @@
         /// Work of all nodes known to the answering node.
         #[serde(rename = "q", default)]
         pub work: Work,
+        /// The nodes through which the answering node has its last answer, by the addresses of their listeners for peers, the
+        /// one that read the store last; empty if it read the store itself, none from a program that doesn't say.
+        #[serde(rename = "v", default)]
+        pub path: Option<Vec<SocketAddr>>,
     }
 
     /// All items as of a position.
