--- a/components/forward/src/contact.rs
+++ b/components/forward/src/contact.rs
@@ -4,11 +4,10 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
-use upstream::Path;
+use upstream::{Path, Source};
 
 use crate::adapter::{Adapter, StoreError};
 use crate::mechanism::Mechanism;
-use crate::source::Source;
 use crate::state::State;
 
 /// Shortest time between two reads of everything, if the store has no history after the first.
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -6,7 +6,7 @@
 
 use clock::Clock;
 use rand::Rng;
-use upstream::Path;
+use upstream::{Context, Failure, Path, Source};
 use wire::updates::Update;
 
 use crate::adapter::{Adapter, Position, Store, StoreError, Versioned, WatchReply};
@@ -14,7 +14,6 @@
 use crate::effects::{self, Reader};
 use crate::mechanism::Mechanism;
 use crate::race::race_peers;
-use crate::source::{Context, Failure, Source};
 use crate::state::State;
 use crate::{proof, standing, updates};
 
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -30,7 +30,6 @@
 mod registry;
 mod resumption;
 mod serve;
-mod source;
 mod standing;
 mod state;
 mod statements;
--- a/components/forward/src/race.rs
+++ b/components/forward/src/race.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use futures_util::future::select_all;
+use upstream::Sources;
 
 use crate::adapter::Adapter;
 use crate::follow::{FIRST_WAIT, STARTUP_PAUSE, ask_peer, jittered};
-use crate::source::Sources;
 use crate::state::State;
 use crate::updates;
 
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -14,6 +14,7 @@
 use slab::Slab;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
+use upstream::{Delegates, Sources};
 use wire::updates::Work;
 
 use crate::adapter::{Adapter, Protocols};
@@ -30,7 +31,6 @@
 use crate::peers::Peers;
 use crate::registry::Registry;
 use crate::resumption::Resumption;
-use crate::source::{Delegates, Sources};
 use crate::standing;
 use crate::updates::{self, WorkReports};
 
@@ -254,7 +254,7 @@
     /// The seeds, in the order in which this node asks them.
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         let node = self.node();
-        crate::source::seeds_by_preference(&node.name, node.peers, &node.seeds)
+        upstream::seeds_by_preference(&node.name, node.peers, &node.seeds)
     }
 
     /// The other seeds if this node is a seed; otherwise none.
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -6,5 +6,7 @@
 //! The crate does no I/O and reads no clock.
 
 mod path;
+mod sources;
 
 pub use path::{MAX_HOPS, Path};
+pub use sources::{Context, Delegates, Failure, Source, Sources, seeds_by_preference};
--- a/components/forward/src/source.rs
+++ b/components/upstream/src/sources.rs
@@ -50,7 +50,7 @@
 
 derives::value! {
     /// Whom to ask.
-    pub(crate) enum Source {
+    pub enum Source {
         /// A peer, by the address of its listener for peers.
         Peer(SocketAddr),
         /// The store.
@@ -58,7 +58,7 @@
     }
 
     /// Why a source gave no usable answer.
-    pub(crate) enum Failure {
+    pub enum Failure {
         /// The peer's VM runs, but nothing listens at the port.
         Refused,
         /// The peer runs, but has lost contact with the store.
@@ -70,7 +70,7 @@
 
 /// The sources of one node, in the order in which it tries them.
 #[derive(Debug)]
-pub(crate) struct Sources {
+pub struct Sources {
     /// For a seed the store, then the other seeds; for another node the seeds, beginning with the nearest or the
     /// one in its own network, then the store.
     order: Vec<Source>,
@@ -100,16 +100,16 @@
 
 /// What the choice of a source depends on, apart from answers and failures.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Context {
+pub struct Context {
     /// Whether this node is the delegate of a seed that has lost contact with the store.
-    pub(crate) is_delegate: bool,
+    pub is_delegate: bool,
     /// Number of nodes in the fleet, as far as known.
-    pub(crate) fleet_nodes: u32,
+    pub fleet_nodes: u32,
 }
 
 impl Sources {
     /// The sources of the node `name`, which listens for peers at `own` and starts at `now`.
-    pub(crate) fn new(name: &str, own: SocketAddr, seeds: &[SocketAddr], now: Instant) -> Self {
+    pub fn new(name: &str, own: SocketAddr, seeds: &[SocketAddr], now: Instant) -> Self {
         let is_seed = seeds.contains(&own);
         let mut order: Vec<_> =
             seeds_by_preference(name, own, seeds).into_iter().map(Source::Peer).collect();
@@ -134,7 +134,7 @@
 
     /// Selects the source to ask now. Goes back to the first source when that is due, but not from the
     /// store while this node is a delegate.
-    pub(crate) fn select(&mut self, context: Context, now: Instant) -> Source {
+    pub fn select(&mut self, context: Context, now: Instant) -> Source {
         let retry = (FIRST_RETRY_MIN * (1 << self.first_failures.saturating_sub(1).min(8)))
             .min(FIRST_RETRY_MAX);
         let due = self.left_first.is_some_and(|left| now >= left + retry);
@@ -156,24 +156,24 @@
     }
 
     /// Longest list of servers in bytes that this node reads from the store; none if there is no limit.
-    pub(crate) fn list_limit(&self, now: Instant) -> Option<usize> {
+    pub fn list_limit(&self, now: Instant) -> Option<usize> {
         let has_seeds = !self.is_seed && self.order.len() > 1;
         let waits = has_seeds && !self.has_read && now < self.started + LONG_LIST_WAIT;
         waits.then_some(SHORT_LIST_BYTES)
     }
 
     /// Whether no source has answered since the start.
-    pub(crate) fn awaits_first_answer(&self) -> bool {
+    pub fn awaits_first_answer(&self) -> bool {
         !self.has_read
     }
 
     /// Records that the list in the store is longer than [`Sources::list_limit`], and goes back to the seeds.
-    pub(crate) fn record_long_list(&mut self) {
+    pub fn record_long_list(&mut self) {
         (self.list_is_long, self.current, self.left_first) = (true, 0, None);
     }
 
     /// The peers in the order in which they are tried.
-    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+    pub fn peers(&self) -> Vec<SocketAddr> {
         let peer = |source: &Source| match source {
             Source::Peer(peer) => Some(*peer),
             Source::Store => None,
@@ -182,7 +182,7 @@
     }
 
     /// Moves the peers of this node's region before the others, if no source has answered yet.
-    pub(crate) fn prefer_region(&mut self, near: HashSet<SocketAddr>) {
+    pub fn prefer_region(&mut self, near: HashSet<SocketAddr>) {
         if self.has_read || self.is_seed {
             return;
         }
@@ -196,7 +196,7 @@
 
     /// Records that a peer gave this node its first answer. The node goes on with that peer, and tries its first
     /// source later.
-    pub(crate) fn record_first_answer(&mut self, peer: SocketAddr, now: Instant) {
+    pub fn record_first_answer(&mut self, peer: SocketAddr, now: Instant) {
         let found = self.order.iter().position(|source| *source == Source::Peer(peer));
         self.current = found.unwrap_or_default();
         self.left_first = (self.current != 0).then_some(now);
@@ -205,7 +205,7 @@
 
     /// Makes a peer the first source while the first one is in use: the nearest, as what crosses to another region
     /// is paid for by volume. One of another region stays behind those of this node's region.
-    pub(crate) fn prefer(&mut self, peer: SocketAddr) {
+    pub fn prefer(&mut self, peer: SocketAddr) {
         if !self.near.is_empty() && !self.near.contains(&peer) {
             return;
         }
@@ -217,7 +217,7 @@
     }
 
     /// Records that the selected source answered.
-    pub(crate) fn record_success(&mut self) {
+    pub fn record_success(&mut self) {
         (self.has_read, self.peer_without_store) = (true, false);
         self.fallback = (self.current != 0).then_some(self.current);
         if self.current == 0 {
@@ -229,13 +229,13 @@
     }
 
     /// Whether the first source is only being tried again while another one answers.
-    pub(crate) fn is_probing_first(&self) -> bool {
+    pub fn is_probing_first(&self) -> bool {
         self.current == 0 && self.fallback.is_some()
     }
 
     /// Sets the next delegate, if this node is a seed that has neither selected its delegate, the source
     /// after `order`, nor is probing its first source.
-    pub(crate) fn set_delegate(&mut self, delegate: Option<SocketAddr>) {
+    pub fn set_delegate(&mut self, delegate: Option<SocketAddr>) {
         if self.is_seed && !self.is_probing_first() && self.current < self.order.len() {
             self.delegate = delegate;
         }
@@ -243,12 +243,7 @@
 
     /// Records that the selected source gave no usable answer, and moves on to the next. Returns whether to
     /// pause before that: all sources have been tried in turn, or the first may only be starting.
-    pub(crate) fn record_failure(
-        &mut self,
-        failure: Failure,
-        context: Context,
-        now: Instant,
-    ) -> bool {
+    pub fn record_failure(&mut self, failure: Failure, context: Context, now: Instant) -> bool {
         if self.is_probing_first()
             && let Some(fallback) = self.fallback
         {
@@ -315,7 +310,7 @@
 
 /// The nodes that a seed may choose as its delegate, and whether this node is the delegate of a seed.
 #[derive(Debug, Default)]
-pub(crate) struct Delegates {
+pub struct Delegates {
     /// Nodes that asked this one most recently, by the addresses of their listeners for peers.
     candidates: RefCell<VecDeque<SocketAddr>>,
     /// When a seed last asked this node.
@@ -324,7 +319,7 @@
 
 impl Delegates {
     /// Adds a node that asked this one, by the address of its listener for peers.
-    pub(crate) fn add_candidate(&self, address: SocketAddr) {
+    pub fn add_candidate(&self, address: SocketAddr) {
         let mut candidates = self.candidates.borrow_mut();
         candidates.retain(|known| *known != address);
         candidates.truncate(MAX_CANDIDATES - 1);
@@ -333,30 +328,26 @@
 
     /// A random candidate, so that one which has lost contact with the store as well isn't asked again and
     /// again.
-    pub(crate) fn pick_candidate(&self) -> Option<SocketAddr> {
+    pub fn pick_candidate(&self) -> Option<SocketAddr> {
         let candidates = self.candidates.borrow();
         let index = rand::rng().random_range(0..candidates.len().max(1));
         candidates.get(index).copied()
     }
 
     /// Records that a seed asked this node, which makes it the seed's delegate.
-    pub(crate) fn record_delegation(&self, now: Instant) {
+    pub fn record_delegation(&self, now: Instant) {
         self.asked_by_seed.set(Some(now));
     }
 
     /// Whether this node is the delegate of a seed.
-    pub(crate) fn is_delegate(&self, now: Instant) -> bool {
+    pub fn is_delegate(&self, now: Instant) -> bool {
         self.asked_by_seed.get().is_some_and(|asked| now < asked + DELEGATION)
     }
 }
 
 /// The seeds other than `own` in the order in which a node asks them: those in its own network first, then
 /// by a hash that differs from node to node.
-pub(crate) fn seeds_by_preference(
-    name: &str,
-    own: SocketAddr,
-    seeds: &[SocketAddr],
-) -> Vec<SocketAddr> {
+pub fn seeds_by_preference(name: &str, own: SocketAddr, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut peers: Vec<_> = seeds.iter().copied().filter(|seed| *seed != own).collect();
     peers.sort_by_key(|seed| {
         let hash = xxh3_64(format!("{name} {seed}").as_bytes());
