A node that reaches the store never relies on its peers for longer than changes may take

Cause: an answer of a peer counted as news of the store whatever the peer had it from. Seeds that lost the store asked nodes that asked seeds. Others had waited in a chain of five nodes. Node 4 read the store all the time.

Change, each part sufficient for its half: - `upstream::Renewal`: a node whose proof is 2.35 s old reads the store itself, beside whatever it asks. Only its own clock and the proof decide, which no passing on makes younger. The time follows from `promises.apply_ms` (new, 2500 unless given, rendered from the platform's bound), and from two check-in intervals, within which a missing server can't have lapsed. - A seed takes news only from a node that reads the store itself, and no node takes its own answers (`Path::is_news_for`). A delegate reads the store, at once, instead of what its own order of sources says. So no node waits for one that waits for it; a seed's refused peer tells it who reads. - A seed tries the store again beside the peers that serve it, so that followers aren't without news for that time. - A follower's wait at a peer outlasts the peer's watch: it missed each second proof by milliseconds before.

Sum at 7 to 584 nodes: proof at most 2.35 s old + 50 ms for the store's answer + 100 ms for a new connection = 2.5 s. In calm times the oldest proof is 1.05 + 1.1 s + the way, so nothing is read twice.

--- a/components/forward/src/contact.rs
+++ b/components/forward/src/contact.rs
@@ -1,10 +1,11 @@
 //! Tracks this node's contact with the store, by itself or by way of peers.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
-use upstream::{Path, Source};
+use upstream::{Path, Renewal, Source};
 
 use crate::adapter::{Adapter, StoreError};
 use crate::mechanism::Mechanism;
@@ -21,6 +22,14 @@
     pub(crate) from_peer: Cell<bool>,
     /// The nodes between the store and the last answer.
     pub(crate) path: RefCell<Path>,
+    /// When this node reads the store itself although it asks peers.
+    pub(crate) renewal: Cell<Renewal>,
+    /// Notified when the store is to be tried although peers answer in its place.
+    pub(crate) probe: Rc<Notify>,
+    /// The store answered such a read.
+    pub(crate) store_answered: Cell<bool>,
+    /// Notified when a seed makes this node its delegate.
+    pub(crate) delegated: Notify,
     /// A peer reported that it can't reach the store, and no source has answered since.
     seeds_lost_store: Cell<bool>,
     /// When everything was last read from the store.
@@ -35,6 +44,10 @@
             failures: Cell::default(),
             from_peer: Cell::default(),
             path: RefCell::new(Path::stated(None)),
+            renewal: Cell::new(Renewal::new(rand::random())),
+            probe: Rc::default(),
+            store_answered: Cell::default(),
+            delegated: Notify::new(),
             seeds_lost_store: Cell::default(),
             listed: Cell::default(),
             updated: Notify::new(),
@@ -51,6 +64,11 @@
         }
     }
 
+    /// Whether the last answer came from the store itself.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.failures.get() == 0 && self.path.borrow().is_direct()
+    }
+
     /// Pause before everything is read from the store again because it has lost its history.
     pub(crate) fn pause_before_list(&self, now: Instant) -> Duration {
         let since = self.listed.get().map(|listed| now.saturating_duration_since(listed));
@@ -72,8 +90,8 @@
 /// Records that a source gave no usable answer.
 pub(crate) fn record_failure<A: Adapter>(state: &State<A>, source: Source, cause: &StoreError) {
     let contact = &state.contact;
-    if source == Source::Store && state.switches.is_on(Mechanism::OutageGrace) {
-        state.membership.borrow_mut().mark_unavailable();
+    if source == Source::Store {
+        keep_missing_servers(state);
     }
     if matches!(cause, StoreError::LostByPeer(_)) {
         contact.seeds_lost_store.set(true);
@@ -87,11 +105,17 @@
     }
 }
 
+/// Keeps servers that will be missing when the store answers again: their entries may have expired.
+pub(crate) fn keep_missing_servers<A: Adapter>(state: &State<A>) {
+    if state.switches.is_on(Mechanism::OutageGrace) {
+        state.membership.borrow_mut().mark_unavailable();
+    }
+}
+
 /// Keeps missing servers for a while when this node turns to the store because its seeds have lost contact with
 /// it. The node can't tell whether the store was down, in which case their entries may only have expired.
 pub(crate) fn doubt_missing_servers<A: Adapter>(state: &State<A>) {
-    let unobserved = state.contact.seeds_lost_store.get() && state.contact.from_peer.get();
-    if unobserved && state.switches.is_on(Mechanism::OutageGrace) {
-        state.membership.borrow_mut().mark_unavailable();
+    if state.contact.seeds_lost_store.get() && state.contact.from_peer.get() {
+        keep_missing_servers(state);
     }
 }
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -1,10 +1,12 @@
 //! Keeps this node's copy of the published settings and backend servers up to date, from the store or a peer.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use clock::Clock;
+use futures_util::future::{Either, select};
 use rand::Rng;
 use upstream::{Context, Failure, Path, Source};
 use wire::updates::Update;
@@ -20,7 +22,10 @@
 /// How long a watch waits for a change. Each answer renews the proof that nothing newer is in force, and
 /// each call is paid for. The younger the proof is when contact with the store is lost, the longer a node can
 /// serve without it: with this wait, nearly all nodes serve for the first three seconds of an outage.
-const WAIT: Duration = Duration::from_millis(1_200);
+const WAIT: Duration = Duration::from_millis(1_100);
+/// How long a peer that reads the store waits for a change. By then its own watch has ended, so that each of its proofs
+/// is received at once.
+const PEER_WAIT: Duration = Duration::from_millis(1_300);
 /// Wait at a peer for a node that has nothing yet, or at a delegate. Within it, a peer that has just started
 /// itself has read thousands of servers.
 pub(crate) const FIRST_WAIT: Duration = Duration::from_millis(600);
@@ -29,9 +34,12 @@
 /// Shortest time between the beginnings of two watches, so that changes in quick succession are received
 /// together. Well under the time in which a leaving server must stop getting new work.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(700);
-/// Age of its proof from which on a peer counts as having lost contact with the store. The proof of a peer that
-/// reads the store is at most as old as [`WAIT`], [`proof::WATCH_BLIND_TAIL`] and the network delay together.
+/// Age of its proof from which on a peer counts as having lost contact with the store, if it doesn't count before by
+/// the time within which changes must be in force. The proof of a peer that reads the store is at most as old as
+/// [`WAIT`], [`proof::WATCH_BLIND_TAIL`] and the network delay together.
 const MAX_PEER_PROOF_AGE: Duration = Duration::from_millis(2_600);
+/// Longest list of servers, in bytes, that a node reads from the store although it asks peers.
+const MAX_RENEWED_LIST_BYTES: usize = 16 << 10;
 /// Interval at which seeds report work to each other. Work is averaged over seconds.
 const WORK_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause of a starting node after no source has answered.
@@ -41,10 +49,11 @@
 /// Longest pause after all sources have failed, so that a store which is back is found within half a second.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
-/// Starts a task that reads settings and servers from the sources, and for each other seed one that
-/// exchanges work with it. They end with the node.
+/// Starts a task that reads settings and servers from the sources, one that reads the store when these don't keep the
+/// node up to date, and for each other seed one that exchanges work with it. They end with the node.
 pub(crate) fn start<A: Adapter>(state: &Rc<State<A>>) {
     actix_rt::spawn(follow_sources(Rc::downgrade(state)));
+    actix_rt::spawn(renew_proof(Rc::downgrade(state)));
     for seed in state.other_seeds() {
         actix_rt::spawn(exchange_work(Rc::downgrade(state), seed));
     }
@@ -67,7 +76,17 @@
         if let Some(nearest) = state.nearest_seed.get() {
             sources.prefer(nearest);
         }
+        let store_answers = state.contact.store_answered.take();
+        if store_answers {
+            sources.retry_store();
+        }
         let source = sources.select(context, state.clock.now());
+        if source == Source::Store && sources.is_probing_first() && !store_answers {
+            // The peers that answer in its place are asked meanwhile.
+            state.contact.probe.notify_one();
+            sources.record_failure(Failure::Down, context, state.clock.now());
+            continue;
+        }
         let list_limit = sources.list_limit(state.clock.now());
         if source == Source::Store {
             contact::doubt_missing_servers(&state);
@@ -78,7 +97,11 @@
                 Source::Peer(peer) => ask_peer(&state, peer).await,
             }
         });
-        let step = step.await;
+        let step = match until_delegated(&state, source, context, step).await {
+            Some(step) => step,
+            // The delegate of a seed reads the store.
+            None => continue,
+        };
         match step {
             Ok(pause) => {
                 contact::record_answer(&state, source);
@@ -102,7 +125,9 @@
                     } else {
                         pause_after(failed_rounds)
                     };
-                    tokio::time::sleep(pause).await;
+                    // The delegate of a seed reads the store at once.
+                    let delegated = state.contact.delegated.notified();
+                    let _ = tokio::time::timeout(pause, delegated).await;
                 }
             }
         }
@@ -110,6 +135,95 @@
     }
 }
 
+/// Runs a step; none if a seed has made this node its delegate while it asked a peer.
+async fn until_delegated<A: Adapter, T>(
+    state: &State<A>,
+    source: Source,
+    context: Context,
+    step: impl Future<Output = T>,
+) -> Option<T> {
+    if source == Source::Store || context.is_delegate {
+        return Some(step.await);
+    }
+    match select(pin!(step), pin!(state.contact.delegated.notified())).await {
+        Either::Left((done, _)) => Some(done),
+        Either::Right(_) => None,
+    }
+}
+
+/// Reads the store whenever the proof of this node has grown old, whatever its peers answer meanwhile, and when a seed is to
+/// try it again.
+async fn renew_proof<A: Adapter>(weak: Weak<State<A>>) {
+    while let Some(state) = weak.upgrade() {
+        let left = time_until_read(&state);
+        if left > Duration::ZERO {
+            let probe = state.contact.probe.clone();
+            drop(state);
+            if tokio::time::timeout(left, probe.notified()).await.is_err() {
+                continue;
+            }
+        }
+        let Some(state) = weak.upgrade() else { return };
+        let read = read_changes(&state).await;
+        let mut renewal = state.contact.renewal.get();
+        match read {
+            Ok(()) => {
+                renewal.record_success();
+                state.contact.store_answered.set(true);
+                if time_until_read(&state).is_zero() {
+                    // The answer proves nothing, as the newest settings can't be used.
+                    renewal.record_failure(state.clock.now());
+                }
+            }
+            Err(cause) => {
+                renewal.record_failure(state.clock.now());
+                if state.proof_age_ms() >= Some(max_proof_age(&state).as_millis() as u64) {
+                    contact::keep_missing_servers(&state);
+                }
+                log::debug!(cause:% = cause, age_ms = state.proof_age_ms(); "the store doesn't answer this node either");
+            }
+        }
+        state.contact.renewal.set(renewal);
+        effects::expire(&state);
+    }
+}
+
+/// Time until this node has to read the store itself. One that has read nothing yet looks for a source first.
+fn time_until_read<A: Adapter>(state: &State<A>) -> Duration {
+    let now = state.clock.boot_time();
+    let age = state.replica.borrow().freshness().age(now);
+    let Some(age) = age else { return MIN_PAUSE };
+    let (nodes, limits) = (state.fleet_nodes.get(), state.node().proof_limits());
+    state.contact.renewal.get().time_until_read(age, nodes, limits, state.clock.now())
+}
+
+/// Age of its proof at which this node reads the store itself.
+fn max_proof_age<A: Adapter>(state: &State<A>) -> Duration {
+    let (nodes, limits) = (state.fleet_nodes.get(), state.node().proof_limits());
+    state.contact.renewal.get().max_age(nodes, limits)
+}
+
+/// Reads from the store what has changed, or everything if that is short.
+async fn read_changes<A: Adapter>(state: &Rc<State<A>>) -> Result<(), StoreError> {
+    state.metrics.settings.count_event("renewed");
+    let age = state.proof_age_ms().map(Duration::from_millis);
+    if age.is_none_or(|age| age >= state.node().proof_limits().lapse) {
+        contact::doubt_missing_servers(state);
+    }
+    let position = state.replica.borrow().continues_from();
+    log::info!(
+        age_ms = state.proof_age_ms(), path:% = state.contact.path.borrow();
+        "reading the store beside the other sources"
+    );
+    if let Some(after) = position {
+        watch_store(state, after, PROBE_WAIT).await?;
+    }
+    if state.replica.borrow().continues_from().is_none() {
+        list_store(state, Some(MAX_RENEWED_LIST_BYTES)).await?;
+    }
+    Ok(())
+}
+
 /// Runs a step, and meanwhile drops missing servers as soon as their time to be listed again is over: a watch
 /// may wait for longer than a server that has left may go on getting work.
 async fn expire_during<A: Adapter, T>(state: &State<A>, step: impl Future<Output = T>) -> T {
@@ -153,7 +267,10 @@
 ) -> Result<Duration, StoreError> {
     let position = state.replica.borrow().continues_from();
     match position {
-        Some(after) => watch_store(state, after).await,
+        Some(after) => {
+            let wait = if state.contact.failures.get() > 0 { PROBE_WAIT } else { WAIT };
+            watch_store(state, after, wait).await
+        }
         None => list_store(state, list_limit).await,
     }
 }
@@ -179,13 +296,13 @@
     Ok(Duration::ZERO)
 }
 
-/// Watches the store for changes after a position.
+/// Watches the store for changes after a position, for at most `wait`.
 async fn watch_store<A: Adapter>(
     state: &Rc<State<A>>,
     after: Position,
+    wait: Duration,
 ) -> Result<Duration, StoreError> {
     let asked = state.clock.boot_time();
-    let wait = if state.contact.failures.get() > 0 { PROBE_WAIT } else { WAIT };
     let Versioned { value, position } = match state.adapter.store.watch(after, wait).await? {
         WatchReply::Changes(changes) => changes,
         WatchReply::Restored(era) => {
@@ -236,7 +353,7 @@
         // A delegate may have to read the store first.
         Some(_) if state.is_seed() && !state.node().seeds.contains(&peer) => FIRST_WAIT,
         Some(_) if state.contact.failures.get() > 0 => PROBE_WAIT,
-        Some(_) => WAIT,
+        Some(_) => PEER_WAIT,
     };
     let update = updates::request_update(state, peer, wait).await?.receive().await?;
     apply_update(state, peer, asked, update)
@@ -255,7 +372,13 @@
         return Err(StoreError::LostByPeer(peer));
     }
     check_era(state, update.position())?;
-    state.contact.set_path(Path::stated(update.path.clone()).through(peer));
+    let path = Path::stated(update.path.clone());
+    let is_news = path.is_news_for(state.node().peers, state.is_seed());
+    let reader = path.reader().filter(|reader| !is_news && *reader != state.node().peers);
+    if let Some(reader) = reader {
+        state.delegates.suggest(reader);
+    }
+    state.contact.set_path(path.through(peer));
     if update.history_lost {
         log::info!(peer:% = peer; "the peer no longer knows all changes after this node's position; asking for everything");
         state.replica.borrow_mut().mark_incomplete();
@@ -291,7 +414,11 @@
         state,
         proof::from_peer(asked, Duration::from_millis(update.waited_ms.into()), age),
     );
-    if age > MAX_PEER_PROOF_AGE {
+    if !is_news {
+        log::debug!(peer:% = peer, path:% = path; "the peer doesn't read the store itself");
+        return Err(StoreError::LostByPeer(peer));
+    }
+    if age > MAX_PEER_PROOF_AGE.min(max_proof_age(state)) {
         log::info!(
             peer:% = peer, age_ms = age.as_millis() as u64;
             "the peer's proof is too old; it has lost contact with the store"
--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -66,6 +66,9 @@
         pub revocation_ms: u64,
         /// Time within which a node that is told to stop has exited, in s.
         pub grace_s: f64,
+        /// Time within which settings and servers that were published are in force, in ms; 2500 if it isn't given.
+        #[serde(default = "default_apply_ms")]
+        pub apply_ms: u64,
         /// Retries as a fraction of first attempts.
         pub repeats: f64,
         /// Further retries of all nodes together, for one service in any ten seconds; a small number for each node
@@ -85,6 +88,11 @@
     }
 }
 
+/// Default of [`Promises::apply_ms`].
+const DEFAULT_APPLY_MS: u64 = 2_500;
+/// Shortest and longest time within which what was published is in force, in ms. A node that asks a seed is up to a
+/// second behind the store.
+const APPLY_MS: std::ops::RangeInclusive<u64> = 1_000..=3_600_000;
 /// Default of [`Node::check_in_ms`].
 const DEFAULT_CHECK_IN_MS: u64 = 1_200;
 /// Longest interval at which servers renew their entries, in ms.
@@ -92,6 +100,9 @@
 /// Intervals after which an entry that is still listed has been renewed: it is removed after three without, and the node
 /// learns of that within two more.
 const RENEWAL_INTERVALS: u32 = 5;
+/// Intervals for which the entry of a server that runs is listed without being renewed: it is removed after three, and was
+/// renewed within the last one before.
+const MIN_LAPSE_INTERVALS: u32 = 2;
 
 /// Default bandwidth of a VM's link in Mbit/s.
 const DEFAULT_LINK_MBPS: f64 = 1_000.0;
@@ -113,6 +124,10 @@
     DEFAULT_COLD_OVERSHOOT
 }
 
+fn default_apply_ms() -> u64 {
+    DEFAULT_APPLY_MS
+}
+
 fn default_check_in_ms() -> u64 {
     DEFAULT_CHECK_IN_MS
 }
@@ -207,6 +222,12 @@
                 "milliseconds from 0 to 3600000",
             ));
         }
+        if !APPLY_MS.contains(&node.promises.apply_ms) {
+            return Err(value(
+                "promises.apply_ms is out of range",
+                "milliseconds from 1000 to 3600000",
+            ));
+        }
         if !(1..=MAX_CHECK_IN_MS).contains(&node.check_in_ms) {
             return Err(value("check_in_ms is out of range", "milliseconds from 1 to 600000"));
         }
@@ -242,6 +263,20 @@
         Duration::from_millis(self.promises.revocation_ms).mul_f64(PROOF_AGE_FRACTION)
     }
 
+    /// Time within which what was published is in force: settings, and the servers that leave.
+    pub(crate) fn apply_time(&self) -> Duration {
+        let drain = Some(self.promises.drain_ms).filter(|drain| APPLY_MS.contains(drain));
+        Duration::from_millis(
+            drain.map_or(self.promises.apply_ms, |drain| drain.min(self.promises.apply_ms)),
+        )
+    }
+
+    /// For how long the node may rely on its proof that nothing newer was published.
+    pub(crate) fn proof_limits(&self) -> upstream::Limits {
+        let lapse = Duration::from_millis(self.check_in_ms) * MIN_LAPSE_INTERVALS;
+        upstream::Limits { apply: self.apply_time(), lapse }
+    }
+
     /// Time for which a server that has said that it leaves still serves.
     pub(crate) fn drain_time(&self) -> Duration {
         Duration::from_millis(self.promises.drain_ms)
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -241,7 +241,11 @@
     }
     match ask.address {
         Some(address) if state.is_seed() => state.delegates.add_candidate(address),
-        _ => state.delegates.record_delegation(now),
+        _ => {
+            if state.delegates.record_delegation(now) {
+                state.contact.delegated.notify_one();
+            }
+        }
     }
     if !wait_until_loaded(&state, Duration::from_millis(ask.wait_ms.into())).await {
         return status(StatusCode::SERVICE_UNAVAILABLE);
@@ -260,13 +264,13 @@
     tokio::time::timeout(within, loaded).await.is_ok()
 }
 
-/// Waits until this node has received an update, a newer proof or a failure of its source. A delegate skips the
-/// failures: the seed asks because it has lost contact with the store itself, so it has no use for an answer
-/// before the delegate has read the store.
+/// Waits until this node has received an update, a newer proof or a failure of its source. A delegate waits until the
+/// store has answered it: the seed asks because it has lost contact with the store itself, so it has no use for what
+/// the delegate has from peers.
 async fn wait_for_update<A: Adapter>(state: &State<A>) {
     loop {
         state.contact.updated.notified().await;
-        if state.is_seed() || state.contact.failures.get() == 0 {
+        if state.is_seed() || state.contact.is_direct() {
             return;
         }
     }
@@ -280,7 +284,8 @@
         (ask.position(replica.era()), replica.position())
     };
     let (from, own) = known();
-    if from.is_some() && own <= from {
+    let has_news = state.is_seed() || state.contact.is_direct();
+    if from.is_some() && (own <= from || !has_news) {
         let wait = Duration::from_millis(ask.wait_ms.into());
         let _ = tokio::time::timeout(wait, wait_for_update(state)).await;
     }
--- a/components/upstream/src/path.rs
+++ b/components/upstream/src/path.rs
@@ -50,9 +50,23 @@
         self.nodes.as_ref().is_some_and(Vec::is_empty)
     }
 
-    /// Whether it is known by which nodes the answer came.
-    pub fn is_known(&self) -> bool {
-        self.nodes.is_some()
+    /// Whether a node takes the answer of a peer that has it by this path for news of the store. A seed relies only on a
+    /// peer that reads the store itself, and no node on its own answers, so that none waits for one that waits for it. A
+    /// peer that doesn't state its path is relied on.
+    ///
+    /// ```
+    /// use upstream::Path;
+    ///
+    /// let (own, delegate) = (([10, 0, 0, 1], 7).into(), ([10, 0, 0, 2], 7).into());
+    /// let path = Path::store().through(delegate);
+    /// assert!(Path::store().is_news_for(own, true));
+    /// assert!(!path.is_news_for(own, true));
+    /// assert!(path.is_news_for(own, false));
+    /// assert!(!path.is_news_for(delegate, false));
+    /// ```
+    pub fn is_news_for(&self, own: SocketAddr, is_seed: bool) -> bool {
+        let Some(nodes) = &self.nodes else { return true };
+        nodes.is_empty() || (!is_seed && !nodes.contains(&own))
     }
 
     /// The node that read the store, if it isn't this one.
--- a/components/upstream/src/sources.rs
+++ b/components/upstream/src/sources.rs
@@ -96,6 +96,8 @@
     peer_without_store: bool,
     /// When the store may be read although seeds run; set once all of them have lost contact with it.
     store_read_at: Option<Instant>,
+    /// When a node that isn't a seed last read the store in vain.
+    store_failed: Option<Instant>,
 }
 
 /// What the choice of a source depends on, apart from answers and failures.
@@ -129,21 +131,45 @@
             list_is_long: false,
             peer_without_store: false,
             store_read_at: None,
+            store_failed: None,
         }
     }
 
-    /// Selects the source to ask now. Goes back to the first source when that is due, but not from the
-    /// store while this node is a delegate.
+    /// Selects the source to ask now. A delegate reads the store, unless it has just done so in vain. Goes back to
+    /// the first source when that is due.
     pub fn select(&mut self, context: Context, now: Instant) -> Source {
+        let has_lost_store = self.store_failed.is_some_and(|failed| now < failed + DELEGATION);
+        if context.is_delegate && !self.is_seed && !has_lost_store {
+            self.go_to_store(now);
+            return Source::Store;
+        }
         let retry = (FIRST_RETRY_MIN * (1 << self.first_failures.saturating_sub(1).min(8)))
             .min(FIRST_RETRY_MAX);
         let due = self.left_first.is_some_and(|left| now >= left + retry);
-        if due && !(context.is_delegate && self.source_at(self.current) == Source::Store) {
+        if due {
             (self.current, self.left_first) = (0, None);
         }
         self.source_at(self.current)
     }
 
+    /// Makes the store the current source.
+    fn go_to_store(&mut self, now: Instant) {
+        if self.source_at(self.current) == Source::Store {
+            return;
+        }
+        let store = self.order.iter().position(|source| *source == Source::Store);
+        self.current = store.unwrap_or_default();
+        self.left_first = (self.current != 0).then_some(now);
+        self.fallback = None;
+    }
+
+    /// Lets a seed that asks peers in place of the store try the store next: it has just answered.
+    pub fn retry_store(&mut self) {
+        if self.is_seed {
+            (self.current, self.left_first) = (0, None);
+        }
+    }
+
     /// The source at an index; the delegate comes after the order.
     fn source_at(&self, index: usize) -> Source {
         let delegate = self.delegate.map(Source::Peer);
@@ -223,7 +249,9 @@
         if self.current == 0 {
             self.first_failures = 0;
         }
-        if self.source_at(self.current) != Source::Store {
+        if self.source_at(self.current) == Source::Store {
+            self.store_failed = None;
+        } else {
             self.store_read_at = None;
         }
     }
@@ -262,6 +290,7 @@
             self.first_failures += u32::from(self.has_read);
         }
         if asked == Source::Store && !self.is_seed {
+            self.store_failed = Some(now);
             self.schedule_store_read(LATER_READS_PER_S, Duration::ZERO, context, now);
         }
         self.current = (self.current + 1) % self.len();
@@ -315,6 +344,8 @@
     candidates: RefCell<VecDeque<SocketAddr>>,
     /// When a seed last asked this node.
     asked_by_seed: Cell<Option<Instant>>,
+    /// A node that reads the store for another seed.
+    reader: Cell<Option<SocketAddr>>,
 }
 
 impl Delegates {
@@ -326,17 +357,27 @@
         candidates.push_front(address);
     }
 
-    /// A random candidate, so that one which has lost contact with the store as well isn't asked again and
+    /// Records that a node reads the store for another seed: it is the next candidate.
+    pub fn suggest(&self, reader: SocketAddr) {
+        self.reader.set(Some(reader));
+    }
+
+    /// The node that was suggested, or a random candidate, so that one which has lost contact with the store as well isn't asked again and
     /// again.
     pub fn pick_candidate(&self) -> Option<SocketAddr> {
+        if let Some(reader) = self.reader.take() {
+            return Some(reader);
+        }
         let candidates = self.candidates.borrow();
         let index = rand::rng().random_range(0..candidates.len().max(1));
         candidates.get(index).copied()
     }
 
-    /// Records that a seed asked this node, which makes it the seed's delegate.
-    pub fn record_delegation(&self, now: Instant) {
+    /// Records that a seed asked this node, which makes it the seed's delegate; returns whether it wasn't before.
+    pub fn record_delegation(&self, now: Instant) -> bool {
+        let was_delegate = self.is_delegate(now);
         self.asked_by_seed.set(Some(now));
+        !was_delegate
     }
 
     /// Whether this node is the delegate of a seed.
