What served before a node looked is concluded only by one that looked then

From 25.28 s on seven take-ups are concluded as `only-version`, 10 ms after the first list, and go on at v1.2. The streams had begun before 23.0 s, when v1.1 served as well.

Cause: Evidence::conclude accepted the versions that peers had seen for any time, however short, as soon as one peer answered, and a node alone accepted its own. After a kill of all nodes, everyone has seen only what was left.

Change: a version is concluded only if one of those who answer has followed the list of servers for the longest life of a stream. Nobody else can know which versions served when the stream began. A node whose proof is old, after a suspension say, states no time (it did for its own conclusions only), and a list that is read anew starts the time again, as what came and went before isn't in it. A stream of which nobody knows is refused as not run, at once, and can begin anew.

Tried and left out: to read the store's last changes. Costs no call and no byte.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -293,6 +293,7 @@
     effects::apply(state, changes);
     standing.into_iter().for_each(|known| standing::learn(state, known));
     confirm_freshness(state, asked);
+    state.resumption.record_gap(now);
     Ok(Duration::ZERO)
 }
 
@@ -398,6 +399,7 @@
     let changes = update.items.unpack().map_err(garbled)?;
     let standing = standing::read(&update)?;
     if let Some(base) = &update.base {
+        state.resumption.record_gap(now);
         let all = base.items.unpack().map_err(garbled)?;
         let base = state.replica.borrow_mut().replace(all, base.position(), &Reader(state), now);
         effects::apply(state, base);
--- a/components/forward/src/resumption.rs
+++ b/components/forward/src/resumption.rs
@@ -18,7 +18,8 @@
 use wire::gossip::Peer;
 use wire::origins::{Answer as Reply, Asked, Message, Row};
 
-use crate::adapter::Call;
+use crate::adapter::{Adapter, Call};
+use crate::state::State;
 
 pub(crate) use taking_up::restrict;
 pub(crate) use telling::{answer, begin, start};
@@ -27,6 +28,9 @@
 pub(crate) const PATH: &str = "/origins";
 /// Time by which a caller may take a stream up later than its own time limit says.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
+/// Age of the proof that a node's list of servers is the newest, up to which the list counts. It is a little longer than
+/// a watch of the store lasts.
+const MAX_LIST_AGE: Duration = Duration::from_millis(2_500);
 /// Longest life of a stream while no settings are known.
 const DEFAULT_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -104,6 +108,11 @@
         }
     }
 
+    /// Records that changes of the list of servers may have been missed.
+    pub(crate) fn record_gap(&self, now: Instant) {
+        self.census.borrow_mut().record_gap(now);
+    }
+
     /// Updates a seed's list of nodes.
     pub(crate) fn refresh_members(&self, own: Peer, now: Instant) {
         let mut members = self.members.borrow_mut();
@@ -145,8 +154,8 @@
         self.table.borrow_mut().end(stream_of(call));
     }
 
-    /// The answer to a peer's message.
-    fn answer(&self, message: Message, now: Instant) -> Reply {
+    /// The answer to a peer's message. `is_current` says whether this node's list is the newest.
+    fn answer(&self, message: Message, is_current: bool, now: Instant) -> Reply {
         let mut table = self.table.borrow_mut();
         for row in message.told {
             let origin = origin_of(row.version);
@@ -162,7 +171,7 @@
             let within = Duration::from_millis(lifetime_ms.into());
             let Evidence { covered, versions } =
                 self.census.borrow().evidence(service, within, now);
-            reply.covered_ms = millis(covered);
+            reply.covered_ms = if is_current { millis(covered) } else { 0 };
             reply.seen = versions.into_iter().map(|Version(key)| key).collect();
         }
         reply
@@ -181,6 +190,11 @@
     }
 }
 
+/// Whether this node's list of servers is the newest.
+fn has_current_list<A: Adapter>(state: &State<A>) -> bool {
+    state.proof_age_ms().is_some_and(|age| Duration::from_millis(age) <= MAX_LIST_AGE)
+}
+
 /// Key of a version on the wire; none if it is uncertain.
 fn version_key(origin: Origin) -> Option<u32> {
     match origin {
--- a/components/forward/src/resumption/taking_up.rs
+++ b/components/forward/src/resumption/taking_up.rs
@@ -15,7 +15,7 @@
 use crate::state::State;
 
 use super::telling::post;
-use super::{millis, origin_of};
+use super::{has_current_list, millis, origin_of};
 
 /// Time after a node's start in which it may not have the list of nodes yet, so that it asks again.
 const SETTLING: Duration = Duration::from_secs(1);
@@ -23,9 +23,6 @@
 const ASK_PAUSE: Duration = Duration::from_millis(50);
 /// When a caller may come again whose stream no node knows.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Age of the proof that a node's list of servers is the newest, up to which the list counts without a peer's. It is
-/// a little longer than a watch of the store lasts.
-const MAX_LIST_AGE: Duration = Duration::from_millis(2_500);
 
 /// Who knows which version began a stream.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -128,11 +125,10 @@
         Err(others) => others,
     };
     let mut seen = resumption.census.borrow().evidence(service, lifetime, now);
-    let proof_age = state.proof_age_ms().map(Duration::from_millis);
-    if proof_age.is_none_or(|age| age > MAX_LIST_AGE) {
+    if !has_current_list(state) {
         seen.covered = Duration::ZERO;
     }
-    let only = seen.conclude(&others, is_alone(state), lifetime);
+    let only = seen.conclude(&others, lifetime);
     only.map_or(Finding::Unknown, Finding::OnlyVersion)
 }
 
--- a/components/forward/src/resumption/telling.rs
+++ b/components/forward/src/resumption/telling.rs
@@ -15,7 +15,7 @@
 use crate::intake::Received;
 use crate::state::State;
 
-use super::{EXPIRY_MARGIN, PATH, stream_of, version_of};
+use super::{EXPIRY_MARGIN, PATH, has_current_list, stream_of, version_of};
 
 /// Time within which a peer must answer: several round trips between two regions.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -84,7 +84,7 @@
     let Ok(message) = Message::decode(&body) else {
         return Response::new(StatusCode::BAD_REQUEST).map_into_boxed_body();
     };
-    let reply = state.resumption.answer(message, state.clock.now());
+    let reply = state.resumption.answer(message, has_current_list(&state), state.clock.now());
     Response::build(StatusCode::OK).body(reply.encode()).map_into_boxed_body()
 }
 
--- a/components/origins/src/census.rs
+++ b/components/origins/src/census.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Records that this node may have missed changes before now.
+    pub fn record_gap(&mut self, now: Instant) {
+        self.since = self.since.map(|_| now);
+    }
+
     /// What this node has seen of a service within a time that ends now.
     pub fn evidence(&self, service: u32, within: Duration, now: Instant) -> Evidence {
         let covered =
--- a/components/origins/src/evidence.rs
+++ b/components/origins/src/evidence.rs
@@ -16,33 +16,31 @@
 }
 
 impl Evidence {
-    /// The version that began a stream which nobody has told of: the only one that any node has seen. There is none
-    /// if there were several, or if this node hasn't followed the list for the longest life of a stream and no other
-    /// node has answered. A node that is alone has nobody to ask.
+    /// The version that began a stream which nobody has told of, up to `age` ago: the only one that any node has seen.
+    /// There is none if there were several, or if no node has followed the list for so long: one that started later
+    /// can't know which versions served before.
     ///
     /// ```
     /// use std::time::Duration;
     ///
     /// use origins::{Evidence, Version};
     ///
-    /// let lifetime = Duration::from_secs(10);
-    /// let seen = |versions: &[u32]| Evidence {
-    ///     covered: lifetime,
+    /// let age = Duration::from_secs(5);
+    /// let seen = |covered, versions: &[u32]| Evidence {
+    ///     covered: Duration::from_secs(covered),
     ///     versions: versions.iter().copied().map(Version).collect(),
     /// };
-    /// assert_eq!(seen(&[1]).conclude(&[seen(&[1])], false, lifetime), Some(Version(1)));
-    /// assert_eq!(seen(&[1]).conclude(&[seen(&[1, 2])], false, lifetime), None);
-    /// assert_eq!(seen(&[2]).conclude(&[seen(&[1])], false, lifetime), None);
+    /// assert_eq!(seen(1, &[1]).conclude(&[seen(9, &[1])], age), Some(Version(1)));
+    /// assert_eq!(seen(1, &[1]).conclude(&[seen(4, &[1])], age), None);
+    /// assert_eq!(seen(1, &[2]).conclude(&[seen(9, &[1])], age), None);
     /// ```
-    pub fn conclude(
-        &self,
-        others: &[Evidence],
-        is_alone: bool,
-        lifetime: Duration,
-    ) -> Option<Version> {
-        let sufficient = is_alone || !others.is_empty() || self.covered >= lifetime;
-        let first = *self.versions.first().filter(|_| sufficient)?;
-        let all = others.iter().chain([self]).flat_map(|evidence| &evidence.versions);
-        all.into_iter().all(|version| *version == first).then_some(first)
+    pub fn conclude(&self, others: &[Evidence], age: Duration) -> Option<Version> {
+        let all = || others.iter().chain([self]);
+        if !all().any(|evidence| evidence.covered >= age) {
+            return None;
+        }
+        let mut versions = all().flat_map(|evidence| &evidence.versions);
+        let first = *versions.next()?;
+        versions.all(|version| *version == first).then_some(first)
     }
 }
--- a/components/origins/src/lib.rs
+++ b/components/origins/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! Nothing is stored for this. While servers of several versions serve side by side, the node that begins a stream
 //! tells a few others, its keepers, which every node derives from the stream's id. A node at which a caller takes a
-//! stream up asks them. What nobody knows is concluded only where one version has served; it is never guessed.
+//! stream up asks them. What nobody knows is concluded only where one version has served since before the stream began, as
+//! a node has seen that has followed the list of servers for so long.
 //!
 //! The crate does no I/O and reads no clock.
 
--- a/components/origins/tests/model.rs
+++ b/components/origins/tests/model.rs
@@ -26,6 +26,12 @@
     Kill(usize),
     /// A node is killed and doesn't come back.
     Lose(usize),
+    /// The last server of the old version leaves.
+    Leave,
+    /// All nodes are killed and start again with the list of servers as it is.
+    KillAll,
+    /// The same without the last node.
+    KillMost,
 }
 
 struct Node {
@@ -65,14 +71,27 @@
     let mut nodes: Vec<_> = (0..NODES).map(|_| start(begun, &[OLD])).collect();
     let keepers = members().keepers(STREAM);
     let mut truth = None;
+    let (mut new_serves, mut old_left) = (false, false);
     for event in events {
+        new_serves |= matches!(event, Event::Learn(_) | Event::Kill(_));
+        let served = if new_serves { &[OLD, NEW][..] } else { &[OLD] };
+        let listed = if old_left { &[NEW][..] } else { served };
         match *event {
+            Event::Leave if !new_serves => return None,
+            Event::Leave => {
+                old_left = true;
+                nodes.iter_mut().for_each(|node| node.census.remove(SERVICE, OLD, now));
+            }
+            Event::KillAll => nodes = (0..NODES).map(|_| start(now, listed)).collect(),
+            Event::KillMost => {
+                nodes[..NODES - 1].iter_mut().for_each(|node| *node = start(now, listed));
+            }
             Event::Begin | Event::Tell(_) if !nodes[0].is_up => return None,
             Event::Learn(node) => nodes[node].census.add(SERVICE, NEW, now),
             Event::Begin => {
                 let first = &mut nodes[0];
                 let mixed = first.census.is_mixed(SERVICE, LIFETIME, now);
-                let version = if mixed { NEW } else { OLD };
+                let version = if mixed || old_left { NEW } else { OLD };
                 let (origin, expires) = (Origin::Version(version), now + LIFETIME);
                 first.table.begin(Record { stream: STREAM, origin, expires }, SERVICE, 0, now);
                 truth = Some(version);
@@ -92,7 +111,7 @@
                 nodes[node].told = true;
                 nodes[node].table.insert(STREAM, record.origin, record.expires, now);
             }
-            Event::Kill(node) => nodes[node] = start(now, &[OLD, NEW]),
+            Event::Kill(node) => nodes[node] = start(now, listed),
             Event::Lose(node) => nodes[node].is_up = false,
         }
     }
@@ -111,7 +130,7 @@
         }
         let evidence = |node: usize| nodes[node].census.evidence(SERVICE, LIFETIME, now);
         let seen: Vec<_> = others.map(evidence).collect();
-        evidence(node).conclude(&seen, false, LIFETIME)
+        evidence(node).conclude(&seen, LIFETIME)
     };
     let up = (0..NODES).filter(|node| nodes[*node].is_up);
     Some((truth?, up.map(take_up).collect()))
@@ -130,7 +149,8 @@
     }
     let per_node =
         (0..NODES).flat_map(|n| [Event::Learn(n), Event::Tell(n), Event::Kill(n), Event::Lose(n)]);
-    for event in per_node.chain([Event::Begin]) {
+    let all = [Event::Begin, Event::Leave, Event::KillAll, Event::KillMost];
+    for event in per_node.chain(all) {
         if matches!(event, Event::Kill(_)) || !events.contains(&event) {
             events.push(event);
             search(events, depth - 1, now, outcomes);
