--- a/components/upstream/tests/model.rs
+++ b/components/upstream/tests/model.rs
@@ -55,6 +55,8 @@
 struct Node {
     address: SocketAddr,
     is_seed: bool,
+    /// Whether its program says where its answers come from.
+    states_path: bool,
     sources: Sources,
     delegates: Delegates,
     renewal: Renewal,
@@ -104,6 +106,7 @@
             Node {
                 address: address(index),
                 is_seed: index < seeds,
+                states_path: true,
                 sources,
                 delegates: Delegates::default(),
                 renewal: Renewal::new(0.5),
@@ -264,7 +267,8 @@
             return self.fail(index, Failure::StoreLost);
         }
         let (position, proof) = (answer.position, answer.proof.saturating_sub(TICK));
-        let (path, from) = (answer.path.clone(), answer.address);
+        let path = if answer.states_path { answer.path.clone() } else { Path::stated(None) };
+        let from = answer.address;
         let at = self.now;
         let node = &mut self.nodes[index];
         node.position = node.position.max(position);
@@ -353,6 +357,26 @@
     }
 }
 
+/// Some nodes run a program that doesn't say where its answers come from, so that circles aren't noticed. Nodes have
+/// changes later than promised.
+#[test]
+fn nodes_of_a_former_program_delay_no_change() {
+    for seed in 0..60 {
+        let mut fleet = Fleet::new(3, 4, seed);
+        fleet.nodes.iter_mut().step_by(2).for_each(|node| node.states_path = false);
+        let mut next = 5_000;
+        while fleet.now < 60_000 {
+            fleet.tick();
+            if fleet.now >= next {
+                fleet.disturb();
+                next += fleet.random.random_range(50..3_000);
+            }
+            let outdated = fleet.outdated();
+            assert!(outdated.is_empty(), "seed {seed}: nodes {outdated:?} at {} ms", fleet.now);
+        }
+    }
+}
+
 /// Nodes without the store take each other's answers for news of it, so that none of them looks for another source.
 #[test]
 fn answers_never_go_round() {
--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -11,6 +11,8 @@
 
 /// What the nodes may send again to a service.
 pub const ALLOWED: Repeats = Repeats { ratio: 0.2, slack: 31.0, window: Duration::from_secs(10) };
+/// Nodes that read the store for the others.
+pub const SEEDS: usize = 2;
 /// A process that was asked to stop is killed after this.
 const GRACE: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(20);
@@ -40,7 +42,7 @@
 }
 
 impl Node {
-    /// Nodes of one fleet, each with its own way to the store; the first two are its seeds. If `own_stores`, each
+    /// Nodes of one fleet, each with its own way to the store; the first ones are its seeds. If `own_stores`, each
     /// reads its store itself.
     pub fn fleet(seed: u64, stores: &[SocketAddr], own_stores: bool) -> Vec<Node> {
         let without = if own_stores { "without = [\"seeds\"]\n" } else { "" };
@@ -53,7 +55,7 @@
             let child = RefCell::default();
             nodes.push(Node { callers, operators, peers, settings, child, _ports: ports });
         }
-        let seeds: Vec<_> = nodes.iter().take(2).map(|n| format!("\"{}\"", n.peers)).collect();
+        let seeds: Vec<_> = nodes.iter().take(SEEDS).map(|n| format!("\"{}\"", n.peers)).collect();
         for (index, (node, store)) in nodes.iter().zip(stores).enumerate() {
             let Node { callers, operators, peers, .. } = node;
             let text = format!(
@@ -71,7 +73,11 @@
         nodes
     }
 
+    /// Starts its process, unless it runs.
     pub fn start(&self) {
+        if self.child.borrow().is_some() {
+            return;
+        }
         // A soak that is killed can't end its nodes: they would run on beside the next one. The kernel ends them
         // with the process that asked for it, which becomes the node.
         let mut command = Command::new("setpriv");
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -84,9 +84,11 @@
     /// Replaces the servers of the oldest version by those of the next one. Sometimes a server starts again under its
     /// old name as the new version.
     pub async fn release(&self, stores: &Stores, rng: &mut SmallRng) {
-        self.add_version(stores).await;
+        while self.servers.borrow().len() <= VERSIONS {
+            self.add_version(stores).await;
+        }
+        let version = self.started.get() - self.servers.borrow().len();
         let oldest = self.servers.borrow_mut().remove(0);
-        let version = self.started.get() - VERSIONS - 1;
         let reused = rng.random_range(0..3) == 0;
         for (index, server) in oldest.into_iter().enumerate() {
             if reused && index == 0 {
@@ -108,6 +110,24 @@
         }
     }
 
+    /// Replaces the servers of all versions by those of the next one, which is the only one then.
+    pub async fn release_to_all(&self, stores: &Stores) {
+        self.add_version(stores).await;
+        let newest = self.servers.borrow_mut().pop().expect("a version");
+        let first = self.started.get() - 1 - self.servers.borrow().len();
+        let former = self.servers.replace(vec![newest]);
+        for (index, servers) in former.into_iter().enumerate() {
+            for server in servers {
+                list(stores, &server, first + index, "draining");
+                self.leaving.borrow_mut().push(server);
+            }
+        }
+        tokio::time::sleep(DRAIN).await;
+        for server in self.leaving.take() {
+            stores.delete(&format!("servers/{}", server.name));
+        }
+    }
+
     /// Sends a stream and takes it up at other nodes until it ends, as often as a caller does.
     pub async fn call(&self, nodes: &[SocketAddr], id: &str, rng: &mut SmallRng) {
         let (mut text, mut began) = (String::new(), None);
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -19,7 +19,7 @@
     ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, server_entry, stream_event,
     success_response,
 };
-use crate::nodes::{ALLOWED, Node};
+use crate::nodes::{ALLOWED, Node, SEEDS};
 use crate::stores::Stores;
 use crate::versions::Versions;
 
@@ -243,7 +243,7 @@
     async fn fault(&self, rng: &mut SmallRng) {
         let node = &self.nodes[rng.random_range(0..NODES)];
         let link = &self.links[rng.random_range(0..self.links.len())];
-        match rng.random_range(0..13) {
+        match rng.random_range(0..14) {
             0 => {
                 node.kill();
                 node.start();
@@ -266,7 +266,11 @@
                 let moods = [Mode::Normal, Mode::Rejecting, Mode::Unresponsive];
                 self.stores.set_mode(moods[rng.random_range(0..3)]);
             }
-            11 => {
+            // Both seeds lose the store, and the nodes that ask them don't.
+            11 => self.links[..SEEDS].iter().for_each(|link| {
+                link.set(Way { deaf: true, mute: true, ..Way::default() });
+            }),
+            12 => {
                 let cuts = [Cut::None, Cut::Refusing, Cut::Resetting, Cut::Silent];
                 let (node, cut) = (rng.random_range(0..NODES), cuts[rng.random_range(0..4)]);
                 self.partition(node, cut).await;
@@ -343,7 +347,20 @@
         let start = Instant::now();
         while start.elapsed() < time {
             tokio::time::sleep(Duration::from_millis(rng.random_range(300..1_500))).await;
-            self.versions.release(&self.stores, &mut rng).await;
+            if rng.random_range(0..4) > 0 {
+                self.versions.release(&self.stores, &mut rng).await;
+                continue;
+            }
+            // All nodes are killed while one version replaces all others, or just afterwards.
+            let away = rng.random_range(0..800);
+            let early = rng.random_range(1_500..3_000);
+            let kill = async {
+                tokio::time::sleep(Duration::from_millis(early)).await;
+                self.nodes.iter().for_each(Node::kill);
+                tokio::time::sleep(Duration::from_millis(away)).await;
+                self.nodes.iter().for_each(Node::start);
+            };
+            tokio::join!(self.versions.release_to_all(&self.stores), kill);
         }
     }
 
