A gap in a seed's list of servers is one in its followers' lists

The seed started its time anew after the store had dropped its history, but a follower at a position that the seed had passed was sent what differs, and went on to say that it had followed the list all along.

Change: an answer states whether changes after the asked position may be missing, which the replica knows; the follower's time starts anew. One byte and its name, only in such answers.

--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -398,8 +398,10 @@
     let garbled = |cause: wire::Error| StoreError::Malformed(cause.to_string());
     let changes = update.items.unpack().map_err(garbled)?;
     let standing = standing::read(&update)?;
-    if let Some(base) = &update.base {
+    if update.gap || update.base.is_some() {
         state.resumption.record_gap(now);
+    }
+    if let Some(base) = &update.base {
         let all = base.items.unpack().map_err(garbled)?;
         let base = state.replica.borrow_mut().replace(all, base.position(), &Reader(state), now);
         effects::apply(state, base);
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -291,6 +291,7 @@
     }
     let (from, own) = known();
     let own = own.unwrap_or_default();
+    let gap = from.is_some_and(|from| state.replica.borrow().has_gap_after(from));
     let (base, items) = match from {
         Some(from) => (None, state.replica.borrow_mut().changes_since(from)),
         None => {
@@ -306,6 +307,7 @@
         era: own.era,
         base,
         history_lost: items.is_none(),
+        gap,
         items: items.unwrap_or_default(),
         standing: Items::pack(&standing),
         age_ms: state.proof_age_ms().map(|age| age.try_into().unwrap_or(u32::MAX)),
--- a/components/replica/src/replica.rs
+++ b/components/replica/src/replica.rs
@@ -268,6 +268,11 @@
         Some(items)
     }
 
+    /// Whether not all changes after a position are known: items may have come and gone unseen.
+    pub fn has_gap_after(&self, position: Position) -> bool {
+        self.gaps.iter().any(|(_, end)| position < *end)
+    }
+
     /// All items as a packed base, and the changes since it was packed.
     pub fn snapshot(&mut self) -> (Base, Items) {
         let recent =
--- a/components/wire/src/updates.rs
+++ b/components/wire/src/updates.rs
@@ -137,6 +137,9 @@
         /// Work of all nodes known to the answering node.
         #[serde(rename = "q", default)]
         pub work: Work,
+        /// Whether items may have come and gone after the requested position of which the answer doesn't tell.
+        #[serde(rename = "g", default, skip_serializing_if = "crate::is_false")]
+        pub gap: bool,
         /// The nodes through which the answering node has its last answer, by the addresses of their listeners for peers, the
         /// one that read the store last; empty if it read the store itself, none from a program that doesn't say.
         #[serde(rename = "v", default)]
