--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -180,7 +180,7 @@
                 if state.proof_age_ms() >= Some(max_proof_age(&state).as_millis() as u64) {
                     contact::keep_missing_servers(&state);
                 }
-                log::debug!(cause:% = cause, age_ms = state.proof_age_ms(); "the store doesn't answer this node either");
+                log::info!(cause:% = cause, age_ms = state.proof_age_ms(); "the store doesn't answer this node either");
             }
         }
         state.contact.renewal.set(renewal);
--- a/components/telemetry/src/settings.rs
+++ b/components/telemetry/src/settings.rs
@@ -11,7 +11,8 @@
 
 impl SettingsMetrics {
     pub(crate) fn new(registry: &Registry) -> Self {
-        let help = "Settings: accepted, refused, conflict, stale, peer-fault, unread, woken";
+        let help =
+            "Settings: accepted, refused, conflict, stale, peer-fault, unread, renewed, woken";
         let events = IntCounterVec::new(Opts::new("godwitlever_settings_total", help), &["event"]);
         let events = events.expect("the metric's name is valid");
         let gauge = |name, help| {
