--- a/components/origins/src/evidence.rs
+++ b/components/origins/src/evidence.rs
@@ -16,7 +16,7 @@
 }
 
 impl Evidence {
-    /// The version that began a stream which nobody has told of, up to `age` ago: the only one that any node has seen.
+    /// The version that began a stream of which no node has a record, up to `age` ago: the only one that any node has seen.
     /// There is none if there were several, or if no node has followed the list for so long: one that started later
     /// can't know which versions served before.
     ///
--- a/components/upstream/tests/model.rs
+++ b/components/upstream/tests/model.rs
@@ -332,27 +332,32 @@
     }
 }
 
+/// Plays a minute of random cuts, and checks the fleet at each tick after the first cut.
+fn play(mut fleet: Fleet, check: impl Fn(&Fleet)) {
+    let mut next = 5_000;
+    while fleet.now < 60_000 {
+        fleet.tick();
+        if fleet.now >= next {
+            fleet.disturb();
+            next += fleet.random.random_range(50..3_000);
+        }
+        check(&fleet);
+    }
+}
+
 /// Seeds lose the store and come back in random orders, by resets and in silence. A node that reaches the store runs
 /// requests by settings that were replaced longer ago than is promised.
 #[test]
 fn a_node_that_reaches_the_store_has_each_change_in_time() {
     for (seeds, others, runs) in [(3, 4, 60), (2, 2, 60), (1, 2, 30), (3, 0, 30)] {
         for seed in 0..runs {
-            let mut fleet = Fleet::new(seeds, others, seed);
-            let mut next = 5_000;
-            while fleet.now < 60_000 {
-                fleet.tick();
-                if fleet.now >= next {
-                    fleet.disturb();
-                    next += fleet.random.random_range(50..3_000);
-                }
-                let outdated = fleet.outdated();
+            play(Fleet::new(seeds, others, seed), |fleet| {
+                let (outdated, now) = (fleet.outdated(), fleet.now);
                 assert!(
                     outdated.is_empty(),
-                    "{seeds} seeds, {others} others, seed {seed}: nodes {outdated:?} at {} ms",
-                    fleet.now
+                    "{seeds} seeds, {others} others, seed {seed}: nodes {outdated:?} at {now} ms"
                 );
-            }
+            });
         }
     }
 }
@@ -364,16 +369,10 @@
     for seed in 0..60 {
         let mut fleet = Fleet::new(3, 4, seed);
         fleet.nodes.iter_mut().step_by(2).for_each(|node| node.states_path = false);
-        let mut next = 5_000;
-        while fleet.now < 60_000 {
-            fleet.tick();
-            if fleet.now >= next {
-                fleet.disturb();
-                next += fleet.random.random_range(50..3_000);
-            }
-            let outdated = fleet.outdated();
-            assert!(outdated.is_empty(), "seed {seed}: nodes {outdated:?} at {} ms", fleet.now);
-        }
+        play(fleet, |fleet| {
+            let (outdated, now) = (fleet.outdated(), fleet.now);
+            assert!(outdated.is_empty(), "seed {seed}: nodes {outdated:?} at {now} ms");
+        });
     }
 }
 
@@ -381,24 +380,16 @@
 #[test]
 fn answers_never_go_round() {
     for seed in 0..60 {
-        let mut fleet = Fleet::new(3, 4, seed);
-        let mut next = 5_000;
-        while fleet.now < 60_000 {
-            fleet.tick();
-            if fleet.now >= next {
-                fleet.disturb();
-                next += fleet.random.random_range(50..3_000);
-            }
+        play(Fleet::new(3, 4, seed), |fleet| {
             for node in fleet.nodes.iter().filter(|node| node.failures == 0) {
                 let nodes = node.path.nodes().unwrap_or_default();
-                let mut different = nodes.to_vec();
-                different.push(node.address);
+                let mut different = [nodes, &[node.address]].concat();
                 different.sort();
                 different.dedup();
                 let goes_round = different.len() <= nodes.len();
                 assert!(!goes_round, "seed {seed}: {} at {} ms", node.path, fleet.now);
             }
-        }
+        });
     }
 }
 
