Log whether the server of an answer that ended with its connection still ran, and which ids of events were skipped

The crate endings judges what a server's response shows about the process that gave an answer; forward::survival asks, once for all answers of a server that ended before the question. `ended` has server_then and skipped_ids, and there are counters of such ends and of the questions. Nothing is decided by it yet.

--- /dev/null
+++ b/components/endings/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decides whether an answer is complete whose body ended with its connection.
+//!
+//! A body without a length and without chunks lasts until its connection is closed. The kernel closes the connections
+//! of a process that was killed just as the process itself closes one after the last byte, so that the end of the
+//! connection doesn't show that the answer is complete. But a server that closes a connection itself goes on running.
+//! So it is asked afterwards, and the answer is complete if the process that gave it still responds.
+//!
+//! The crate does no I/O and reads no clock.
+
+mod inquiry;
+mod process;
+
+pub use inquiry::{Inquiries, Settled};
+pub use process::{Channel, Finding, Process, Proof, Testimony};
--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -120,6 +120,16 @@
         pub keep_alive: Option<Duration>,
     }
 
+    /// What a server says of itself when it is asked.
+    pub struct SelfReport {
+        /// Its name, if it states one.
+        pub name: Option<String>,
+        /// When its process started, in milliseconds since 1970 by its own clock, if it states that.
+        pub start: Option<u64>,
+        /// The server that was asked for isn't at this address.
+        pub misdirected: bool,
+    }
+
     /// The head of a request is invalid; the text says what to send instead.
     pub struct Malformed(pub String);
 }
@@ -144,6 +154,14 @@
 
     /// Reads what the head of a response says of the server that sent it.
     fn read_statement(&self, head: &ResponseHead) -> Statement;
+
+    /// The head of a request that asks a server about itself and runs nothing there; none if it can't be asked. Plain
+    /// services are asked at `health_path`.
+    fn self_report_request(&self, server: &Entry, health_path: Option<&str>)
+    -> Option<RequestHead>;
+
+    /// Reads the response to such a request.
+    fn read_self_report(&self, head: &ResponseHead, body: &[u8]) -> SelfReport;
 }
 
 derives::data! {
@@ -266,7 +284,7 @@
     /// Protocol of the callers.
     type Callers: CallerProtocol;
     /// Protocol of the backend servers.
-    type Servers: ServerProtocol;
+    type Servers: ServerProtocol + Clone + 'static;
     /// Client of the store.
     type Store: Store;
 }
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use catalog::Entry;
 use clock::Clock;
+use endings::Finding;
 use http_client::{Body, Connection, Delimiter};
 use lifecycle::Unsent;
 use policy::{Ending, Reason};
@@ -22,6 +23,7 @@
 use crate::reach;
 use crate::state::State;
 use crate::statements;
+use crate::survival::Survival;
 
 /// Time to connect to a server. A running one accepts within a round trip of a few tens of
 /// milliseconds; nothing was sent yet, so another server can be tried at once.
@@ -139,6 +141,26 @@
     /// Chunk that was read before the answer was passed on.
     first: Option<Chunk>,
     ended: bool,
+    /// What followed the last whole event, once the body has ended.
+    rest: Option<Bytes>,
+    survival: Rc<Survival>,
+    /// Where a server that isn't an engine is asked for its health.
+    health_path: Option<String>,
+    /// Whether the server still ran after the answer had ended with its connection.
+    finding: Option<Finding>,
+}
+
+/// What is known of the end of an answer.
+#[derive(Clone, Copy)]
+pub(crate) struct End {
+    /// How the end is marked.
+    pub(crate) delimiter: Delimiter,
+    /// Number of bytes after the last whole event.
+    pub(crate) cut_bytes: usize,
+    /// Ids between those of its events that no event had.
+    pub(crate) skipped_ids: u64,
+    /// Whether the server still ran after the answer had ended with its connection; none if it hasn't ended so.
+    pub(crate) finding: Option<Finding>,
 }
 
 /// A chunk of an answer.
@@ -167,9 +189,7 @@
         let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
         while !self.ended {
             let Some(bytes) = self.body.next().await.map_err(lost)? else {
-                let rest = self.finish().map_err(|cause| AttemptError::Lost(cause.to_string()))?;
-                self.ended = true;
-                return Ok((!rest.is_empty()).then_some(Chunk { bytes: rest, events: 0 }));
+                return self.end().await;
             };
             let Some(splitter) = &mut self.splitter else {
                 return Ok(Some(Chunk { bytes, events: 1 }));
@@ -185,16 +205,41 @@
         Ok(None)
     }
 
+    /// Ends the answer, whose body has ended regularly. Returns what is left of it.
+    async fn end(&mut self) -> Result<Option<Chunk>, AttemptError> {
+        if self.rest.is_none() {
+            let rest = self.finish().map_err(|cause| AttemptError::Lost(cause.to_string()))?;
+            self.rest = Some(rest);
+        }
+        if self.delimiter() == Delimiter::Connection && self.finding.is_none() {
+            let health_path = self.health_path.as_deref();
+            self.finding = Some(self.survival.confirm(&self.server, health_path).await);
+        }
+        self.ended = true;
+        let bytes = self.rest.take().unwrap_or_default();
+        Ok((!bytes.is_empty()).then_some(Chunk { bytes, events: 0 }))
+    }
+
     /// How the end of the answer is marked.
-    pub(crate) fn delimiter(&self) -> Delimiter {
+    fn delimiter(&self) -> Delimiter {
         self.body.delimiter()
     }
 
     /// Number of bytes that arrived after the last whole event.
-    pub(crate) fn cut_bytes(&self) -> usize {
+    fn cut_bytes(&self) -> usize {
         self.splitter.as_ref().map_or(0, Splitter::pending_bytes)
     }
 
+    /// What is known of the end of the answer.
+    pub(crate) fn end_state(&self) -> End {
+        End {
+            delimiter: self.delimiter(),
+            cut_bytes: self.cut_bytes(),
+            skipped_ids: self.splitter.as_ref().map_or(0, Splitter::skipped_ids),
+            finding: self.finding,
+        }
+    }
+
     /// Checks that the body, which ended regularly, holds a complete answer; returns what is left of it.
     fn finish(&mut self) -> Result<Bytes, Truncated> {
         let delimiter = self.delimiter();
@@ -323,6 +368,10 @@
         splitter: (success && events).then(|| Splitter::resuming_after(last_event_id)),
         first: None,
         ended: false,
+        rest: None,
+        survival: state.survival.clone(),
+        health_path: health_path(state, server),
+        finding: None,
     };
     if reply.splitter.is_some() {
         reply.first = reply.next_chunk().await?;
@@ -354,6 +403,12 @@
     Ok(Reply::Whole(whole))
 }
 
+/// Where the servers of a service that aren't engines are asked for their health.
+fn health_path<A: Adapter>(state: &State<A>, server: &Entry) -> Option<String> {
+    let settings = state.settings.borrow();
+    settings.as_ref()?.services.get(&server.service)?.health_path.clone()
+}
+
 /// Reads and drops a body; returns whether it ended soon enough.
 async fn discard(body: &mut Body) -> Result<bool, http_client::Error> {
     let reading = async {
--- a/components/forward/src/events.rs
+++ b/components/forward/src/events.rs
@@ -45,6 +45,8 @@
     sent: Option<u64>,
     /// A whole event arrived.
     received: bool,
+    /// Ids between those of consecutive events that no event had.
+    skipped_ids: u64,
 }
 
 impl Splitter {
@@ -73,6 +75,9 @@
             if let Some(last) = self.last.filter(|last| id <= *last) {
                 return Err(OutOfOrder { id, last });
             }
+            if let Some(last) = self.last_id().filter(|last| id > *last) {
+                self.skipped_ids += id - last - 1;
+            }
             self.last = Some(id);
             if self.sent.is_none_or(|sent| id > sent) {
                 events += 1;
@@ -82,6 +87,11 @@
         Ok((!out.is_empty()).then(|| Batch { bytes: out.freeze(), events }))
     }
 
+    /// Ids between those of consecutive events, and after the event that is resumed, that no event had.
+    pub(crate) fn skipped_ids(&self) -> u64 {
+        self.skipped_ids
+    }
+
     /// Number of bytes after the last whole event.
     pub(crate) fn pending_bytes(&self) -> usize {
         self.buf.len()
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -34,6 +34,7 @@
 mod state;
 mod statements;
 mod stream;
+mod survival;
 mod updates;
 
 use std::net::SocketAddr;
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -11,14 +11,13 @@
 use catalog::Entry;
 use clock::Clock;
 use driver::{Refused, Submission, Target};
-use http_client::Delimiter;
 use lifecycle::{Outcome, Reason, Sending, Waiting};
 use policy::{Ending, Expected, Refusal};
 use tokio::sync::oneshot;
 
 use crate::adapter::{Adapter, CallerProtocol};
 use crate::answer::{Answer, Error};
-use crate::attempt::{self, AttemptError, Plan, Reply, WholeReply};
+use crate::attempt::{self, AttemptError, End, Plan, Reply, WholeReply};
 use crate::intake::{self, Received};
 use crate::passing::Passed;
 use crate::reach;
@@ -88,8 +87,8 @@
     pub(crate) longest_pause: Duration,
     /// Tokens of the answer that were passed on.
     pub(crate) tokens: u32,
-    /// How the end of the latest answer was marked, and how many bytes were left after its last whole event.
-    pub(crate) end: Option<(Delimiter, usize)>,
+    /// What is known of the end of the latest answer.
+    pub(crate) end: Option<End>,
     /// Time from its arrival to its latest attempt.
     sent: Option<Duration>,
     /// Number of attempts.
@@ -415,7 +414,9 @@
             server = server, version = self.server.as_ref().map(|server| server.version.as_str()),
             resumes = received.call.resumes.as_deref(), after_event = received.call.last_event_id,
             outcome = outcome, status = status, took_ms = millis(time),
-            ended_by = end.map(|(delimiter, _)| delimiter.as_str()), cut_bytes = end.map(|(_, bytes)| bytes),
+            ended_by = end.map(|end| end.delimiter.as_str()), cut_bytes = end.map(|end| end.cut_bytes),
+            skipped_ids = end.map(|end| end.skipped_ids),
+            server_then = end.and_then(|end| end.finding).map(|finding| finding.as_str()),
             first_ms = first_event.map(millis), pause_ms = millis(*longest_pause), sends = sends,
             arrivals = received.arrivals.get(),
             sent_ms = sent.map(millis), home = expected.map(|expected| expected.preferred),
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -32,6 +32,7 @@
 use crate::registry::Registry;
 use crate::resumption::Resumption;
 use crate::standing;
+use crate::survival::Survival;
 use crate::updates::{self, WorkReports};
 
 /// Idle connections kept to one server. Servers accept a limited number from all nodes together.
@@ -101,7 +102,9 @@
     pub(crate) newest_invalid: Cell<bool>,
     pub(crate) region: ids::Region,
     pub(crate) pool: Pool,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Rc<Metrics>,
+    /// Whether servers still run whose connections have ended.
+    pub(crate) survival: Rc<Survival>,
     pub(crate) draining: Cell<bool>,
     /// Copy of the store's items.
     pub(crate) replica: RefCell<Replica>,
@@ -168,6 +171,10 @@
         };
         let gossip = Gossip::new(rand::random(), node.room.link_bytes_per_second());
         let max_proof_age = node.max_proof_age();
+        let pool =
+            Pool::new(PoolLimits { max_idle: MAX_IDLE_CONNECTIONS, idle_timeout: IDLE_TIMEOUT });
+        let metrics = Rc::new(Metrics::new());
+        let survival = Survival::new(adapter.servers.clone(), pool.clone(), metrics.clone());
         let state = Rc::new(State {
             node: RefCell::new(Rc::new(node)),
             switches,
@@ -182,11 +189,9 @@
             membership: RefCell::default(),
             newest_invalid: Cell::new(false),
             region,
-            pool: Pool::new(PoolLimits {
-                max_idle: MAX_IDLE_CONNECTIONS,
-                idle_timeout: IDLE_TIMEOUT,
-            }),
-            metrics: Metrics::new(),
+            pool,
+            metrics,
+            survival,
             draining: Cell::new(false),
             replica: RefCell::new(Replica::new(max_proof_age)),
             contact: Contact::default(),
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -102,7 +102,7 @@
             let time_left = self.active.received.time_left(&self.active.state);
             next = tokio::time::timeout(time_left, reply.next_chunk()).await;
         }
-        self.active.stats.end = Some((reply.delimiter(), reply.cut_bytes()));
+        self.active.stats.end = Some(reply.end_state());
         // A server that sends nothing but comments is as good as silent.
         let has_events = matches!(&next, Ok(Ok(Some(chunk))) if chunk.events > 0);
         let waited = self.active.state.clock.now() - asked;
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -33,6 +33,8 @@
     notices: IntCounterVec,
     sent_despite_notice: IntCounterVec,
     health_checks: IntCounter,
+    ends_by_connection: IntCounterVec,
+    survival_questions: IntCounter,
     cold_permits: IntCounterVec,
     continuations: IntCounterVec,
     taken_up: IntCounterVec,
@@ -132,6 +134,19 @@
         )
         .expect("the metric's name is valid");
         registry.register(Box::new(health_checks.clone())).expect("the metric is registered once");
+        let ends_by_connection = counter(
+            "godwitlever_ends_by_connection_total",
+            "Answers that ended with their connection, by what showed that their server still ran, or that it didn't",
+            &["server"],
+        );
+        let survival_questions = IntCounter::new(
+            "godwitlever_survival_questions_total",
+            "Questions to backend servers whether they still run after the end of an answer",
+        )
+        .expect("the metric's name is valid");
+        registry
+            .register(Box::new(survival_questions.clone()))
+            .expect("the metric is registered once");
         let cold_permits = counter(
             "godwitlever_cold_permits_total",
             "Permits for requests to cold servers, by what became of them",
@@ -196,6 +211,8 @@
             notices,
             sent_despite_notice,
             health_checks,
+            ends_by_connection,
+            survival_questions,
             cold_permits,
             continuations,
             taken_up,
@@ -305,6 +322,16 @@
         self.health_checks.inc();
     }
 
+    /// Counts an answer that ended with its connection, by what is known of its server afterwards.
+    pub fn count_end_by_connection(&self, server: &str) {
+        self.ends_by_connection.with_label_values(&[server]).inc();
+    }
+
+    /// Counts a question to a backend server whether it still runs.
+    pub fn count_survival_question(&self) {
+        self.survival_questions.inc();
+    }
+
     /// Counts a request that is sent to a backend server although that has given a notice.
     pub fn count_sent_despite(&self, notice: &str) {
         self.sent_despite_notice.with_label_values(&[notice]).inc();
