Failing tests: an answer without a length is taken for complete after its server was killed

What callers saw: 200 and a stream that ends regularly, without the events that its server hadn't written yet; a plain answer in the same way.

--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -16,8 +16,8 @@
 
 use crate::any;
 
-/// Start of a question for a server's health.
-const HEALTH: &str = "GET /health ";
+/// Path of questions for a server's health.
+const HEALTH: &str = "/health";
 
 derives::data! {
     /// What the server does next with a request whose head it has read.
@@ -75,8 +75,10 @@
     endless: Cell<u32>,
     /// Requests that occupy one of the server's slots.
     occupied: Cell<u32>,
-    /// What it answers to questions for its health.
-    health: RefCell<Option<String>>,
+    /// Answers to questions about itself, by path.
+    pages: RefCell<HashMap<String, String>>,
+    /// Questions that it has answered so.
+    questions: Cell<u32>,
     /// When it had no slot for a request.
     rejections: RefCell<Vec<Instant>>,
     /// Says when the server has crashed.
@@ -112,7 +114,8 @@
             open: Cell::new(0),
             endless: Cell::new(0),
             occupied: Cell::new(0),
-            health: RefCell::default(),
+            pages: RefCell::default(),
+            questions: Cell::new(0),
             rejections: RefCell::default(),
             crashed: watch::channel(false).0,
         });
@@ -157,7 +160,17 @@
 
     /// Sets what it answers to questions for its health; without an answer it doesn't know the path.
     pub fn set_health(&self, answer: &str) {
-        *self.state.health.borrow_mut() = Some(answer.to_string());
+        self.set_page(HEALTH, answer);
+    }
+
+    /// Sets what it answers to questions about itself at a path; an empty text keeps them waiting.
+    pub fn set_page(&self, path: &str, answer: &str) {
+        self.state.pages.borrow_mut().insert(path.to_string(), answer.to_string());
+    }
+
+    /// Questions about itself that it has got at paths for which an answer is set.
+    pub fn questions(&self) -> u32 {
+        self.state.questions.get()
     }
 
     /// Whether it has crashed.
@@ -215,8 +228,14 @@
                 return Ok(());
             }
         };
-        let health = state.health.borrow().clone();
-        if let Some(answer) = health.filter(|_| head.starts_with(HEALTH)) {
+        let path = head.strip_prefix("GET ").and_then(|rest| rest.split(' ').next());
+        let page = path.and_then(|path| state.pages.borrow().get(path).cloned());
+        if let Some(answer) = page {
+            state.questions.set(state.questions.get() + 1);
+            if answer.is_empty() {
+                while stream.read_buf(&mut read).await? > 0 {}
+                return Ok(());
+            }
             stream.write_all(answer.as_bytes()).await?;
             continue;
         }
