Complete only if its server still runs: an answer without a length doesn't end with its connection alone

Cause: a body without a length and chunks lasts until its connection ends, and any orderly end counted as its end if no event was incomplete. The kernel ends the connections of a killed process in order, and a server that writes each event with one call is killed between two events. Class: the end of a transport stands for the end of the answer, without evidence from the answer or its server. Change: such an answer is complete only if the process that gave it responds to a question sent after the end: an engine states when it started, a plain service gives its health on a connection opened before, or under its name. Else the attempt is lost: streams that may be resumed go on elsewhere, reads are sent again, others end visibly or with 502. One question at a time settles all answers of a server that ended before it. Why it works: a process that closes a connection itself runs on, one whose connections the kernel closes doesn't. Cost: a question for each server at which such answers end, and their ends come a round trip later.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -205,15 +205,23 @@
         Ok(None)
     }
 
-    /// Ends the answer, whose body has ended regularly. Returns what is left of it.
+    /// Ends the answer, whose body has ended regularly, and returns what is left of it. If only the end of the
+    /// connection marks its end, it is complete only if its server still runs.
     async fn end(&mut self) -> Result<Option<Chunk>, AttemptError> {
         if self.rest.is_none() {
             let rest = self.finish().map_err(|cause| AttemptError::Lost(cause.to_string()))?;
             self.rest = Some(rest);
         }
-        if self.delimiter() == Delimiter::Connection && self.finding.is_none() {
-            let health_path = self.health_path.as_deref();
-            self.finding = Some(self.survival.confirm(&self.server, health_path).await);
+        if self.delimiter() == Delimiter::Connection {
+            let finding = match self.finding {
+                Some(finding) => finding,
+                None => self.survival.confirm(&self.server, self.health_path.as_deref()).await,
+            };
+            self.finding = Some(finding);
+            if !finding.is_complete() {
+                let cause = "the connection ended without proof that the answer is complete";
+                return Err(AttemptError::Lost(format!("{cause} (server: {})", finding.as_str())));
+            }
         }
         self.ended = true;
         let bytes = self.rest.take().unwrap_or_default();
