A node that is killed under a stream resets the connection of a caller of HTTP/1.0

What such callers saw: the part that had arrived, ended like a whole stream (ORDER): HTTP/1.0 has no chunks, only the end of the connection marks the end, and the kernel ends the connections of a killed node in order. Cause: the reset of an incomplete response was set when the connection was dropped, which a killed process never does. Evidence: a_stream_of_a_killed_node_is_reset_for_a_caller_without_chunks failed before: "the connection ended in order". Change: the socket is set to reset on close from the first byte of a response that lasts until its connection ends until its body is written whole. Why it works: the kernel does it, whoever closes the socket. Cost: two system calls a response without chunks; none for HTTP/1.1.

--- a/components/listen/src/io.rs
+++ b/components/listen/src/io.rs
@@ -41,6 +41,8 @@
     /// Number of requests whose responses were written out. If more were served, the response now
     /// being written is the handler's.
     flushed: u64,
+    /// The kernel resets the connection when it is closed.
+    resets: bool,
 }
 
 impl Io {
@@ -59,6 +61,21 @@
             written_bytes: 0,
             replacement: None,
             flushed: 0,
+            resets: false,
+        }
+    }
+
+    /// Lets the kernel reset the connection when it is closed, as long as its regular end would make an incomplete
+    /// response look complete. That also covers the end of the process.
+    fn update_reset(&mut self) {
+        let resets = self.connection.would_feign_completion();
+        if resets == self.resets {
+            return;
+        }
+        let linger = resets.then_some(Duration::ZERO);
+        match rustix::net::sockopt::set_socket_linger(&self.stream, linger) {
+            Ok(()) => self.resets = resets,
+            Err(cause) => log::warn!(cause:% = cause; "the end of a connection can't be set"),
         }
     }
 
@@ -99,13 +116,8 @@
 }
 
 impl Drop for Io {
-    /// Resets a connection whose regular end would make an incomplete response look complete.
     fn drop(&mut self) {
-        if self.connection.would_feign_completion()
-            && let Err(cause) = self.stream.set_zero_linger()
-        {
-            log::warn!(cause:% = cause; "an incomplete response can't be reset");
-        }
+        self.update_reset();
     }
 }
 
@@ -153,6 +165,7 @@
             this.replacement = None;
             return Poll::Ready(Ok(buf.len()));
         }
+        this.update_reset();
         match Pin::new(&mut this.stream).poll_write(cx, buf) {
             Poll::Ready(done) => {
                 this.written_bytes += done.as_ref().map_or(0, |count| *count);
@@ -180,6 +193,7 @@
         this.written_bytes = 0;
         this.flushed = this.connection.served();
         this.connection.mark_written();
+        this.update_reset();
         Pin::new(&mut this.stream).poll_flush(cx)
     }
 
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -152,6 +152,22 @@
     assert!(!String::from_utf8_lossy(&came).contains("[DONE]"));
 }
 
+/// A node's process is killed under a stream to a caller of HTTP/1.0, who knows no chunks: for that caller only the end of
+/// the connection marks the end of the stream. The kernel must not end it regularly.
+#[actix_rt::test]
+async fn a_stream_of_a_killed_node_is_reset_for_a_caller_without_chunks() {
+    let stage = Stage::new(Duration::from_millis(40), "").await;
+    let mut daemon = Daemon::start("killed", &stage.platform);
+    let (callers, operators) = daemon.addresses().await;
+    wait(operators, "HTTP/1.1 200").await;
+    let call = String::from_utf8(post("/v1/chat/completions", "", STREAMED)).unwrap();
+    let mut caller = open(callers, call.replace("HTTP/1.1", "HTTP/1.0").as_bytes()).await;
+    until(&mut caller, "w0").await;
+    daemon.child.kill().unwrap();
+    let ended = caller.read_to_end(&mut vec![]).await;
+    assert!(ended.is_err(), "the connection ended in order");
+}
+
 /// A node's own settings are wrong. The process must not start half; it says what to change.
 #[actix_rt::test]
 async fn errors_on_bad_settings_name_the_remedy() {
