--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -155,8 +155,8 @@
     /// Reads what the head of a response says of the server that sent it.
     fn read_statement(&self, head: &ResponseHead) -> Statement;
 
-    /// The head of a request that asks a server about itself and runs nothing there; none if it can't be asked. Plain
-    /// services are asked at `health_path`.
+    /// The head of a request that asks a server about itself and runs nothing there; none if its address or path isn't
+    /// valid. Plain services are asked at `health_path`, if they have one.
     fn self_report_request(&self, server: &Entry, health_path: Option<&str>)
     -> Option<RequestHead>;
 
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -45,7 +45,7 @@
     }
 
     /// Finds out whether the process of `server`, the connection of whose answer has ended, still runs. Plain services
-    /// are asked at `health_path`.
+    /// are asked at `health_path`, if they have one.
     pub(crate) async fn confirm(
         self: &Rc<Self>,
         server: &Rc<Entry>,
