A response proves that a server runs only by what it states: its start, its name, or that it takes the question

What callers would have seen: a stream cut by a kill counts as complete because the process that was started in its place declines the first question, or because a second copy of an earlier answer arrives in place of the response; and an honest answer of a busy server is broken off after one declined question. Found in review, before anyone saw it. Cause: any response counted, whatever it stated, and the first one decided. Change: an engine must state its start; a response with the id of a request shows nothing; an idle connection counts only with a start or a name, and is kept only then; what shows nothing is asked again until the time is over; a wait that is interrupted keeps its question. The distinction of earlier and later connections is gone: nothing made sure of it.

--- a/components/endings/src/lib.rs
+++ b/components/endings/src/lib.rs
@@ -3,7 +3,8 @@
 //! A body without a length and without chunks lasts until its connection is closed. The kernel closes the connections
 //! of a process that was killed just as the process itself closes one after the last byte, so that the end of the
 //! connection doesn't show that the answer is complete. But a server that closes a connection itself goes on running.
-//! So it is asked afterwards, and the answer is complete if the process that gave it still responds.
+//! So it is asked afterwards, and the answer counts as complete if the process that gave it still responds. A server that
+//! runs on and closes a connection too early can't be told from one that closes it after the last byte.
 //!
 //! The crate does no I/O and reads no clock.
 
@@ -11,4 +12,4 @@
 mod process;
 
 pub use inquiry::{Inquiries, Settled};
-pub use process::{Channel, Finding, Process, Proof, Testimony};
+pub use process::{Finding, Process, Proof, Testimony};
--- a/components/endings/tests/evidence.rs
+++ b/components/endings/tests/evidence.rs
@@ -1,25 +1,27 @@
 //! Tests what a response shows about the process that gave an answer.
 
-use endings::{Channel, Finding, Process, Proof, Testimony};
+use endings::{Finding, Process, Proof, Testimony};
 
 fn judge(known: Option<u64>, testimony: Testimony) -> Finding {
     Process { name: "a".to_string(), start: known }.judge(&testimony)
 }
 
-/// A server that doesn't state its start is taken for another process, or one that states another start for the same.
+/// A server that was started again declines the question before it says when it started, or another server at the address
+/// does. That counted as proof that the process runs which gave the answer.
 #[test]
-fn the_start_counts_only_if_both_are_known() {
-    for (known, stated, earlier, later) in [
-        (Some(7), Some(7), Finding::Runs(Proof::Start), Finding::Runs(Proof::Start)),
-        (Some(7), Some(9), Finding::Ended, Finding::Ended),
-        (Some(7), None, Finding::Runs(Proof::Connection), Finding::Runs(Proof::Name)),
-        (None, Some(7), Finding::Runs(Proof::Connection), Finding::Runs(Proof::Name)),
-        (None, None, Finding::Runs(Proof::Connection), Finding::Runs(Proof::Name)),
+fn a_process_whose_start_is_known_must_state_it() {
+    let named = |name: &str| Some(name.to_string());
+    for (known, name, stated, expected) in [
+        (Some(7), None, Some(7), Finding::Runs(Proof::Start)),
+        (Some(7), named("a"), Some(9), Finding::Ended),
+        (Some(7), None, None, Finding::Unknown),
+        (Some(7), named("a"), None, Finding::Unknown),
+        (None, named("a"), Some(7), Finding::Runs(Proof::Name)),
+        (None, named("a"), None, Finding::Runs(Proof::Name)),
+        (None, None, None, Finding::Runs(Proof::Address)),
     ] {
-        for (channel, expected) in [(Channel::Earlier, earlier), (Channel::Later, later)] {
-            let testimony = Testimony { channel, name: None, start: stated, misdirected: false };
-            assert_eq!(judge(known, testimony), expected, "{known:?} {stated:?} {channel:?}");
-        }
+        let testimony = Testimony { name, start: stated, ..Testimony::default() };
+        assert_eq!(judge(known, testimony.clone()), expected, "{known:?} {testimony:?}");
     }
 }
 
@@ -29,7 +31,16 @@
     let start = Some(7);
     for (name, misdirected) in [(Some("b"), false), (None, true), (Some("a"), true)] {
         let name = name.map(str::to_string);
-        let testimony = Testimony { channel: Channel::Earlier, name, start, misdirected };
+        let testimony = Testimony { name, start, misdirected, ..Testimony::default() };
         assert_eq!(judge(start, testimony), Finding::Ended);
     }
 }
+
+/// A second copy of an earlier answer arrives in place of the response. It was sent before the server was killed.
+#[test]
+fn an_answer_to_a_request_shows_nothing() {
+    for start in [None, Some(7)] {
+        let testimony = Testimony { start, unrelated: true, ..Testimony::default() };
+        assert_eq!(judge(start, testimony), Finding::Unknown);
+    }
+}
--- a/components/endings/tests/model.rs
+++ b/components/endings/tests/model.rs
@@ -1,7 +1,7 @@
 //! Plays all orders of few events around a server that is killed, started again and asked, and checks what each answer
 //! whose connection ended is taken for.
 
-use endings::{Channel, Finding, Inquiries, Process, Testimony};
+use endings::{Finding, Inquiries, Process, Testimony};
 
 /// Answers in progress at the server.
 const ANSWERS: usize = 3;
@@ -89,10 +89,9 @@
             Event::Ask => {
                 let process = Process { name: NAME.to_string(), start: Some(0) };
                 let testimony = |start| Testimony {
-                    channel: Channel::Later,
                     name: Some(NAME.to_string()),
                     start: Some(start),
-                    misdirected: false,
+                    ..Testimony::default()
                 };
                 let judge = |start| process.judge(&testimony(start));
                 self.response = Some(self.running.map_or(Finding::Ended, judge));
--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -128,6 +128,8 @@
         pub start: Option<u64>,
         /// The server that was asked for isn't at this address.
         pub misdirected: bool,
+        /// It is the answer to a request of a caller, not to the question.
+        pub unrelated: bool,
     }
 
     /// The head of a request is invalid; the text says what to send instead.
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -23,7 +23,7 @@
 use crate::reach;
 use crate::state::State;
 use crate::statements;
-use crate::survival::Survival;
+use crate::survival::{self, Survival};
 
 /// Time to connect to a server. A running one accepts within a round trip of a few tens of
 /// milliseconds; nothing was sent yet, so another server can be tried at once.
@@ -144,6 +144,8 @@
     /// What followed the last whole event, once the body has ended.
     rest: Option<Bytes>,
     survival: Rc<Survival>,
+    /// The question to the server whether it still runs.
+    waiting: Option<survival::Waiting>,
     /// Where a server that isn't an engine is asked for its health.
     health_path: Option<String>,
     /// Whether the server still ran after the answer had ended with its connection.
@@ -213,11 +215,17 @@
             self.rest = Some(rest);
         }
         if self.delimiter() == Delimiter::Connection {
-            let finding = match self.finding {
-                Some(finding) => finding,
-                None => self.survival.confirm(&self.server, self.health_path.as_deref()).await,
+            let finding = match (self.finding, &mut self.waiting) {
+                (Some(finding), _) => finding,
+                (None, Some(waiting)) => waiting.finding().await,
+                (None, None) => {
+                    let waiting = self.survival.inquire(&self.server, self.health_path.as_deref());
+                    self.waiting.insert(waiting).finding().await
+                }
             };
-            self.finding = Some(finding);
+            if self.finding.replace(finding).is_none() {
+                self.survival.count(finding);
+            }
             if !finding.is_complete() {
                 let cause = "the connection ended without proof that the answer is complete";
                 return Err(AttemptError::Lost(format!("{cause} (server: {})", finding.as_str())));
@@ -228,6 +236,11 @@
         Ok((!bytes.is_empty()).then_some(Chunk { bytes, events: 0 }))
     }
 
+    /// Whether its body has ended regularly, and only proof that it is complete is missing.
+    pub(crate) fn awaits_proof(&self) -> bool {
+        self.rest.is_some()
+    }
+
     /// How the end of the answer is marked.
     fn delimiter(&self) -> Delimiter {
         self.body.delimiter()
@@ -378,6 +391,7 @@
         ended: false,
         rest: None,
         survival: state.survival.clone(),
+        waiting: None,
         health_path: health_path(state, server),
         finding: None,
     };
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -97,8 +97,11 @@
         let timeout = if repeatable { time_left.min(patience) } else { time_left };
         let asked = self.active.state.clock.now();
         let mut next = tokio::time::timeout(timeout, reply.next_chunk()).await;
-        if next.is_err() && repeatable && !self.active.submission.may_retry() {
-            // No other server may continue the stream, so its own is waited for.
+        if next.is_err()
+            && repeatable
+            && (reply.awaits_proof() || !self.active.submission.may_retry())
+        {
+            // No other server may continue the stream, or nothing of it is missing, so its own is waited for.
             let time_left = self.active.received.time_left(&self.active.state);
             next = tokio::time::timeout(time_left, reply.next_chunk()).await;
         }
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -10,18 +10,20 @@
 use actix_http::RequestHead;
 use bytes::{Bytes, BytesMut};
 use catalog::Entry;
-use endings::{Channel, Finding, Inquiries, Process, Settled, Testimony};
-use http_client::{Connection, Error, Pool};
+use endings::{Finding, Inquiries, Process, Proof, Settled, Testimony};
+use http_client::{Body, Connection, Error, Pool};
 use policy::Incarnation;
 use telemetry::Metrics;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::adapter::{SelfReport, ServerProtocol};
-use crate::attempt::CONNECT_TIMEOUT;
 use crate::registry;
 
-/// Time within which a server must respond. The end of its answer waits as long.
+/// Time within which a server must respond. The end of an answer waits no longer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause before a server is asked again whose response showed nothing.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 /// Most bytes of a response that are read.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
@@ -33,6 +35,20 @@
     inquiries: RefCell<Inquiries<Incarnation, oneshot::Sender<Finding>>>,
 }
 
+/// An answer that waits until it is known whether its server still runs.
+pub(crate) struct Waiting {
+    finding: oneshot::Receiver<Finding>,
+    until: Instant,
+}
+
+impl Waiting {
+    /// What is found out in time. May be called again if it was dropped before it returned.
+    pub(crate) async fn finding(&mut self) -> Finding {
+        let finding = tokio::time::timeout_at(self.until, &mut self.finding).await;
+        finding.map_or(Finding::Unknown, |finding| finding.unwrap_or(Finding::Unknown))
+    }
+}
+
 impl Survival {
     /// Asks over the connections of `pool`.
     pub(crate) fn new(
@@ -44,35 +60,36 @@
         Rc::new(Survival { servers: Box::new(servers), pool, metrics, inquiries })
     }
 
-    /// Finds out whether the process of `server`, the connection of whose answer has ended, still runs. Plain services
-    /// are asked at `health_path`, if they have one.
-    pub(crate) async fn confirm(
+    /// Begins to find out whether the process of `server`, the connection of whose answer has ended, still runs. Plain
+    /// services are asked at `health_path`, if they have one.
+    pub(crate) fn inquire(
         self: &Rc<Self>,
         server: &Rc<Entry>,
         health_path: Option<&str>,
-    ) -> Finding {
-        let Some(head) = self.servers.self_report_request(server, health_path) else {
-            return Finding::Unknown;
-        };
-        let (sender, receiver) = oneshot::channel();
-        let first = self.inquiries.borrow_mut().add(registry::incarnation(server), sender);
-        if first {
-            actix_rt::spawn(self.clone().inquire(server.clone(), head));
+    ) -> Waiting {
+        let (sender, finding) = oneshot::channel();
+        let until = Instant::now() + RESPONSE_TIMEOUT;
+        if let Some(head) = self.servers.self_report_request(server, health_path)
+            && self.inquiries.borrow_mut().add(registry::incarnation(server), sender)
+        {
+            actix_rt::spawn(self.clone().settle_all(server.clone(), head));
         }
-        let finding = receiver.await.unwrap_or(Finding::Unknown);
+        Waiting { finding, until }
+    }
+
+    /// Counts what was found out about the server of an answer.
+    pub(crate) fn count(&self, finding: Finding) {
         self.metrics.count_end_by_connection(finding.as_str());
-        finding
     }
 
     /// Asks a server until all answers that wait for its response are settled.
-    async fn inquire(self: Rc<Self>, server: Rc<Entry>, head: RequestHead) {
-        let process = registry::incarnation(&server);
+    async fn settle_all(self: Rc<Self>, server: Rc<Entry>, head: RequestHead) {
+        let incarnation = registry::incarnation(&server);
         loop {
-            self.metrics.count_survival_question();
-            let asked = tokio::time::timeout(RESPONSE_TIMEOUT, self.ask(&server, &head)).await;
+            let asked = tokio::time::timeout(RESPONSE_TIMEOUT, self.find_out(&server, &head)).await;
             let finding = asked.unwrap_or(Finding::Unknown);
             let Settled { waiters, ask_again } =
-                self.inquiries.borrow_mut().settle(&process, finding);
+                self.inquiries.borrow_mut().settle(&incarnation, finding);
             for waiter in waiters {
                 // The caller may have left meanwhile.
                 let _ = waiter.send(finding);
@@ -83,19 +100,36 @@
         }
     }
 
+    /// Asks a server until a response shows whether its process runs.
+    async fn find_out(&self, server: &Entry, head: &RequestHead) -> Finding {
+        loop {
+            self.metrics.count_survival_question();
+            let finding = self.ask(server, head).await;
+            if finding != Finding::Unknown {
+                return finding;
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+
     /// Sends one question, over an idle connection if there is one.
     async fn ask(&self, server: &Entry, head: &RequestHead) -> Finding {
-        let process = Process { name: server.name.clone(), start: server.started };
+        // Only engines state their start when they are asked.
+        let start = server.started.filter(|_| server.engine);
+        let process = Process { name: server.name.clone(), start };
         while let Some(connection) = self.pool.take(&server.address) {
-            let response = self.exchange(connection, server, head).await;
-            if let Ok(report) = response {
-                return process.judge(&testimony(report, Channel::Earlier));
+            // What comes over an idle connection may have been on its way already; a start or a name is only in
+            // responses to questions.
+            if let Ok((testimony, body)) = self.exchange(connection, head).await
+                && (testimony.start.is_some() || testimony.name.is_some() || testimony.misdirected)
+            {
+                return self.judge(server, &process, &testimony, body);
             }
         }
         self.metrics.count_connection();
-        match Connection::connect(&server.address, CONNECT_TIMEOUT).await {
-            Ok(connection) => match self.exchange(connection, server, head).await {
-                Ok(report) => process.judge(&testimony(report, Channel::Later)),
+        match Connection::connect(&server.address, RESPONSE_TIMEOUT).await {
+            Ok(connection) => match self.exchange(connection, head).await {
+                Ok((testimony, body)) => self.judge(server, &process, &testimony, body),
                 Err(_) => Finding::Unknown,
             },
             Err(cause) if cause.kind() == ErrorKind::ConnectionRefused => Finding::Ended,
@@ -103,13 +137,27 @@
         }
     }
 
+    /// Judges a response, and keeps its connection if it is the response to a question for certain.
+    fn judge(
+        &self,
+        server: &Entry,
+        process: &Process,
+        testimony: &Testimony,
+        (body, keep_alive): (Body, Option<Duration>),
+    ) -> Finding {
+        let finding = process.judge(testimony);
+        if let Finding::Runs(Proof::Start | Proof::Name) = finding {
+            self.pool.put(&server.address, body, keep_alive);
+        }
+        finding
+    }
+
     /// Sends a question and reads what the server says of itself.
     async fn exchange(
         &self,
         connection: Connection,
-        server: &Entry,
         head: &RequestHead,
-    ) -> Result<SelfReport, Error> {
+    ) -> Result<(Testimony, (Body, Option<Duration>)), Error> {
         let mut question = RequestHead::default();
         (question.method, question.uri) = (head.method.clone(), head.uri.clone());
         question.headers = head.headers.clone();
@@ -121,13 +169,9 @@
                 return Err(Error::Unframed);
             }
         }
+        let SelfReport { name, start, misdirected, unrelated } =
+            self.servers.read_self_report(&head, &bytes);
         let keep_alive = self.servers.read_statement(&head).keep_alive;
-        self.pool.put(&server.address, body, keep_alive);
-        Ok(self.servers.read_self_report(&head, &bytes))
+        Ok((Testimony { name, start, misdirected, unrelated }, (body, keep_alive)))
     }
 }
-
-fn testimony(report: SelfReport, channel: Channel) -> Testimony {
-    let SelfReport { name, start, misdirected } = report;
-    Testimony { channel, name, start, misdirected }
-}
