A plain answer that was cut isn't continued by another run

What callers saw: a long answer that may run again (over 256 KiB, so passed on before its end) was cut, and another run's answer followed from its first byte on; the whole ended like a complete one (MIXED). Cause: an interrupted answer was resumed wherever its route may run again; only streams of events can go on. Class: a proof for one thing (it may run again) is used for another (it may go on). Change: only streams are resumed, and only they have the pause after which they count as stalled.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -241,6 +241,11 @@
         self.rest.is_some()
     }
 
+    /// Whether it is a stream of events, which another server can continue.
+    pub(crate) fn is_stream(&self) -> bool {
+        self.splitter.is_some()
+    }
+
     /// How the end of the answer is marked.
     fn delimiter(&self) -> Delimiter {
         self.body.delimiter()
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -91,7 +91,8 @@
         if time_left.is_zero() {
             return Err(AttemptError::TimedOut);
         }
-        let repeatable = self.active.received.repeatable().is_some();
+        // What has begun as a plain answer can't be continued: another run answers from its first byte.
+        let repeatable = reply.is_stream() && self.active.received.repeatable().is_some();
         let stalled = stall_after(self.active.received.route().target_pause);
         let patience = stalled.saturating_sub(self.waited);
         let timeout = if repeatable { time_left.min(patience) } else { time_left };
@@ -198,7 +199,9 @@
         let mut error = error;
         // Dropping the reply closes its connection: the previous server must not continue while
         // another one does.
-        let last = self.reply.take().and_then(|reply| reply.last_event_id());
+        let reply = self.reply.take();
+        let is_stream = reply.as_ref().is_some_and(|reply| reply.is_stream());
+        let last = reply.and_then(|reply| reply.last_event_id());
         let last = last.max(self.active.received.call.last_event_id);
         loop {
             let crash = match self.active.server.clone() {
@@ -214,7 +217,7 @@
             let ending = error.ending();
             let enabled = self.active.state.switches.is_on(Mechanism::Resumption);
             let in_order = !matches!(error, AttemptError::OutOfOrder(_));
-            let resumable = enabled && in_order && self.restrict_to_version();
+            let resumable = is_stream && enabled && in_order && self.restrict_to_version();
             let Some(proof) = self.active.received.repeatable().filter(|_| resumable) else {
                 self.active.submission.end_attempt(ending);
                 break;
