A connection whose end would feign completion isn't shut down in order

A caller of HTTP/1.0 that closes its sending side during a stream makes the HTTP library shut the connection down, which ends an incomplete response in order. The connection is reset by its drop instead. Found in review by reading; not reproduced.

--- a/components/listen/src/io.rs
+++ b/components/listen/src/io.rs
@@ -198,7 +198,11 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        if this.connection.would_feign_completion() {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut this.stream).poll_shutdown(cx)
     }
 }
 
