An answer without a body ends with its head, whatever length it states

What callers saw: an answer with status 204 or 304 that states a length or chunks was waited for until the time limit (504), though it has no body; where bytes followed, they were passed on after the head of a response that has none, which is no answer in the protocol. An answer to HEAD without a length was waited for until its connection ended.

Cause: the end of the body was read off the length and the coding alone; `http_client` left status and method to the codec, which goes by neither for these (RFC 9112, 6.3, items 1 and 2).

Change: `Body::new` knows whether the request was for the head alone and asks the status first. A codec that expects a body is replaced, so that the next head on that connection is read as one. Bytes that follow keep the connection from being used again, as before.

--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -22,6 +22,8 @@
 /// The body of a response that is being received. Dropping it before its end closes the connection.
 pub struct Body {
     framing: Framing,
+    /// The request is one for the head alone.
+    head_only: bool,
     /// The request was sent whole, so the connection may carry another one.
     flushed: bool,
 }
@@ -54,8 +56,10 @@
         head: &ResponseHead,
         framed: Framed<TcpStream, ClientCodec>,
         flushed: bool,
+        head_only: bool,
     ) -> Self {
         let framing = match framed.codec_ref().message_type() {
+            _ if head_only || is_bodiless(head) => Framing::Empty(without_payload(framed)),
             MessageType::None if ends_with_connection(head) => {
                 let FramedParts { io, read_buf, .. } = framed.into_parts();
                 Framing::UntilClose(io, read_buf)
@@ -63,7 +67,7 @@
             MessageType::None => Framing::Empty(framed),
             _ => Framing::Delimited(Payload::new(framed)),
         };
-        Body { framing, flushed }
+        Body { framing, head_only, flushed }
     }
 
     /// How the end of the body is marked.
@@ -111,7 +115,7 @@
             Framing::UntilClose(..) => return Err(Error::Closed),
         };
         let head = framed.next().await.ok_or(Error::Closed)??;
-        let body = Body::new(&head, framed, self.flushed);
+        let body = Body::new(&head, framed, self.flushed, self.head_only);
         Ok((head, body))
     }
 
@@ -131,13 +135,25 @@
     }
 }
 
+/// Whether a response has no body by its status, whatever its headers say of one.
+fn is_bodiless(head: &ResponseHead) -> bool {
+    head.status.is_informational()
+        || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status)
+}
+
+/// A connection whose codec doesn't wait for the body that the last head announced.
+fn without_payload(framed: Framed<TcpStream, ClientCodec>) -> Framed<TcpStream, ClientCodec> {
+    if framed.codec_ref().message_type() == MessageType::None {
+        return framed;
+    }
+    framed.replace_codec(ClientCodec::default())
+}
+
 /// Whether only the end of the connection marks the end of the response's body.
 fn ends_with_connection(head: &ResponseHead) -> bool {
-    let bodiless = head.status.is_informational()
-        || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
     let delimiters = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
     let delimited = delimiters.iter().any(|name| head.headers.contains_key(name));
-    head.version >= Version::HTTP_10 && !bodiless && !delimited
+    head.version >= Version::HTTP_10 && !delimited
 }
 
 /// A body whose end is marked. Its buffer is small, since answers stay open for minutes.
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -94,6 +94,7 @@
         head: RequestHead,
         body: Bytes,
     ) -> Result<(ResponseHead, Body), Error> {
+        let head_only = head.method == Method::HEAD;
         let mut framed = Framed::new(self.0, ClientCodec::default());
         let no_body = body.is_empty() && [Method::GET, Method::HEAD].contains(&head.method);
         let length = if no_body { BodySize::None } else { BodySize::Sized(body.len() as u64) };
@@ -121,7 +122,7 @@
             Some(Err(cause)) => return Err(send_error.map_or(cause.into(), Error::Send)),
             None => return Err(send_error.map_or(Error::Closed, Error::Send)),
         };
-        let body = Body::new(&head, framed, flushed);
+        let body = Body::new(&head, framed, flushed, head_only);
         Ok((head, body))
     }
 }
