An answer in the transfer coding identity isn't empty

Cause: the codec of `actix-http` gives such a response no body. `http_client` puts that right for heads without a length and without a coding, and took any stated coding for one that the codec had dealt with.

thread 'a_body_in_the_identity_coding_lasts_until_its_connection_ends' panicked at platform/tests/heads.rs:212:13: Read: Reply { status: 200, head: "http/1.1 200 ok\r\ncontent-length: 0\r\nconnection: close\r\nx-attempt-id: a\r\n x-server-signature: s.1\r\n...", body: "", complete: true }

Change: only a stated length speaks against a body that lasts until its connection ends (RFC 9112, 6.3, item 4: a coding whose last one isn't chunked). Whether that end counts as the answer's is then decided as for answers without a coding.

--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -2,7 +2,7 @@
 
 use actix_codec::{Decoder, Framed, FramedParts};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
-use actix_http::{ResponseHead, StatusCode, Version, header};
+use actix_http::{ResponseHead, StatusCode, header};
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::io::AsyncReadExt;
@@ -46,8 +46,8 @@
     Empty(Framed<TcpStream, ClientCodec>),
     /// The head states its length, or it is chunked.
     Delimited(Payload),
-    /// It lasts until the other side closes the connection regularly. The codec of `actix-http` takes such
-    /// an HTTP/1.1 response for one without a body.
+    /// It lasts until the other side closes the connection regularly. The codec of `actix-http` takes such an
+    /// HTTP/1.1 response for one without a body, also where it states the transfer coding `identity`.
     UntilClose(TcpStream, BytesMut),
 }
 
@@ -60,7 +60,7 @@
     ) -> Self {
         let framing = match framed.codec_ref().message_type() {
             _ if head_only || is_bodiless(head) => Framing::Empty(without_payload(framed)),
-            MessageType::None if ends_with_connection(head) => {
+            MessageType::None if !head.headers.contains_key(header::CONTENT_LENGTH) => {
                 let FramedParts { io, read_buf, .. } = framed.into_parts();
                 Framing::UntilClose(io, read_buf)
             }
@@ -149,13 +149,6 @@
     framed.replace_codec(ClientCodec::default())
 }
 
-/// Whether only the end of the connection marks the end of the response's body.
-fn ends_with_connection(head: &ResponseHead) -> bool {
-    let delimiters = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    let delimited = delimiters.iter().any(|name| head.headers.contains_key(name));
-    head.version >= Version::HTTP_10 && !delimited
-}
-
 /// A body whose end is marked. Its buffer is small, since answers stay open for minutes.
 struct Payload {
     io: TcpStream,
