An answer in HTTP/1.0 without a length ends with its connection

What callers saw, of a server that answers in HTTP/1.0: without a length, 502 for every request that had run, and streams that were broken off after their last event; with a length of 0, the same; with chunks, which HTTP/1.0 doesn't have, the lines between chunks as a part of the stream (MIXED).

Cause: the codec of `actix-http` reports such a body as one with a marked end, which never comes, and `http_client` took its word. It also ignores the transfer coding of HTTP/1.0 heads.

thread 'an_answer_in_http_1_0_lasts_until_its_connection_ends' panicked at platform/tests/heads.rs:286:13: Read: Reply { status: 502, ... "no whole answer came; the request may have run" } thread 'an_answer_in_http_1_0_with_chunks_is_no_answer' panicked at platform/tests/heads.rs:92:9: chunked, Stream: Reply { status: 200, ..., body: "2B\r\n20\r\nid: 1\ndata: w1\n\nid: 2\ndata: w2\n\n\r\n0\r\n\r\n\r\n", complete: false }

Change: the end of a body is told by the head: none by status or method or a length of 0, a length, chunks of HTTP/1.1, else the end of the connection. A transfer coding in HTTP/1.0 is an error (RFC 9112, 6.1: faulty framing), so the request may have run.

--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -2,7 +2,8 @@
 
 use actix_codec::{Decoder, Framed, FramedParts};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
-use actix_http::{ResponseHead, StatusCode, header};
+use actix_http::header::HeaderValue;
+use actix_http::{ResponseHead, StatusCode, Version, header};
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::io::AsyncReadExt;
@@ -46,8 +47,9 @@
     Empty(Framed<TcpStream, ClientCodec>),
     /// The head states its length, or it is chunked.
     Delimited(Payload),
-    /// It lasts until the other side closes the connection regularly. The codec of `actix-http` takes such an
-    /// HTTP/1.1 response for one without a body, also where it states the transfer coding `identity`.
+    /// It lasts until the other side closes the connection regularly: the head states neither a length nor chunks. The
+    /// codec of `actix-http` takes such an HTTP/1.1 response for one without a body, also where it states the transfer
+    /// coding `identity`, and never lets such an HTTP/1.0 response end.
     UntilClose(TcpStream, BytesMut),
 }
 
@@ -57,17 +59,22 @@
         framed: Framed<TcpStream, ClientCodec>,
         flushed: bool,
         head_only: bool,
-    ) -> Self {
-        let framing = match framed.codec_ref().message_type() {
-            _ if head_only || is_bodiless(head) => Framing::Empty(without_payload(framed)),
-            MessageType::None if !head.headers.contains_key(header::CONTENT_LENGTH) => {
-                let FramedParts { io, read_buf, .. } = framed.into_parts();
-                Framing::UntilClose(io, read_buf)
-            }
-            MessageType::None => Framing::Empty(framed),
-            _ => Framing::Delimited(Payload::new(framed)),
+    ) -> Result<Self, Error> {
+        let is_old = head.version < Version::HTTP_11;
+        if is_old && head.headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(Error::ChunksUnknown);
+        }
+        let length = head.headers.get(header::CONTENT_LENGTH);
+        let chunked = !is_old && framed.codec_ref().message_type() == MessageType::Payload;
+        let framing = if head_only || is_bodiless(head) || length.is_some_and(is_zero) {
+            Framing::Empty(without_payload(framed))
+        } else if length.is_some() || chunked {
+            Framing::Delimited(Payload::new(framed))
+        } else {
+            let FramedParts { io, read_buf, .. } = framed.into_parts();
+            Framing::UntilClose(io, read_buf)
         };
-        Body { framing, head_only, flushed }
+        Ok(Body { framing, head_only, flushed })
     }
 
     /// How the end of the body is marked.
@@ -115,7 +122,7 @@
             Framing::UntilClose(..) => return Err(Error::Closed),
         };
         let head = framed.next().await.ok_or(Error::Closed)??;
-        let body = Body::new(&head, framed, self.flushed, self.head_only);
+        let body = Body::new(&head, framed, self.flushed, self.head_only)?;
         Ok((head, body))
     }
 
@@ -141,6 +148,11 @@
         || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status)
 }
 
+/// Whether a stated length is 0. The codec of `actix-http` lets such an HTTP/1.0 response last until the connection ends.
+fn is_zero(length: &HeaderValue) -> bool {
+    length.to_str().is_ok_and(|text| text.trim().parse() == Ok(0_u64))
+}
+
 /// A connection whose codec doesn't wait for the body that the last head announced.
 fn without_payload(framed: Framed<TcpStream, ClientCodec>) -> Framed<TcpStream, ClientCodec> {
     if framed.codec_ref().message_type() == MessageType::None {
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -45,6 +45,9 @@
     /// The body of the response is malformed.
     #[error("the body can't be read: {0}")]
     Body(#[from] PayloadError),
+    /// The response is in HTTP/1.0, which has no transfer codings, and states one.
+    #[error("an HTTP/1.0 response states a transfer coding")]
+    ChunksUnknown,
     /// The bytes that frame the body don't end.
     #[error("no byte of the body comes, only its framing")]
     Unframed,
@@ -122,7 +125,7 @@
             Some(Err(cause)) => return Err(send_error.map_or(cause.into(), Error::Send)),
             None => return Err(send_error.map_or(Error::Closed, Error::Send)),
         };
-        let body = Body::new(&head, framed, flushed, head_only);
+        let body = Body::new(&head, framed, flushed, head_only)?;
         Ok((head, body))
     }
 }
