Interim responses before an answer are skipped

What callers saw: where a server sends an interim response (100, 102, 103) first, with the request's id and signature, that response in place of the answer, with status 103 and framed as whole; without them, 502 for a request that ran (RFC 9110, 15.2: a client must be able to read them). A caller's `expect: 100-continue`, which is passed on, is enough to make a server send one. The answer itself stayed on the connection, where the check of ids of later requests caught it.

Cause: `http_client` took the first head for the head of the answer.

Change: `http_client` skips interim responses before each head, up to 16, whatever headers they have: they say nothing of the outcome. 101 is an error, as no request asks for another protocol. All readers that use `http_client` get this: servers, peers of a hop, questions for health and reports, engines of the own interface.

--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -9,6 +9,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
+use crate::interim::Interim;
 use crate::{Connection, Error};
 
 /// Size of the buffer for a body.
@@ -121,7 +122,14 @@
             }
             Framing::UntilClose(..) => return Err(Error::Closed),
         };
-        let head = framed.next().await.ok_or(Error::Closed)??;
+        let mut interim = Interim::default();
+        let head = loop {
+            let head = framed.next().await.ok_or(Error::Closed)??;
+            if !interim.is_next(&head)? {
+                break head;
+            }
+            framed = without_payload(framed);
+        };
         let body = Body::new(&head, framed, self.flushed, self.head_only)?;
         Ok((head, body))
     }
@@ -144,8 +152,7 @@
 
 /// Whether a response has no body by its status, whatever its headers say of one.
 fn is_bodiless(head: &ResponseHead) -> bool {
-    head.status.is_informational()
-        || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status)
+    [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status)
 }
 
 /// Whether a stated length is 0. The codec of `actix-http` lets such an HTTP/1.0 response last until the connection ends.
@@ -154,7 +161,9 @@
 }
 
 /// A connection whose codec doesn't wait for the body that the last head announced.
-fn without_payload(framed: Framed<TcpStream, ClientCodec>) -> Framed<TcpStream, ClientCodec> {
+pub(crate) fn without_payload(
+    framed: Framed<TcpStream, ClientCodec>,
+) -> Framed<TcpStream, ClientCodec> {
     if framed.codec_ref().message_type() == MessageType::None {
         return framed;
     }
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -7,6 +7,7 @@
 //! sending and the end of the body are separate steps.
 
 mod body;
+mod interim;
 mod pool;
 
 use std::future::poll_fn;
@@ -23,6 +24,7 @@
 use tokio::net::TcpStream;
 
 pub use body::{Body, Delimiter};
+use interim::Interim;
 pub use pool::{Pool, PoolLimits};
 
 /// Messages that the codec encodes.
@@ -45,6 +47,9 @@
     /// The body of the response is malformed.
     #[error("the body can't be read: {0}")]
     Body(#[from] PayloadError),
+    /// Only interim responses come, or one that switches to another protocol, which no request asks for.
+    #[error("an interim response with status {0}, and no answer")]
+    Interim(u16),
     /// The response is in HTTP/1.0, which has no transfer codings, and states one.
     #[error("an HTTP/1.0 response states a transfer coding")]
     ChunksUnknown,
@@ -108,22 +113,29 @@
             Pin::new(&mut framed).write(chunk)?;
         }
         let (mut flushed, mut send_error) = (false, None);
-        let head = poll_fn(|cx| {
-            let mut framed = Pin::new(&mut framed);
-            if !flushed && send_error.is_none() {
-                match framed.as_mut().flush::<Outgoing>(cx) {
-                    std::task::Poll::Ready(Ok(())) => flushed = true,
-                    // The other side may have responded before it stopped reading.
-                    std::task::Poll::Ready(Err(cause)) => send_error = Some(cause),
-                    std::task::Poll::Pending => {}
+        let mut interim = Interim::default();
+        let head = loop {
+            let head = poll_fn(|cx| {
+                let mut framed = Pin::new(&mut framed);
+                if !flushed && send_error.is_none() {
+                    match framed.as_mut().flush::<Outgoing>(cx) {
+                        std::task::Poll::Ready(Ok(())) => flushed = true,
+                        // The other side may have responded before it stopped reading.
+                        std::task::Poll::Ready(Err(cause)) => send_error = Some(cause),
+                        std::task::Poll::Pending => {}
+                    }
                 }
+                framed.next_item(cx)
+            });
+            let head = match head.await {
+                Some(Ok(head)) => head,
+                Some(Err(cause)) => return Err(send_error.map_or(cause.into(), Error::Send)),
+                None => return Err(send_error.map_or(Error::Closed, Error::Send)),
+            };
+            if !interim.is_next(&head)? {
+                break head;
             }
-            framed.next_item(cx)
-        });
-        let head = match head.await {
-            Some(Ok(head)) => head,
-            Some(Err(cause)) => return Err(send_error.map_or(cause.into(), Error::Send)),
-            None => return Err(send_error.map_or(Error::Closed, Error::Send)),
+            framed = body::without_payload(framed);
         };
         let body = Body::new(&head, framed, flushed, head_only)?;
         Ok((head, body))
