The own interface doesn't take the end of a connection for that of an answer

Other answers without a length were already reported as unknown.

Cause: `engine::Client` asked whether the head has a `transfer-encoding` at all, not what it says; and streams that aren't parsed ended with any end of their body.

Change: both ask `Body::delimiter`. What the connection alone ends is unknown, or broken off after its events.

--- a/components/engine/src/client.rs
+++ b/components/engine/src/client.rs
@@ -6,7 +6,7 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ResponseHead, Uri};
 use bytes::{Bytes, BytesMut};
-use http_client::{Body, Connection, Pool};
+use http_client::{Body, Connection, Delimiter, Pool};
 use serde::Deserialize;
 use tokio::time::Instant;
 
@@ -26,7 +26,8 @@
         /// A completion: the answer, or each event of a stream, carries the request id, and each
         /// choice has a finish reason.
         Completion,
-        /// Any body: complete once `content-length` bytes or the last chunk have arrived.
+        /// Any body: complete once `content-length` bytes or the last chunk have arrived, and not if only the end of its
+        /// connection marks its end.
         Plain,
     }
 
@@ -172,6 +173,9 @@
             };
             let Some(parser) = &mut self.parser else {
                 self.ended = bytes.is_none();
+                if self.ended && self.body.delimiter() == Delimiter::Connection {
+                    return Err(self.indeterminate("only the end of the connection marks the end"));
+                }
                 return Ok(bytes.map(|bytes| Batch { bytes, tokens: 0, dropped: 0 }));
             };
             let Some(bytes) = bytes else {
@@ -306,10 +310,11 @@
         let indeterminate =
             |cause: String| Failure::Indeterminate { address: call.address.clone(), cause };
         let content_length = header_text(head, "content-length").parse::<usize>().ok();
-        let chunked = !header_text(head, "transfer-encoding").is_empty();
+        let chunked = body.delimiter() == Delimiter::Length
+            && !header_text(head, "transfer-encoding").is_empty();
         if content_length.is_none() && !chunked && head.status.as_u16() != 204 {
             return Err(indeterminate(
-                "the body has neither content-length nor transfer-encoding".to_string(),
+                "the body has neither a content-length nor chunks".to_string(),
             ));
         }
         let mut body = body;
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use fakes::Step;
-use script::{FAULTS, KINDS, Kind, good, resumed, resumed_text, script};
+use script::{FAULTS, KINDS, Kind, body, good, parts, resumed, resumed_text, script};
 use site::{Pair, Told};
 use tokio::io::AsyncWriteExt;
 use tokio::time::Instant;
@@ -304,3 +304,103 @@
         assert!(most <= 2, "{status}: {most} requests in its rest");
     }
 }
+
+/// How the head of a good answer states the end of its body, and what else it may state.
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+
+/// Answers all requests with `text`, and then with `end`.
+async fn call_with(kind: Kind, text: &str, end: Step) -> (Told, u32) {
+    let steps = vec![Step::Run, Step::Write(text.to_string()), end];
+    let site = Pair::start(move |_| steps.clone()).await;
+    let told = site.call(kind).await;
+    (told, site.runs())
+}
+
+/// A server stops in the middle of a head. Guards against a part of a head that passes for an answer.
+#[actix_rt::test]
+async fn a_head_that_is_cut_is_no_answer() {
+    tokio::time::pause();
+    let others = ["content-length: 9\r\n", "transfer-encoding: identity\r\n", ""];
+    let framings = others.map(|framing| (Kind::Charge, framing));
+    for (kind, framing) in KINDS.map(|kind| (kind, CHUNKED)).into_iter().chain(framings) {
+        let head = parts(kind)[0].replace(CHUNKED, framing);
+        let bare = head.replace("\r\n", "\n");
+        let ends = [
+            (&head, Step::Close, 1),
+            (&bare, Step::Close, 1),
+            (&head, Step::Reset, 7),
+            (&head, Step::Hang, 7),
+        ];
+        for (head, end, step) in ends {
+            for cut in (0..head.len()).step_by(step) {
+                let part = &head[..cut];
+                let (told, runs) = call_with(kind, part, end.clone()).await;
+                check(part, kind, &told, runs);
+                assert_eq!(told.outcome, "unknown", "{kind:?}, {end:?}, {part:?}");
+            }
+        }
+    }
+}
+
+/// A server answers in a coding that leaves the body as it is, or in HTTP/1.0. Guards against an empty body that passes for
+/// the whole, and against one whose end nothing proves.
+#[actix_rt::test]
+async fn a_body_that_ends_with_its_connection_is_no_answer() {
+    tokio::time::pause();
+    for kind in [Kind::Whole, Kind::Charge, Kind::Desk] {
+        for framing in ["", "transfer-encoding: identity\r\n"] {
+            for version in ["HTTP/1.1", "HTTP/1.0"] {
+                let head = parts(kind)[0].replace(CHUNKED, framing).replace("HTTP/1.1", version);
+                for body in [body(kind), String::new()] {
+                    let text = format!("{head}{body}");
+                    let (told, runs) = call_with(kind, &text, Step::Close).await;
+                    check(&text, kind, &told, runs);
+                    assert_eq!(told.outcome, "unknown", "{kind:?}, {text:?}");
+                }
+            }
+        }
+    }
+}
+
+/// A plain service answers with a stream whose end only its connection marks, and ends in the middle. Guards against a part
+/// that passes for the whole.
+#[actix_rt::test]
+async fn a_plain_stream_that_ends_with_its_connection_is_broken_off() {
+    tokio::time::pause();
+    for framing in ["", "transfer-encoding: identity\r\n"] {
+        for version in ["HTTP/1.1", "HTTP/1.0"] {
+            let head =
+                parts(Kind::Stream)[0].replace(CHUNKED, framing).replace("HTTP/1.1", version);
+            for body in ["id: 0\ndata: w0 \n\n", ""] {
+                let (told, runs) =
+                    call_with(Kind::Desk, &format!("{head}{body}"), Step::Close).await;
+                assert!(
+                    !told.ended || told.outcome == "unknown",
+                    "{framing:?}, {version}: {}",
+                    told.text
+                );
+                assert_eq!(runs, 1);
+            }
+        }
+    }
+}
+
+/// A server sends interim responses before its answer. Guards against one that is taken for the answer.
+#[actix_rt::test]
+async fn an_interim_response_before_an_answer_is_skipped() {
+    tokio::time::pause();
+    for kind in KINDS {
+        for lines in ["", "x-request-id: {id}\r\nx-attempt: {attempt}\r\n", "x-not-run: true\r\n"] {
+            for status in ["100 Continue", "103 Early Hints"] {
+                let interim = format!("HTTP/1.1 {status}\r\n{lines}\r\n");
+                let text = interim.repeat(2) + &parts(kind).concat();
+                let (told, runs) = call_with(kind, &text, Step::Hang).await;
+                assert_eq!((&*told.outcome, runs), ("complete", 1), "{kind:?}, {}", told.text);
+                assert!(told.whole, "{kind:?}, {}", told.text);
+                let (told, runs) = call_with(kind, &interim, Step::Close).await;
+                check(&interim, kind, &told, runs);
+                assert_eq!(told.outcome, "unknown", "{kind:?}, {}", told.text);
+            }
+        }
+    }
+}
--- a/tests/faults/script.rs
+++ b/tests/faults/script.rs
@@ -79,7 +79,7 @@
     r#"{"id":"{id}","choices":[{"message":{"content":"w0 w1"},"finish_reason":"stop"}]}"#;
 
 /// The parts of a good answer: head, then body in chunks, the last of them the end.
-fn parts(kind: Kind) -> Vec<String> {
+pub fn parts(kind: Kind) -> Vec<String> {
     if kind.streamed() {
         let head =
             format!("{HEAD}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
@@ -93,6 +93,11 @@
     }
 }
 
+/// The body of a good answer, without chunks.
+pub fn body(kind: Kind) -> String {
+    if kind.streamed() { event(0, false) + &event(1, true) + END } else { WHOLE.to_string() }
+}
+
 pub fn good(kind: Kind) -> Vec<Step> {
     vec![Step::Run, Step::Write(parts(kind).concat())]
 }
