--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -2,12 +2,14 @@
 
 use actix_codec::{Decoder, Framed, FramedParts};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
+use actix_http::header::HeaderValue;
 use actix_http::{ResponseHead, StatusCode, Version, header};
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::StreamExt;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
+use crate::interim::Interim;
 use crate::{Connection, Error};
 
 /// Size of the buffer for a body.
@@ -22,6 +24,8 @@
 /// The body of a response that is being received. Dropping it before its end closes the connection.
 pub struct Body {
     framing: Framing,
+    /// The request is one for the head alone.
+    head_only: bool,
     /// The request was sent whole, so the connection may carry another one.
     flushed: bool,
 }
@@ -44,8 +48,9 @@
     Empty(Framed<TcpStream, ClientCodec>),
     /// The head states its length, or it is chunked.
     Delimited(Payload),
-    /// It lasts until the other side closes the connection regularly. The codec of `actix-http` takes such
-    /// an HTTP/1.1 response for one without a body.
+    /// It lasts until the other side closes the connection regularly: the head states neither a length nor chunks. The
+    /// codec of `actix-http` takes such an HTTP/1.1 response for one without a body, also where it states the transfer
+    /// coding `identity`, and never lets such an HTTP/1.0 response end.
     UntilClose(TcpStream, BytesMut),
 }
 
@@ -54,16 +59,23 @@
         head: &ResponseHead,
         framed: Framed<TcpStream, ClientCodec>,
         flushed: bool,
-    ) -> Self {
-        let framing = match framed.codec_ref().message_type() {
-            MessageType::None if ends_with_connection(head) => {
-                let FramedParts { io, read_buf, .. } = framed.into_parts();
-                Framing::UntilClose(io, read_buf)
-            }
-            MessageType::None => Framing::Empty(framed),
-            _ => Framing::Delimited(Payload::new(framed)),
+        head_only: bool,
+    ) -> Result<Self, Error> {
+        let is_old = head.version < Version::HTTP_11;
+        if is_old && head.headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(Error::ChunksUnknown);
+        }
+        let length = head.headers.get(header::CONTENT_LENGTH);
+        let chunked = !is_old && framed.codec_ref().message_type() == MessageType::Payload;
+        let framing = if head_only || is_bodiless(head) || length.is_some_and(is_zero) {
+            Framing::Empty(without_payload(framed))
+        } else if length.is_some() || chunked {
+            Framing::Delimited(Payload::new(framed))
+        } else {
+            let FramedParts { io, read_buf, .. } = framed.into_parts();
+            Framing::UntilClose(io, read_buf)
         };
-        Body { framing, flushed }
+        Ok(Body { framing, head_only, flushed })
     }
 
     /// How the end of the body is marked.
@@ -110,8 +122,15 @@
             }
             Framing::UntilClose(..) => return Err(Error::Closed),
         };
-        let head = framed.next().await.ok_or(Error::Closed)??;
-        let body = Body::new(&head, framed, self.flushed);
+        let mut interim = Interim::default();
+        let head = loop {
+            let head = framed.next().await.ok_or(Error::Closed)??;
+            if !interim.is_next(&head)? {
+                break head;
+            }
+            framed = without_payload(framed);
+        };
+        let body = Body::new(&head, framed, self.flushed, self.head_only)?;
         Ok((head, body))
     }
 
@@ -131,13 +150,24 @@
     }
 }
 
-/// Whether only the end of the connection marks the end of the response's body.
-fn ends_with_connection(head: &ResponseHead) -> bool {
-    let bodiless = head.status.is_informational()
-        || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
-    let delimiters = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    let delimited = delimiters.iter().any(|name| head.headers.contains_key(name));
-    head.version >= Version::HTTP_10 && !bodiless && !delimited
+/// Whether a response has no body by its status, whatever its headers say of one.
+fn is_bodiless(head: &ResponseHead) -> bool {
+    [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status)
+}
+
+/// Whether a stated length is 0. The codec of `actix-http` lets such an HTTP/1.0 response last until the connection ends.
+fn is_zero(length: &HeaderValue) -> bool {
+    length.to_str().is_ok_and(|text| text.trim().parse() == Ok(0_u64))
+}
+
+/// A connection whose codec doesn't wait for the body that the last head announced.
+pub(crate) fn without_payload(
+    framed: Framed<TcpStream, ClientCodec>,
+) -> Framed<TcpStream, ClientCodec> {
+    if framed.codec_ref().message_type() == MessageType::None {
+        return framed;
+    }
+    framed.replace_codec(ClientCodec::default())
 }
 
 /// A body whose end is marked. Its buffer is small, since answers stay open for minutes.
