Streams from which an event is missing don't end as complete

Cause: Splitter wanted ids that rise, and nothing else.

Evidence, new tests without the change (-p platform, virtual time): a_stream_that_lacks_an_event_isnt_complete: body "id: 1 w1, id: 3 w3", complete: true a_stream_that_lacks_an_event_goes_on_at_another_server: left [1, 2, 4], right [1, 2, 3, 4] a_stream_isnt_resumed_one_event_too_late: body "id: 1, id: 3, id: 4", complete: true a_take_up_that_goes_on_too_late_isnt_passed_on: left [3, 4], right [2, 3] a_stream_without_its_first_event_isnt_passed_on: left [2, 3], right [1, 2, 3] a_stream_isnt_continued_from_its_copy_one_event_too_late: body "id: 1, id: 3", complete: true a_stream_that_lacks_an_event_at_a_peer_is_broken_off: body "id: 1, id: 3", complete: true streams_whose_ids_have_gaps_are_whole and ..._can_be_resumed pass before and after: they guard the other side.

Change: endings::Numbering compares the answers of all servers with one software version, since how ids are given is a matter of the software, and events are lost by single processes. Ids are consecutive while no more servers have shown gaps than have shown none; until something is known, if they begin at 1. Then the splitter stops before an event that follows a gap: the stream is resumed after the last event before it where the route allows that, else broken off visibly. The same holds for the first event of an answer that goes on (resumption, copy, Last-Event-Id of a caller), and, after 16 streams that began alike, for the first event of a new stream.

Why it works: nothing that follows a gap reaches the caller, so that what it has is a beginning of the stream in every case, and Last-Event-Id is the last event of that. components/endings/tests/numbering.rs tries all subsets of five ids, orders of two servers, and places of a seam.

Price: servers that number from 1 with gaps cost each node one stream for each server at most while it learns that, and none where streams may be resumed (a_node_learns_that_ids_from_one_on_have_gaps). On a node that has just started, a take-up after a later event than 1 isn't judged, nor is the first event of a new stream. If all servers of a version lose events alike, that can't be told from ids with gaps.

--- a/components/endings/src/lib.rs
+++ b/components/endings/src/lib.rs
@@ -5,10 +5,14 @@
 //! connection doesn't show that the answer is complete. But a server that closes a connection itself goes on running.
 //! So it is asked afterwards, and the answer is complete if the process that gave it still responds.
 //!
+//! It also decides what the ids of a stream's events show of events that are missing ([`Numbering`]).
+//!
 //! The crate does no I/O and reads no clock.
 
 mod inquiry;
+mod numbering;
 mod process;
 
 pub use inquiry::{Inquiries, Settled};
+pub use numbering::{Before, Numbering, Verdict};
 pub use process::{Channel, Finding, Process, Proof, Testimony};
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::adapter::{Adapter, Attempt, ServerProtocol, Verdict};
 use crate::answer::Answer;
 use crate::cold;
-use crate::events::{OutOfOrder, Splitter, Truncated};
+use crate::events::{Gap, OutOfOrder, Splitter, Truncated};
 use crate::hop;
 use crate::intake::Received;
 use crate::mechanism::Mechanism;
@@ -61,6 +61,9 @@
     /// The events aren't those of one answer, so no other server can continue it.
     #[error("the events of the answer are out of order: {0}")]
     OutOfOrder(OutOfOrder),
+    /// The server left events out, which another one can still send.
+    #[error("{0}")]
+    Incomplete(Gap),
     /// The request ran, and the server responded with an error.
     #[error("the server failed with status {}", .0.status.as_u16())]
     ServerError(Box<WholeReply>),
@@ -79,6 +82,7 @@
             | AttemptError::Declined(_) => Some(Unsent::assume()),
             AttemptError::Lost(_)
             | AttemptError::OutOfOrder(_)
+            | AttemptError::Incomplete(_)
             | AttemptError::ServerError(_)
             | AttemptError::TimedOut => None,
         }
@@ -98,7 +102,9 @@
             AttemptError::Declined(_) => Ending::NotRun,
             AttemptError::ServerError(_) => Ending::ServerError,
             AttemptError::Lost(_) => Ending::Broken,
-            AttemptError::OutOfOrder(_) | AttemptError::TimedOut => Ending::Failed,
+            AttemptError::OutOfOrder(_) | AttemptError::Incomplete(_) | AttemptError::TimedOut => {
+                Ending::Failed
+            }
         }
     }
 }
@@ -188,6 +194,9 @@
         }
         let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
         while !self.ended {
+            if let Some(gap) = self.splitter.as_ref().and_then(Splitter::gap) {
+                return Err(AttemptError::Incomplete(gap));
+            }
             let Some(bytes) = self.body.next().await.map_err(lost)? else {
                 return self.end().await;
             };
@@ -367,13 +376,15 @@
     if received.hop.is_some() {
         hop::name_server(&mut headers, server);
     }
+    let splitter = (success && events)
+        .then(|| Splitter::resuming_after(last_event_id).sent_by(state.numberings.source(server)));
     let mut reply = PartialReply {
         status: head.status,
         headers,
         server: server.clone(),
         keep_alive,
         body,
-        splitter: (success && events).then(|| Splitter::resuming_after(last_event_id)),
+        splitter,
         first: None,
         ended: false,
         rest: None,
--- a/components/forward/src/events.rs
+++ b/components/forward/src/events.rs
@@ -1,9 +1,19 @@
 //! Splits a stream of server-sent events into whole events, so that a caller never receives part of
 //! one and another server can continue the stream after the last whole event.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
 use bytes::{Bytes, BytesMut};
+use catalog::Entry;
+use endings::{Before, Numbering, Verdict};
 use http_client::Delimiter;
 use memchr::memmem;
+use origins::Version;
+
+/// Software versions whose numbering is remembered.
+const MAX_VERSIONS: usize = 1_000;
 
 derives::data! {
     /// Consecutive whole events.
@@ -23,6 +33,38 @@
     last: u64,
 }
 
+/// An event before which others are missing.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+#[error("events are missing between event {} and event {id}", .last.map_or("none".to_string(), |last| last.to_string()))]
+pub(crate) struct Gap {
+    id: u64,
+    last: Option<u64>,
+}
+
+/// A server whose stream is split, and how servers with its software number events.
+#[derive(Clone, Debug)]
+pub(crate) struct Source {
+    server: u32,
+    numbering: Rc<RefCell<Numbering>>,
+}
+
+/// How servers number the events of their streams, by service and version of the software.
+#[derive(Debug, Default)]
+pub(crate) struct Numberings(RefCell<HashMap<Version, Rc<RefCell<Numbering>>>>);
+
+impl Numberings {
+    /// What is known of a server's numbering.
+    pub(crate) fn source(&self, server: &Entry) -> Source {
+        let mut by_version = self.0.borrow_mut();
+        if by_version.len() >= MAX_VERSIONS {
+            by_version.clear();
+        }
+        let version = Version::of(&server.service, &server.version);
+        let numbering = by_version.entry(version).or_default().clone();
+        Source { server: wire::key(&server.name), numbering }
+    }
+}
+
 /// A stream that ended before its last event was whole.
 #[derive(Debug, PartialEq, thiserror::Error)]
 pub(crate) enum Truncated {
@@ -47,6 +89,10 @@
     received: bool,
     /// Ids between those of consecutive events that no event had.
     skipped_ids: u64,
+    /// The server that sends the stream; without it, gaps show nothing.
+    source: Option<Source>,
+    /// Where events are missing. Nothing that follows is returned.
+    gap: Option<Gap>,
 }
 
 impl Splitter {
@@ -55,17 +101,24 @@
         Splitter { sent, ..Splitter::default() }
     }
 
+    /// Notices events that are missing in the stream of a server.
+    pub(crate) fn sent_by(self, source: Source) -> Self {
+        Splitter { source: Some(source), ..self }
+    }
+
     /// Id of the last event returned by [`Splitter::push`] or sent before.
     pub(crate) fn last_id(&self) -> Option<u64> {
         self.last.max(self.sent)
     }
 
-    /// Appends bytes of the stream; returns the events that are complete now.
+    /// Appends bytes of the stream; returns the events that are complete now, up to a [`Splitter::gap`].
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Option<Batch>, OutOfOrder> {
         self.buf.extend_from_slice(bytes);
         let mut out = BytesMut::new();
         let mut events = 0;
-        while let Some(end) = event_end(&self.buf) {
+        while self.gap.is_none()
+            && let Some(end) = event_end(&self.buf)
+        {
             let event = self.buf.split_to(end);
             self.received = true;
             let Some(id) = event_id(&event) else {
@@ -78,6 +131,10 @@
             if let Some(last) = self.last_id().filter(|last| id > *last) {
                 self.skipped_ids += id - last - 1;
             }
+            if self.is_missing_before(id) {
+                self.gap = Some(Gap { id, last: self.last_id() });
+                break;
+            }
             self.last = Some(id);
             if self.sent.is_none_or(|sent| id > sent) {
                 events += 1;
@@ -87,6 +144,24 @@
         Ok((!out.is_empty()).then(|| Batch { bytes: out.freeze(), events }))
     }
 
+    /// Whether events are missing before the event with this id.
+    fn is_missing_before(&self, id: u64) -> bool {
+        let before = match (self.last, self.sent) {
+            (_, Some(sent)) if id <= sent => return false,
+            (last, Some(sent)) if last < Some(sent) => Before::EarlierAnswer(sent),
+            (Some(last), _) => Before::SameAnswer(last),
+            (None, _) => Before::Nothing,
+        };
+        let judge =
+            |source: &Source| source.numbering.borrow_mut().judge(source.server, before, id);
+        self.source.as_ref().map(judge) == Some(Verdict::Missing)
+    }
+
+    /// Where events are missing, after those that were returned.
+    pub(crate) fn gap(&self) -> Option<Gap> {
+        self.gap
+    }
+
     /// Ids between those of consecutive events, and after the event that is resumed, that no event had.
     pub(crate) fn skipped_ids(&self) -> u64 {
         self.skipped_ids
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -24,6 +24,7 @@
 use crate::crossing::Crossing;
 use crate::effects;
 use crate::evacuation::Evacuations;
+use crate::events::Numberings;
 use crate::gossip::Gossip;
 use crate::limits::{self, Limits};
 use crate::mechanism::{Mechanism as Own, Switches};
@@ -105,6 +106,7 @@
     pub(crate) metrics: Rc<Metrics>,
     /// Whether servers still run whose connections have ended.
     pub(crate) survival: Rc<Survival>,
+    pub(crate) numberings: Numberings,
     pub(crate) draining: Cell<bool>,
     /// Copy of the store's items.
     pub(crate) replica: RefCell<Replica>,
@@ -192,6 +194,7 @@
             pool,
             metrics,
             survival,
+            numberings: Numberings::default(),
             draining: Cell::new(false),
             replica: RefCell::new(Replica::new(max_proof_age)),
             contact: Contact::default(),
