A stream that is resumed goes on with the weights of its last event

Cause: nothing read X-Weight-Versions or set X-Expected-Version; only the software version was compared.

Change: a relay remembers the weights that its answer states, in the head or in a later event, and its next attempt, also from a copy, expects them. A server with others declines. An answer that states others nevertheless isn't passed on. If no attempt finds a server with them, the stream is broken off visibly. A 421 by the server that was expected, or by one without a name when weights were expected, counts as declined: it is paid from the retry budget, and the server isn't taken for one that has left its address.

Open: a caller that takes a stream up. Servers aren't chosen by weights either, so that each one with others costs an attempt.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -65,6 +65,8 @@
         pub fetch_from: Option<&'a Entry>,
         /// The server that keeps a copy of this attempt's run.
         pub backup: Option<&'a Entry>,
+        /// Version of the model's weights that the server must have, if the stream has begun with them.
+        pub weights: Option<u64>,
         /// The attempt continues the request's earlier run from the copy that its server keeps.
         pub from_copy: bool,
     }
@@ -118,6 +120,8 @@
         pub brittle: bool,
         /// How long it keeps the connection open while idle, if it states that.
         pub keep_alive: Option<Duration>,
+        /// Version of the model's weights with which the answer begins, if it states that.
+        pub weights: Option<u64>,
     }
 
     /// What a server says of itself when it is asked.
@@ -155,6 +159,9 @@
     /// Reads what the head of a response says of the server that sent it.
     fn read_statement(&self, head: &ResponseHead) -> Statement;
 
+    /// The version of the model's weights with which the last of some whole events was written, if they state one.
+    fn read_weights(&self, events: &[u8]) -> Option<u64>;
+
     /// The head of a request that asks a server about itself and runs nothing there; none if its address or path isn't
     /// valid. Plain services are asked at `health_path`, if they have one.
     fn self_report_request(&self, server: &Entry, health_path: Option<&str>)
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -13,7 +13,7 @@
 use lifecycle::Unsent;
 use policy::{Ending, Reason};
 
-use crate::adapter::{Adapter, Attempt, ServerProtocol, Verdict};
+use crate::adapter::{Adapter, Attempt, ServerProtocol, Statement, Verdict};
 use crate::answer::Answer;
 use crate::cold;
 use crate::events::{Gap, OutOfOrder, Splitter, Truncated};
@@ -64,6 +64,14 @@
     /// The server left events out, which another one can still send.
     #[error("{0}")]
     Incomplete(Gap),
+    /// The stream began with weights of another version.
+    #[error("the server went on with weights {got}, and the stream has {expected}")]
+    OtherWeights {
+        /// Version of the stream's last event.
+        expected: u64,
+        /// Version that the server stated.
+        got: u64,
+    },
     /// The request ran, and the server responded with an error.
     #[error("the server failed with status {}", .0.status.as_u16())]
     ServerError(Box<WholeReply>),
@@ -83,6 +91,7 @@
             AttemptError::Lost(_)
             | AttemptError::OutOfOrder(_)
             | AttemptError::Incomplete(_)
+            | AttemptError::OtherWeights { .. }
             | AttemptError::ServerError(_)
             | AttemptError::TimedOut => None,
         }
@@ -102,9 +111,10 @@
             AttemptError::Declined(_) => Ending::NotRun,
             AttemptError::ServerError(_) => Ending::ServerError,
             AttemptError::Lost(_) => Ending::Broken,
-            AttemptError::OutOfOrder(_) | AttemptError::Incomplete(_) | AttemptError::TimedOut => {
-                Ending::Failed
-            }
+            AttemptError::OutOfOrder(_)
+            | AttemptError::Incomplete(_)
+            | AttemptError::OtherWeights { .. }
+            | AttemptError::TimedOut => Ending::Failed,
         }
     }
 }
@@ -138,6 +148,8 @@
 pub(crate) struct PartialReply {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    /// Version of the model's weights with which it begins, if the server states that.
+    pub(crate) weights: Option<u64>,
     server: Rc<Entry>,
     /// How long the server keeps the connection open while idle, if it stated that.
     keep_alive: Option<Duration>,
@@ -282,6 +294,8 @@
     pub(crate) backup: Option<Rc<Entry>>,
     /// The run continues from the copy that the attempt's server keeps.
     pub(crate) from_copy: bool,
+    /// Version of the model's weights with which the stream has to continue.
+    pub(crate) weights: Option<u64>,
     /// The scheduler's key of the request.
     pub(crate) job: ids::Job,
 }
@@ -321,17 +335,21 @@
         connection.exchange(head, received.body.clone()).await.map_err(lost)?;
     reach::record_reached(state, server);
     let mut mismatched = 0;
-    let keep_alive = loop {
+    let statement = loop {
         let verdict = state.adapter.servers.check_response(&head, &received.call, server);
         let statement = state.adapter.servers.read_statement(&head);
         statements::record(state, server, &head, &verdict, &statement, sent);
         match verdict {
-            Verdict::Answer => break statement.keep_alive,
+            Verdict::Answer => break statement,
             Verdict::Declined => {
                 let status = head.status.as_u16();
                 actix_rt::spawn(recycle(state.clone(), server.clone(), body, statement.keep_alive));
                 return Err(AttemptError::Declined(status));
             }
+            // It may be the server that was expected, with other weights.
+            Verdict::Misdirected if plan.weights.is_some() && statement.name.is_none() => {
+                return Err(AttemptError::Declined(head.status.as_u16()));
+            }
             Verdict::Misdirected => return Err(AttemptError::Misdirected),
             Verdict::Invalid(cause) => return Err(AttemptError::Lost(cause)),
             Verdict::Mismatched if mismatched < MAX_MISMATCHED => {
@@ -348,7 +366,13 @@
             }
         }
     };
-    receive_reply(state, received, server, (head, keep_alive), body, plan.last_event_id).await
+    if let (Some(expected), Some(got)) = (plan.weights, statement.weights)
+        && expected != got
+        && head.status.is_success()
+    {
+        return Err(AttemptError::OtherWeights { expected, got });
+    }
+    receive_reply(state, received, server, (head, statement), body, plan.last_event_id).await
 }
 
 /// Why a request may not be sent to the server that it was assigned to; none if it may. What is known of the server
@@ -364,14 +388,14 @@
     state: &Rc<State<A>>,
     received: &Received,
     server: &Rc<Entry>,
-    (head, keep_alive): (ResponseHead, Option<Duration>),
+    (head, statement): (ResponseHead, Statement),
     body: Body,
     last_event_id: Option<u64>,
 ) -> Result<Reply, AttemptError> {
     let media = head.headers.get("content-type").and_then(|value| value.to_str().ok());
     let events = media.is_some_and(|media| media.starts_with("text/event-stream"));
     let success = head.status.is_success();
-    log::debug!(server = server.name.as_str(), idle:? = keep_alive; "answer started");
+    log::debug!(server = server.name.as_str(), idle:? = statement.keep_alive; "answer started");
     let mut headers = end_to_end_headers(&head.headers);
     if received.hop.is_some() {
         hop::name_server(&mut headers, server);
@@ -381,8 +405,9 @@
     let mut reply = PartialReply {
         status: head.status,
         headers,
+        weights: statement.weights,
         server: server.clone(),
-        keep_alive,
+        keep_alive: statement.keep_alive,
         body,
         splitter,
         first: None,
@@ -479,6 +504,7 @@
         last_event_id: plan.last_event_id,
         fetch_from: plan.fetch_from.as_deref(),
         backup: plan.backup.as_deref(),
+        weights: plan.weights,
         from_copy: plan.from_copy,
     };
     let mut head = RequestHead::default();
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -112,6 +112,8 @@
     pub(crate) server: Option<Rc<Entry>>,
     /// When the latest attempt was sent.
     sent: Instant,
+    /// Version of the model's weights that wrote the last event for the caller, if it is known.
+    pub(crate) weights: Option<u64>,
     pub(crate) stats: Stats,
     /// Its outcome was logged.
     ended: Cell<bool>,
@@ -147,6 +149,7 @@
         open,
         server: None,
         sent,
+        weights: None,
         stats: Stats::default(),
         ended: Cell::new(false),
         peers_tried: None,
@@ -284,6 +287,7 @@
             fetch_from: expected.and_then(|expected| expected.fetch).and_then(entry),
             backup: expected.and_then(|expected| expected.backup).and_then(entry),
             from_copy: false,
+            weights: self.weights,
             job: self.submission.job,
         };
         let mut sending = pin!(attempt::send(&self.state, &self.received, server, &plan));
@@ -331,7 +335,8 @@
         last_event_id: Option<u64>,
     ) -> Result<Reply, AttemptError> {
         let job = self.submission.job;
-        let plan = Plan { last_event_id, from_copy: true, job, ..Plan::default() };
+        let weights = self.weights;
+        let plan = Plan { last_event_id, from_copy: true, weights, job, ..Plan::default() };
         let time_left = self.received.time_left(&self.state);
         let sending = attempt::send(&self.state, &self.received, server, &plan);
         tokio::time::timeout(time_left, sending).await.unwrap_or(Err(AttemptError::TimedOut))
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -14,7 +14,7 @@
 use policy::Ending;
 use tokio::sync::oneshot;
 
-use crate::adapter::Adapter;
+use crate::adapter::{Adapter, ServerProtocol};
 use crate::attempt::{AttemptError, Chunk, PartialReply, Reply};
 use crate::mechanism::Mechanism;
 use crate::serve::ActiveRequest;
@@ -46,10 +46,11 @@
 
 impl<A: Adapter> Relay<A> {
     pub(crate) fn new(
-        active: ActiveRequest<A>,
+        mut active: ActiveRequest<A>,
         life: lifecycle::Request<Streaming>,
         reply: Box<PartialReply>,
     ) -> Self {
+        active.weights = reply.weights;
         let began = reply.server().clone();
         let (life, reply) = (Some(life), Some(reply));
         Relay {
@@ -112,8 +113,12 @@
 
     /// Counts the tokens of a chunk and measures its delay; returns its bytes.
     fn record_chunk(&mut self, chunk: Chunk) -> Bytes {
-        let ActiveRequest { state, received, submission, stats, server, .. } = &mut self.active;
+        let ActiveRequest { state, received, submission, stats, server, weights, .. } =
+            &mut self.active;
         if chunk.events > 0 {
+            if weights.is_some() {
+                *weights = state.adapter.servers.read_weights(&chunk.bytes).or(*weights);
+            }
             let settings = state.settings.borrow();
             let services = settings.as_ref().map(|settings| &settings.services);
             let service = server.as_ref().map(|server| &server.service);
@@ -184,7 +189,7 @@
     fn log_resumed(&self, server: &Entry, after_event: Option<u64>) {
         log::info!(
             request = self.active.received.call.id.as_str(), server = server.name.as_str(),
-            version = server.version.as_str(), after_event = after_event;
+            version = server.version.as_str(), weights = self.active.weights, after_event = after_event;
             "stream resumed at another server"
         );
     }
