--- a/components/endings/src/lib.rs
+++ b/components/endings/src/lib.rs
@@ -6,10 +6,14 @@
 //! So it is asked afterwards, and the answer counts as complete if the process that gave it still responds. A server that
 //! runs on and closes a connection too early can't be told from one that closes it after the last byte.
 //!
+//! It also decides what the ids of a stream's events show of events that are missing ([`Numbering`]).
+//!
 //! The crate does no I/O and reads no clock.
 
 mod inquiry;
+mod numbering;
 mod process;
 
 pub use inquiry::{Inquiries, Settled};
+pub use numbering::{Before, Numbering, Verdict};
 pub use process::{Finding, Process, Proof, Testimony};
