--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,9 @@
 #[path = "../../platform/tests/fixture/mod.rs"]
 mod fixture;
 mod nodes;
+mod pieces;
+mod program;
+mod servers;
 mod stores;
 mod versions;
 mod watch;
@@ -29,7 +32,7 @@
 /// How long faults go on.
 const SHORT: Duration = Duration::from_secs(8);
 const LONG: Duration = Duration::from_secs(15);
-/// Start of the line in which a soak that is to be killed names the processes of its nodes.
+/// Start of the line in which a soak that is to be killed names the processes of its nodes and servers.
 const NODES: &str = "nodes: ";
 /// Set for a soak that is to be killed; without it there is none among those that are run by hand.
 const WAITS: &str = "SOAK_WAITS";
@@ -87,7 +90,7 @@
     soak.wait().unwrap();
     let told = told.expect("the soak tells of its nodes");
     let nodes: Vec<_> = told.split_whitespace().map(|pid| pid.parse().unwrap()).collect();
-    assert_eq!(nodes.len(), 4, "{told}");
+    assert_eq!(nodes.len(), 4 + 4, "{told}");
     let gone = (0..POLLS).any(|_| {
         std::thread::sleep(POLL);
         nodes.iter().all(|pid| nodes::ended(*pid))
@@ -108,6 +111,16 @@
     tokio::time::sleep(LONG).await;
 }
 
+/// A server of a soak, as a process of its own.
+#[actix_rt::test]
+#[ignore = "is started by a soak"]
+async fn serves_until_it_is_killed() {
+    if let Ok(line) = std::env::var(program::SETTINGS) {
+        let settings = program::Settings::from_line(&line).expect("settings of a server");
+        program::serve(settings).await.unwrap();
+    }
+}
+
 /// Nodes are stopped, paused, killed and cut off while servers and the store fail. A charge runs twice,
 /// or a caller is told that nothing ran though it did, or has half an answer that looks whole, or a
 /// withdrawn key is served.
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -16,10 +16,11 @@
 use crate::fixture::store::Mode;
 use crate::fixture::{
     API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, MISDIRECTED, RESPONSE_HEAD,
-    ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, server_entry, stream_event,
-    success_response,
+    ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, routes_to, server_entry,
+    stream_event, success_response, with_service,
 };
 use crate::nodes::{ALLOWED, Node, SEEDS};
+use crate::servers::{SERVICES, Servers};
 use crate::stores::Stores;
 use crate::versions::Versions;
 
@@ -27,6 +28,8 @@
 const CALLERS: usize = 6;
 /// Callers that take streams up.
 const RESUMING_CALLERS: usize = 3;
+/// Callers that read answers of servers that are killed.
+const READING_CALLERS: usize = 6;
 /// Key that is taken away in the middle.
 const BRIEF: &str = "k-brief";
 /// A request with a withdrawn key may run if it was sent before this, after the withdrawal.
@@ -73,6 +76,7 @@
     servers: Vec<Raw>,
     brittle: Brittle,
     versions: Versions,
+    processes: Servers,
     /// Ways of the nodes to the store, and of all nodes to the servers.
     links: Vec<Link>,
     /// Paths of each node to the servers, where nodes can be partitioned from them; else none.
@@ -96,7 +100,9 @@
             line.to_string()
         }
     };
-    ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n") + BRITTLE_ROUTE + VERSIONS_ROUTE
+    let own = ROUTES.lines().map(streams).collect::<Vec<_>>().join("\n");
+    let others = SERVICES.map(|(service, _)| routes_to(service)).concat();
+    own + BRITTLE_ROUTE + VERSIONS_ROUTE + &others
 }
 
 /// What a server does with a request: mostly what it should.
@@ -196,6 +202,7 @@
             nodes: Node::fleet(seed, &addresses, partitioned),
             brittle: Brittle::start(&stores).await,
             versions: Versions::start(&stores).await,
+            processes: Servers::start(seed, &stores).await,
             stores,
             paths,
             servers,
@@ -211,16 +218,18 @@
         world
     }
 
-    /// The processes of its nodes.
+    /// The processes of its nodes and servers.
     pub fn processes(&self) -> String {
-        let running = self.nodes.iter().filter_map(Node::process);
+        let running = self.nodes.iter().filter_map(Node::process).chain(self.processes.processes());
         running.map(|pid| pid.to_string()).collect::<Vec<_>>().join(" ")
     }
 
     fn publish(&self, keys: &[&str]) {
         let version = self.version.get() + 1;
         self.version.set(version);
-        self.stores.put(CONFIGURATION, &configuration(version, &routes(), keys));
+        let own = configuration(version, &routes(), keys);
+        let all = SERVICES.iter().fold(own, |all, (service, _)| with_service(&all, service));
+        self.stores.put(CONFIGURATION, &all);
     }
 
     /// Injects faults, one after the other and overlapping; returns how many.
@@ -313,7 +322,12 @@
     pub async fn callers(&self, time: Duration) {
         let callers = (0..CALLERS).map(|number| self.caller(number, time));
         let resuming = (0..RESUMING_CALLERS).map(|number| self.resuming_caller(number, time));
+        let nodes: Vec<_> = self.nodes.iter().map(|node| node.callers).collect();
+        let reading =
+            (0..READING_CALLERS).map(|number| self.processes.caller(&nodes, number, time));
         tokio::join!(
+            futures_util::future::join_all(reading),
+            self.processes.faults(&self.stores, time),
             futures_util::future::join_all(callers),
             futures_util::future::join_all(resuming),
             self.poison(time),
@@ -434,6 +448,8 @@
     /// Checks what was promised; returns what callers were told, in numbers.
     pub async fn check(&self) -> String {
         self.recovers().await;
+        let nodes: Vec<_> = self.nodes.iter().map(|node| node.callers).collect();
+        self.processes.check_calm(&nodes).await;
         self.serves_a_crowd().await;
         self.holds_back().await;
         self.blocks_a_part().await;
@@ -465,7 +481,8 @@
         }
         assert!(whole > 0, "nobody was served");
         let streams = self.versions.check();
-        format!("{} requests, {whole} whole, {refused} refused; {streams}", sent.len())
+        let pieces = self.processes.check();
+        format!("{} requests, {whole} whole, {refused} refused; {streams}; {pieces}", sent.len())
     }
 
     /// Once all faults are over, a node that gets all connections serves those that it reads as well as all nodes do.
