Only an answer of the same status goes on with a stream

What callers saw: the events before a break as a whole stream, where the server that was to go on with it answered with another success that has no body (204, or 201, 202, 205, 206 without one) and the media type of streams.

Cause: an answer went on with a stream if it was a success and had that media type; status and an end without events were not compared with the beginning. The status of a stream is with its caller already, so that nothing shows the other.

thread 'a_success_without_a_body_isnt_the_rest_of_a_stream' panicked at platform/tests/heads.rs:445:13: 201 Created, "": Reply { status: 200, ..., body: "10\r\nid: 1\ndata: w1\n\n\r\n0\r\n\r\n", complete: true }

Change: a rest, also one from the copy of a run, has the status with which the stream began; any other answer counts as lost, so the next server is asked, or the stream breaks off visibly.

Not changed: a rest without a length that ends with its connection before any event is still complete, if the survival check says so; `events::tests` has it as wanted (all events may have been passed on before the break).

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -128,6 +128,16 @@
     Partial(Box<PartialReply>),
 }
 
+impl Reply {
+    /// Its status.
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Reply::Whole(whole) => whole.status,
+            Reply::Partial(partial) => partial.status,
+        }
+    }
+}
+
 /// An answer whose body is still being received.
 pub(crate) struct PartialReply {
     pub(crate) status: StatusCode,
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::StatusCode;
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use bytes::Bytes;
 use catalog::Entry;
@@ -34,6 +35,8 @@
     reply: Option<Box<PartialReply>>,
     /// The server that began the answer, as it was when the request was sent to it.
     began: Rc<Entry>,
+    /// The status with which the answer began.
+    status: StatusCode,
     /// When the last chunk with events was passed on.
     last_chunk: Option<Instant>,
     /// Time for which its server was waited for since then.
@@ -50,13 +53,14 @@
         life: lifecycle::Request<Streaming>,
         reply: Box<PartialReply>,
     ) -> Self {
-        let began = reply.server().clone();
+        let (began, status) = (reply.server().clone(), reply.status);
         let (life, reply) = (Some(life), Some(reply));
         Relay {
             active,
             life,
             reply,
             began,
+            status,
             last_chunk: None,
             waited: Duration::ZERO,
             tokens: 0,
@@ -222,16 +226,14 @@
             let Ok(server) = self.active.wait_for_server().await else { break };
             life = life.pause(proof).resume();
             error = match self.active.send_attempt(life.attempt(), &server, last).await {
-                Ok(Reply::Partial(reply)) => {
+                Ok(Reply::Partial(reply)) if reply.status == self.status => {
                     self.reply = Some(reply);
                     self.life = Some(life);
                     self.waited = Duration::ZERO;
                     self.log_resumed(&server, last);
                     return true;
                 }
-                Ok(Reply::Whole(whole)) => {
-                    AttemptError::Lost(format!("status {} in place of a stream", whole.status))
-                }
+                Ok(reply) => not_the_rest(reply.status()),
                 Err(error) => error,
             };
         }
@@ -261,15 +263,13 @@
             "the server ended; a copy of its run continues the answer"
         );
         let error = match self.active.continue_from_copy(&server, last).await {
-            Ok(Reply::Partial(reply)) => {
+            Ok(Reply::Partial(reply)) if reply.status == self.status => {
                 self.active.state.metrics.count_continuation("continued");
                 self.reply = Some(reply);
                 self.life = Some(life);
                 return true;
             }
-            Ok(Reply::Whole(whole)) => {
-                AttemptError::Lost(format!("status {} in place of a stream", whole.status))
-            }
+            Ok(reply) => not_the_rest(reply.status()),
             Err(error) => error,
         };
         self.active.state.metrics.count_continuation("failed");
@@ -297,6 +297,12 @@
     }
 }
 
+/// The failure of an attempt whose answer doesn't continue a stream: it is none, or has another status, such as one of an
+/// answer without a body.
+fn not_the_rest(status: StatusCode) -> AttemptError {
+    AttemptError::Lost(format!("status {} in place of the rest of a stream", status.as_u16()))
+}
+
 /// Pause after which a stream counts as stalled, given the route's target for the longest pause.
 fn stall_after(pause: Option<Duration>) -> Duration {
     pause.map_or(MIN_STALL, |pause| (pause * STALL_PAUSES).max(MIN_STALL))
