Failing test: a stream of a server that started again under its name behind a paused node is taken for complete

What callers saw: "ORDER: complete after piece 35 of 150 (paused-0, Stream, connection, desks)", 200 and a regular end. Cause: the node stands still (SIGSTOP, or no processor) while the server is killed and started again at its address and under its name. It then reads the end of the connection and asks; the new process gives its name, which counts as proof (Proof::Name). Not mended here; a failing test only.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 #[path = "../../platform/tests/fixture/mod.rs"]
 mod fixture;
 mod nodes;
+mod paused;
 mod pieces;
 mod program;
 mod servers;
@@ -150,6 +151,15 @@
     assert!(pieces::Answer::parse(&unsigned).fault(stream, 2, 0).is_some());
 }
 
+/// A node is paused while a server is killed under a stream without a length and starts again under its name. It takes
+/// the response of the new process for one of that which gave the stream.
+#[actix_rt::test]
+async fn a_stream_isnt_complete_because_its_server_started_again_behind_a_paused_node() {
+    for (number, (service, _)) in (0..).zip(servers::SERVICES) {
+        paused::play(service, number).await;
+    }
+}
+
 /// A server of a soak, as a process of its own.
 #[actix_rt::test]
 #[ignore = "is started by a soak"]
--- a/tests/soak/servers.rs
+++ b/tests/soak/servers.rs
@@ -198,6 +198,17 @@
         renamed.then_some(former)
     }
 
+    /// Kills the servers of a service and starts each again at its address and under its name.
+    pub async fn restart(&self, stores: &Stores, service: &str) {
+        for place in self.places.iter().filter(|place| place.service == service) {
+            place.signal(Signal::KILL);
+            place.ended();
+            let entry = place.start(&self.journal);
+            place.serves().await;
+            stores.put(&place.key(), &entry);
+        }
+    }
+
     /// Sends requests one after the other to any node, each for another kind of answer.
     pub async fn caller(&self, nodes: &[SocketAddr], number: usize, time: Duration) {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ 8 ^ ((number as u64) << 8));
@@ -316,6 +327,14 @@
 
     /// Checks what callers saw, and that requests ran as often as they may.
     pub fn check(&self) -> String {
+        let told = self.check_faults();
+        let Counts { whole, ended, .. } = &self.counts;
+        assert!(whole.get() > 0 && ended.get() > 0, "nothing was played: {told}");
+        told
+    }
+
+    /// As [`Servers::check`], where no answer has to come whole.
+    pub fn check_faults(&self) -> String {
         let Counts { sent, whole, broken, taken_up, ended } = &self.counts;
         let told = format!(
             "{} requests to servers of which {} ended, {} whole, {} broken off, {} taken up",
@@ -339,7 +358,6 @@
                 faults.push(format!("REFUSED: {id} ran {runs} times"));
             }
         }
-        assert!(whole.get() > 0 && ended.get() > 0, "nothing was played: {told}");
         let words: Vec<_> = faults.iter().filter_map(|fault| fault.split(':').next()).collect();
         let words = ["ORDER", "MIXED", "TWICE", "REFUSED"]
             .map(|word| format!("{} {word}", words.iter().filter(|each| **each == word).count()));
