--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -13,17 +13,17 @@
 use lifecycle::Unsent;
 use policy::{Ending, Reason};
 
-use crate::adapter::{Adapter, Attempt, ServerProtocol, Verdict};
+use crate::adapter::{Adapter, Attempt, ServerProtocol, Statement, Verdict};
 use crate::answer::Answer;
 use crate::cold;
-use crate::events::{OutOfOrder, Splitter, Truncated};
+use crate::events::{Gap, OutOfOrder, Splitter, Truncated};
 use crate::hop;
 use crate::intake::Received;
 use crate::mechanism::Mechanism;
 use crate::reach;
 use crate::state::State;
 use crate::statements;
-use crate::survival::Survival;
+use crate::survival::{self, Survival};
 
 /// Time to connect to a server. A running one accepts within a round trip of a few tens of
 /// milliseconds; nothing was sent yet, so another server can be tried at once.
@@ -61,6 +61,17 @@
     /// The events aren't those of one answer, so no other server can continue it.
     #[error("the events of the answer are out of order: {0}")]
     OutOfOrder(OutOfOrder),
+    /// The server left events out, which another one can still send.
+    #[error("{0}")]
+    Incomplete(Gap),
+    /// The stream began with weights of another version.
+    #[error("the server went on with weights {got}, and the stream has {expected}")]
+    OtherWeights {
+        /// Version of the stream's last event.
+        expected: u64,
+        /// Version that the server stated.
+        got: u64,
+    },
     /// The request ran, and the server responded with an error.
     #[error("the server failed with status {}", .0.status.as_u16())]
     ServerError(Box<WholeReply>),
@@ -79,6 +90,8 @@
             | AttemptError::Declined(_) => Some(Unsent::assume()),
             AttemptError::Lost(_)
             | AttemptError::OutOfOrder(_)
+            | AttemptError::Incomplete(_)
+            | AttemptError::OtherWeights { .. }
             | AttemptError::ServerError(_)
             | AttemptError::TimedOut => None,
         }
@@ -98,7 +111,10 @@
             AttemptError::Declined(_) => Ending::NotRun,
             AttemptError::ServerError(_) => Ending::ServerError,
             AttemptError::Lost(_) => Ending::Broken,
-            AttemptError::OutOfOrder(_) | AttemptError::TimedOut => Ending::Failed,
+            AttemptError::OutOfOrder(_)
+            | AttemptError::Incomplete(_)
+            | AttemptError::OtherWeights { .. }
+            | AttemptError::TimedOut => Ending::Failed,
         }
     }
 }
@@ -142,6 +158,8 @@
 pub(crate) struct PartialReply {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    /// Version of the model's weights with which it begins, if the server states that.
+    pub(crate) weights: Option<u64>,
     server: Rc<Entry>,
     /// How long the server keeps the connection open while idle, if it stated that.
     keep_alive: Option<Duration>,
@@ -154,6 +172,8 @@
     /// What followed the last whole event, once the body has ended.
     rest: Option<Bytes>,
     survival: Rc<Survival>,
+    /// The question to the server whether it still runs.
+    waiting: Option<survival::Waiting>,
     /// Where a server that isn't an engine is asked for its health.
     health_path: Option<String>,
     /// Whether the server still ran after the answer had ended with its connection.
@@ -198,6 +218,9 @@
         }
         let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
         while !self.ended {
+            if let Some(gap) = self.splitter.as_ref().and_then(Splitter::gap) {
+                return Err(AttemptError::Incomplete(gap));
+            }
             let Some(bytes) = self.body.next().await.map_err(lost)? else {
                 return self.end().await;
             };
@@ -215,21 +238,45 @@
         Ok(None)
     }
 
-    /// Ends the answer, whose body has ended regularly. Returns what is left of it.
+    /// Ends the answer, whose body has ended regularly, and returns what is left of it. If only the end of the
+    /// connection marks its end, it is complete only if its server still runs.
     async fn end(&mut self) -> Result<Option<Chunk>, AttemptError> {
         if self.rest.is_none() {
             let rest = self.finish().map_err(|cause| AttemptError::Lost(cause.to_string()))?;
             self.rest = Some(rest);
         }
-        if self.delimiter() == Delimiter::Connection && self.finding.is_none() {
-            let health_path = self.health_path.as_deref();
-            self.finding = Some(self.survival.confirm(&self.server, health_path).await);
+        if self.delimiter() == Delimiter::Connection {
+            let finding = match (self.finding, &mut self.waiting) {
+                (Some(finding), _) => finding,
+                (None, Some(waiting)) => waiting.finding().await,
+                (None, None) => {
+                    let waiting = self.survival.inquire(&self.server, self.health_path.as_deref());
+                    self.waiting.insert(waiting).finding().await
+                }
+            };
+            if self.finding.replace(finding).is_none() {
+                self.survival.count(finding);
+            }
+            if !finding.is_complete() {
+                let cause = "the connection ended without proof that the answer is complete";
+                return Err(AttemptError::Lost(format!("{cause} (server: {})", finding.as_str())));
+            }
         }
         self.ended = true;
         let bytes = self.rest.take().unwrap_or_default();
         Ok((!bytes.is_empty()).then_some(Chunk { bytes, events: 0 }))
     }
 
+    /// Whether its body has ended regularly, and only proof that it is complete is missing.
+    pub(crate) fn awaits_proof(&self) -> bool {
+        self.rest.is_some()
+    }
+
+    /// Whether it is a stream of events, which another server can continue.
+    pub(crate) fn is_stream(&self) -> bool {
+        self.splitter.is_some()
+    }
+
     /// How the end of the answer is marked.
     fn delimiter(&self) -> Delimiter {
         self.body.delimiter()
@@ -275,6 +322,8 @@
     pub(crate) backup: Option<Rc<Entry>>,
     /// The run continues from the copy that the attempt's server keeps.
     pub(crate) from_copy: bool,
+    /// Version of the model's weights with which the stream has to continue.
+    pub(crate) weights: Option<u64>,
     /// The scheduler's key of the request.
     pub(crate) job: ids::Job,
 }
@@ -314,17 +363,21 @@
         connection.exchange(head, received.body.clone()).await.map_err(lost)?;
     reach::record_reached(state, server);
     let mut mismatched = 0;
-    let keep_alive = loop {
+    let statement = loop {
         let verdict = state.adapter.servers.check_response(&head, &received.call, server);
         let statement = state.adapter.servers.read_statement(&head);
         statements::record(state, server, &head, &verdict, &statement, sent);
         match verdict {
-            Verdict::Answer => break statement.keep_alive,
+            Verdict::Answer => break statement,
             Verdict::Declined => {
                 let status = head.status.as_u16();
                 actix_rt::spawn(recycle(state.clone(), server.clone(), body, statement.keep_alive));
                 return Err(AttemptError::Declined(status));
             }
+            // It may be the server that was expected, with other weights.
+            Verdict::Misdirected if plan.weights.is_some() && statement.name.is_none() => {
+                return Err(AttemptError::Declined(head.status.as_u16()));
+            }
             Verdict::Misdirected => return Err(AttemptError::Misdirected),
             Verdict::Invalid(cause) => return Err(AttemptError::Lost(cause)),
             Verdict::Mismatched if mismatched < MAX_MISMATCHED => {
@@ -341,7 +394,13 @@
             }
         }
     };
-    receive_reply(state, received, server, (head, keep_alive), body, plan.last_event_id).await
+    if let (Some(expected), Some(got)) = (plan.weights, statement.weights)
+        && expected != got
+        && head.status.is_success()
+    {
+        return Err(AttemptError::OtherWeights { expected, got });
+    }
+    receive_reply(state, received, server, (head, statement), body, plan.last_event_id).await
 }
 
 /// Why a request may not be sent to the server that it was assigned to; none if it may. What is known of the server
@@ -357,29 +416,33 @@
     state: &Rc<State<A>>,
     received: &Received,
     server: &Rc<Entry>,
-    (head, keep_alive): (ResponseHead, Option<Duration>),
+    (head, statement): (ResponseHead, Statement),
     body: Body,
     last_event_id: Option<u64>,
 ) -> Result<Reply, AttemptError> {
     let media = head.headers.get("content-type").and_then(|value| value.to_str().ok());
     let events = media.is_some_and(|media| media.starts_with("text/event-stream"));
     let success = head.status.is_success();
-    log::debug!(server = server.name.as_str(), idle:? = keep_alive; "answer started");
+    log::debug!(server = server.name.as_str(), idle:? = statement.keep_alive; "answer started");
     let mut headers = end_to_end_headers(&head.headers);
     if received.hop.is_some() {
         hop::name_server(&mut headers, server);
     }
+    let splitter = (success && events)
+        .then(|| Splitter::resuming_after(last_event_id).sent_by(state.numberings.source(server)));
     let mut reply = PartialReply {
         status: head.status,
         headers,
+        weights: statement.weights,
         server: server.clone(),
-        keep_alive,
+        keep_alive: statement.keep_alive,
         body,
-        splitter: (success && events).then(|| Splitter::resuming_after(last_event_id)),
+        splitter,
         first: None,
         ended: false,
         rest: None,
         survival: state.survival.clone(),
+        waiting: None,
         health_path: health_path(state, server),
         finding: None,
     };
@@ -470,6 +533,7 @@
         last_event_id: plan.last_event_id,
         fetch_from: plan.fetch_from.as_deref(),
         backup: plan.backup.as_deref(),
+        weights: plan.weights,
         from_copy: plan.from_copy,
     };
     let mut head = RequestHead::default();
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -15,7 +15,7 @@
 use policy::Ending;
 use tokio::sync::oneshot;
 
-use crate::adapter::Adapter;
+use crate::adapter::{Adapter, ServerProtocol};
 use crate::attempt::{AttemptError, Chunk, PartialReply, Reply};
 use crate::mechanism::Mechanism;
 use crate::serve::ActiveRequest;
@@ -49,10 +49,11 @@
 
 impl<A: Adapter> Relay<A> {
     pub(crate) fn new(
-        active: ActiveRequest<A>,
+        mut active: ActiveRequest<A>,
         life: lifecycle::Request<Streaming>,
         reply: Box<PartialReply>,
     ) -> Self {
+        active.weights = reply.weights;
         let (began, status) = (reply.server().clone(), reply.status);
         let (life, reply) = (Some(life), Some(reply));
         Relay {
@@ -95,14 +96,18 @@
         if time_left.is_zero() {
             return Err(AttemptError::TimedOut);
         }
-        let repeatable = self.active.received.repeatable().is_some();
+        // What has begun as a plain answer can't be continued: another run answers from its first byte.
+        let repeatable = reply.is_stream() && self.active.received.repeatable().is_some();
         let stalled = stall_after(self.active.received.route().target_pause);
         let patience = stalled.saturating_sub(self.waited);
         let timeout = if repeatable { time_left.min(patience) } else { time_left };
         let asked = self.active.state.clock.now();
         let mut next = tokio::time::timeout(timeout, reply.next_chunk()).await;
-        if next.is_err() && repeatable && !self.active.submission.may_retry() {
-            // No other server may continue the stream, so its own is waited for.
+        if next.is_err()
+            && repeatable
+            && (reply.awaits_proof() || !self.active.submission.may_retry())
+        {
+            // No other server may continue the stream, or nothing of it is missing, so its own is waited for.
             let time_left = self.active.received.time_left(&self.active.state);
             next = tokio::time::timeout(time_left, reply.next_chunk()).await;
         }
@@ -116,8 +121,12 @@
 
     /// Counts the tokens of a chunk and measures its delay; returns its bytes.
     fn record_chunk(&mut self, chunk: Chunk) -> Bytes {
-        let ActiveRequest { state, received, submission, stats, server, .. } = &mut self.active;
+        let ActiveRequest { state, received, submission, stats, server, weights, .. } =
+            &mut self.active;
         if chunk.events > 0 {
+            if weights.is_some() {
+                *weights = state.adapter.servers.read_weights(&chunk.bytes).or(*weights);
+            }
             let settings = state.settings.borrow();
             let services = settings.as_ref().map(|settings| &settings.services);
             let service = server.as_ref().map(|server| &server.service);
@@ -188,7 +197,7 @@
     fn log_resumed(&self, server: &Entry, after_event: Option<u64>) {
         log::info!(
             request = self.active.received.call.id.as_str(), server = server.name.as_str(),
-            version = server.version.as_str(), after_event = after_event;
+            version = server.version.as_str(), weights = self.active.weights, after_event = after_event;
             "stream resumed at another server"
         );
     }
@@ -199,7 +208,9 @@
         let mut error = error;
         // Dropping the reply closes its connection: the previous server must not continue while
         // another one does.
-        let last = self.reply.take().and_then(|reply| reply.last_event_id());
+        let reply = self.reply.take();
+        let is_stream = reply.as_ref().is_some_and(|reply| reply.is_stream());
+        let last = reply.and_then(|reply| reply.last_event_id());
         let last = last.max(self.active.received.call.last_event_id);
         loop {
             let crash = match self.active.server.clone() {
@@ -215,7 +226,7 @@
             let ending = error.ending();
             let enabled = self.active.state.switches.is_on(Mechanism::Resumption);
             let in_order = !matches!(error, AttemptError::OutOfOrder(_));
-            let resumable = enabled && in_order && self.restrict_to_version();
+            let resumable = is_stream && enabled && in_order && self.restrict_to_version();
             let Some(proof) = self.active.received.repeatable().filter(|_| resumable) else {
                 self.active.submission.end_attempt(ending);
                 break;
