--- a/components/forward/src/events/tests.rs
+++ b/components/forward/src/events/tests.rs
@@ -1,6 +1,6 @@
 use http_client::Delimiter;
 
-use super::{Splitter, Truncated};
+use super::{Gap, Source, Splitter, Truncated};
 
 /// The network may cut the stream at any byte. Only whole events are returned, and none is lost.
 #[test]
@@ -91,3 +91,46 @@
     cut.push(b"id: 1\ndata: a\n\n: en").unwrap();
     assert_eq!(cut.finish(Delimiter::Connection), Err(Truncated::InsideEvent(4)));
 }
+
+/// A server whose numbering isn't known yet.
+fn source() -> Source {
+    Source { server: 1, numbering: Default::default() }
+}
+
+/// An event is missing, and the network cuts the stream at any byte. Guards against losing what came before it, and
+/// against passing on what follows.
+#[test]
+fn events_before_a_gap_come_out_and_no_others() {
+    let text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n";
+    for cut in 0..text.len() {
+        let mut splitter = Splitter::default().sent_by(source());
+        let mut out = String::new();
+        for part in [&text[..cut], &text[cut..]] {
+            if let Some(batch) = splitter.push(part.as_bytes()).unwrap() {
+                out.push_str(std::str::from_utf8(&batch.bytes).unwrap());
+            }
+        }
+        assert_eq!(out, text[..text.len() / 2], "{cut}");
+        assert_eq!(splitter.last_id(), Some(2));
+        assert_eq!(splitter.gap(), Some(Gap { id: 4, last: Some(2) }));
+    }
+}
+
+/// The server that continues a stream repeats events that the caller has, in part or beyond. Guards against taking what
+/// it leaves out of these for a missing event.
+#[test]
+fn events_that_the_caller_has_arent_missing() {
+    let event = |id: u64| format!("id: {id}\ndata: {id}\n\n");
+    for repeated in [vec![], vec![3], vec![2], vec![1, 3], vec![1, 2, 3]] {
+        let mut splitter = Splitter::resuming_after(Some(3)).sent_by(source());
+        splitter.source.as_ref().unwrap().numbering.borrow_mut().judge(
+            2,
+            endings::Before::Nothing,
+            1,
+        );
+        let text: String = repeated.iter().copied().chain([4, 5, 7]).map(event).collect();
+        let batch = splitter.push(text.as_bytes()).unwrap().unwrap();
+        assert_eq!(&batch.bytes[..], (event(4) + &event(5)).as_bytes(), "{repeated:?}");
+        assert_eq!(splitter.gap(), Some(Gap { id: 7, last: Some(5) }), "{repeated:?}");
+    }
+}
