A connection that was opened under an answer bears witness of a server that doesn't state its start

What callers saw, in the soak: a stream of a plain service that ends after piece 35 of 150 and looks complete; the node was paused while the server was killed and started again at its address and under its name, and the new process gave that name. Cause: the health of a plain service says its name, not its start, so a later process under the name counted as the same. Change: as an answer without a length begins, the node opens a further connection to a server that doesn't state its start, asks over it once and keeps it. It ends with its process. The question after the end goes there first: a response is proof, and a connection that was closed before its time shows that the process has ended. Without one, the name counts as before. Cost: one connection for each plain server that gives such answers, and a question when it is opened; one for many answers.

--- a/components/endings/src/process.rs
+++ b/components/endings/src/process.rs
@@ -17,6 +17,9 @@
     pub enum Proof {
         /// The response states when its process started, and that hasn't changed.
         Start = "start",
+        /// The response came on a connection that was opened while the answer was in progress, so the process at its other
+        /// side has run since then.
+        Connection = "connection",
         /// The response bears the server's name. That the server was started again under the same name within the time
         /// of a question isn't noticed.
         Name = "name",
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -446,6 +446,9 @@
         health_path: health_path(state, server),
         finding: None,
     };
+    if reply.delimiter() == Delimiter::Connection {
+        state.survival.watch(server, reply.health_path.as_deref());
+    }
     if reply.splitter.is_some() {
         reply.first = reply.next_chunk().await?;
         if reply.first.as_ref().is_some_and(|chunk| chunk.events > 0) {
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -3,6 +3,8 @@
 //! What their responses show is decided in `endings`.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::hash_map;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,15 +26,34 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause before a server is asked again whose response showed nothing.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+/// What the health of a server shows that doesn't state its start.
+const NAMED: Finding = Finding::Runs(Proof::Name);
 /// Most bytes of a response that are read.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
+/// Time for which a witness counts if its server doesn't state how long it keeps idle connections.
+const WITNESS_TIME: Duration = Duration::from_secs(4);
+
+/// A connection to a server that is opened while the server gives an answer without a length. It ends with the process
+/// at its other side, so a later process at the same address, under the same name, doesn't respond on it.
+struct Witness {
+    connection: Connection,
+    /// Until when the server keeps it open while it runs.
+    until: Instant,
+}
+
+/// A response that was read to its end, and how long its connection is kept open while idle, if the server stated that.
+type Kept = (Body, Option<Duration>);
+
 /// Finds out whether the process that gave an answer still runs.
 pub(crate) struct Survival {
     servers: Box<dyn ServerProtocol>,
     pool: Pool,
     metrics: Rc<Metrics>,
     inquiries: RefCell<Inquiries<Incarnation, oneshot::Sender<Finding>>>,
+    /// One for each server that doesn't state its start and gives answers without a length; none while it is opened or
+    /// asked.
+    witnesses: RefCell<HashMap<Incarnation, Option<Witness>>>,
 }
 
 /// An answer that waits until it is known whether its server still runs.
@@ -56,8 +77,73 @@
         pool: Pool,
         metrics: Rc<Metrics>,
     ) -> Rc<Self> {
-        let inquiries = RefCell::default();
-        Rc::new(Survival { servers: Box::new(servers), pool, metrics, inquiries })
+        let (inquiries, witnesses) = (RefCell::default(), RefCell::default());
+        Rc::new(Survival { servers: Box::new(servers), pool, metrics, inquiries, witnesses })
+    }
+
+    /// Opens a witness for an answer without a length that has begun, unless there is one, or the server states its start
+    /// when it is asked.
+    pub(crate) fn watch(self: &Rc<Self>, server: &Rc<Entry>, health_path: Option<&str>) {
+        if server.engine {
+            return;
+        }
+        let incarnation = registry::incarnation(server);
+        let now = Instant::now();
+        let mut witnesses = self.witnesses.borrow_mut();
+        let lives = |witness: &Witness| now < witness.until && witness.connection.is_idle();
+        witnesses.retain(|_, witness| witness.as_ref().is_none_or(lives));
+        if let hash_map::Entry::Vacant(vacant) = witnesses.entry(incarnation)
+            && let Some(head) = self.servers.self_report_request(server, health_path)
+        {
+            vacant.insert(None);
+            actix_rt::spawn(self.clone().open_witness(server.clone(), head));
+        }
+    }
+
+    /// Opens a witness and asks over it once, which tells whose it is and how long it is kept open.
+    async fn open_witness(self: Rc<Self>, server: Rc<Entry>, head: RequestHead) {
+        self.metrics.count_connection();
+        self.metrics.count_survival_question();
+        let response = async {
+            let connection = Connection::connect(&server.address, RESPONSE_TIMEOUT).await?;
+            self.exchange(connection, &head).await
+        };
+        let response = tokio::time::timeout(RESPONSE_TIMEOUT, response).await;
+        let kept = match response {
+            Ok(Ok((testimony, kept))) if process(&server).judge(&testimony) == NAMED => Some(kept),
+            _ => None,
+        };
+        self.keep_witness(registry::incarnation(&server), kept);
+    }
+
+    /// Keeps a connection as a witness, if it can be used again.
+    fn keep_witness(&self, incarnation: Incarnation, kept: Option<Kept>) {
+        let witness = kept.and_then(|(body, keep_alive)| {
+            let until = Instant::now() + keep_alive.unwrap_or(WITNESS_TIME);
+            Some(Witness { connection: body.into_connection()?, until })
+        });
+        let mut witnesses = self.witnesses.borrow_mut();
+        match witness {
+            Some(witness) => drop(witnesses.insert(incarnation, Some(witness))),
+            None => drop(witnesses.remove(&incarnation)),
+        }
+    }
+
+    /// Asks over the witness, if there is one. One that was closed before its time shows that the process has ended.
+    async fn ask_witness(&self, server: &Entry, head: &RequestHead) -> Option<Finding> {
+        let incarnation = registry::incarnation(server);
+        let witness = self.witnesses.borrow_mut().get_mut(&incarnation).and_then(Option::take)?;
+        let until = witness.until;
+        let response = self.exchange(witness.connection, head).await;
+        let (finding, kept) = match response {
+            Ok((testimony, kept)) if process(server).judge(&testimony) == NAMED => {
+                (Some(Finding::Runs(Proof::Connection)), Some(kept))
+            }
+            Err(_) if Instant::now() < until => (Some(Finding::Ended), None),
+            _ => (None, None),
+        };
+        self.keep_witness(incarnation, kept);
+        finding
     }
 
     /// Begins to find out whether the process of `server`, the connection of whose answer has ended, still runs. Plain
@@ -114,9 +200,10 @@
 
     /// Sends one question, over an idle connection if there is one.
     async fn ask(&self, server: &Entry, head: &RequestHead) -> Finding {
-        // Only engines state their start when they are asked.
-        let start = server.started.filter(|_| server.engine);
-        let process = Process { name: server.name.clone(), start };
+        if let Some(finding) = self.ask_witness(server, head).await {
+            return finding;
+        }
+        let process = process(server);
         while let Some(connection) = self.pool.take(&server.address) {
             // What comes over an idle connection may have been on its way already; a start or a name is only in
             // responses to questions.
@@ -143,7 +230,7 @@
         server: &Entry,
         process: &Process,
         testimony: &Testimony,
-        (body, keep_alive): (Body, Option<Duration>),
+        (body, keep_alive): Kept,
     ) -> Finding {
         let finding = process.judge(testimony);
         if let Finding::Runs(Proof::Start | Proof::Name) = finding {
@@ -157,7 +244,7 @@
         &self,
         connection: Connection,
         head: &RequestHead,
-    ) -> Result<(Testimony, (Body, Option<Duration>)), Error> {
+    ) -> Result<(Testimony, Kept), Error> {
         let mut question = RequestHead::default();
         (question.method, question.uri) = (head.method.clone(), head.uri.clone());
         question.headers = head.headers.clone();
@@ -175,3 +262,9 @@
         Ok((Testimony { name, start, misdirected, unrelated }, (body, keep_alive)))
     }
 }
+
+/// The process that an entry describes. Only engines state their start when they are asked.
+fn process(server: &Entry) -> Process {
+    let start = server.started.filter(|_| server.engine);
+    Process { name: server.name.clone(), start }
+}
--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -136,7 +136,7 @@
 
     /// The connection, if both sides keep it open; the body must have ended. A connection on which bytes
     /// arrived after the end isn't used again, since they belong to no request.
-    pub(crate) fn into_connection(self) -> Option<Connection> {
+    pub fn into_connection(self) -> Option<Connection> {
         let (keep_alive, rest, io) = match self.framing {
             Framing::Empty(framed) => {
                 let keep_alive = framed.codec_ref().keep_alive();
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -86,7 +86,17 @@
     }
 
     /// Whether the connection is open and nothing arrived since the last response.
-    fn is_idle(&self) -> bool {
+    ///
+    /// ```
+    /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = listener.local_addr().unwrap().to_string();
+    /// let timeout = std::time::Duration::from_secs(1);
+    /// let connection = http_client::Connection::connect(&address, timeout).await.unwrap();
+    /// assert!(connection.is_idle());
+    /// # });
+    /// ```
+    pub fn is_idle(&self) -> bool {
         let read = self.0.try_read(&mut [0]);
         read.is_err_and(|cause| cause.kind() == io::ErrorKind::WouldBlock)
     }
