A witness that is being asked is taken out, and only a closed connection shows that its process has ended

Found when the change was read again: a question over a witness that ran out of time left its place taken for good, so that no other was opened, and an unreadable response counted as the end of the process. The adapter's type for what a server says of itself was the same as endings::Testimony, which it is now.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -10,6 +10,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
 use catalog::{Change, Entry, Settings};
+pub use endings::Testimony;
 pub use policy::Part;
 pub use wire::updates::{Item, Position};
 
@@ -124,18 +125,6 @@
         pub weights: Option<u64>,
     }
 
-    /// What a server says of itself when it is asked.
-    pub struct SelfReport {
-        /// Its name, if it states one.
-        pub name: Option<String>,
-        /// When its process started, in milliseconds since 1970 by its own clock, if it states that.
-        pub start: Option<u64>,
-        /// The server that was asked for isn't at this address.
-        pub misdirected: bool,
-        /// It is the answer to a request of a caller, not to the question.
-        pub unrelated: bool,
-    }
-
     /// The head of a request is invalid; the text says what to send instead.
     pub struct Malformed(pub String);
 }
@@ -170,7 +159,7 @@
     -> Option<RequestHead>;
 
     /// Reads the response to such a request.
-    fn read_self_report(&self, head: &ResponseHead, body: &[u8]) -> SelfReport;
+    fn read_self_report(&self, head: &ResponseHead, body: &[u8]) -> Testimony;
 }
 
 derives::data! {
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -443,10 +443,11 @@
         rest: None,
         survival: state.survival.clone(),
         waiting: None,
-        health_path: health_path(state, server),
+        health_path: None,
         finding: None,
     };
     if reply.delimiter() == Delimiter::Connection {
+        reply.health_path = health_path(state, server);
         state.survival.watch(server, reply.health_path.as_deref());
     }
     if reply.splitter.is_some() {
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -19,18 +19,17 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::adapter::{SelfReport, ServerProtocol};
+use crate::adapter::ServerProtocol;
 use crate::registry;
 
 /// Time within which a server must respond. The end of an answer waits no longer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause before a server is asked again whose response showed nothing.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
-/// What the health of a server shows that doesn't state its start.
-const NAMED: Finding = Finding::Runs(Proof::Name);
 /// Most bytes of a response that are read.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
-
+/// What the health of a server shows that doesn't state its start.
+const NAMED: Finding = Finding::Runs(Proof::Name);
 /// Time for which a witness counts if its server doesn't state how long it keeps idle connections.
 const WITNESS_TIME: Duration = Duration::from_secs(4);
 
@@ -51,8 +50,7 @@
     pool: Pool,
     metrics: Rc<Metrics>,
     inquiries: RefCell<Inquiries<Incarnation, oneshot::Sender<Finding>>>,
-    /// One for each server that doesn't state its start and gives answers without a length; none while it is opened or
-    /// asked.
+    /// One for each server that doesn't state its start and gives answers without a length; none while it is opened.
     witnesses: RefCell<HashMap<Incarnation, Option<Witness>>>,
 }
 
@@ -132,18 +130,22 @@
     /// Asks over the witness, if there is one. One that was closed before its time shows that the process has ended.
     async fn ask_witness(&self, server: &Entry, head: &RequestHead) -> Option<Finding> {
         let incarnation = registry::incarnation(server);
-        let witness = self.witnesses.borrow_mut().get_mut(&incarnation).and_then(Option::take)?;
+        let witness = {
+            let mut witnesses = self.witnesses.borrow_mut();
+            // One that is being opened stays.
+            witnesses.get(&incarnation)?.as_ref()?;
+            witnesses.remove(&incarnation)??
+        };
         let until = witness.until;
         let response = self.exchange(witness.connection, head).await;
-        let (finding, kept) = match response {
+        match response {
             Ok((testimony, kept)) if process(server).judge(&testimony) == NAMED => {
-                (Some(Finding::Runs(Proof::Connection)), Some(kept))
+                self.keep_witness(incarnation, Some(kept));
+                Some(Finding::Runs(Proof::Connection))
             }
-            Err(_) if Instant::now() < until => (Some(Finding::Ended), None),
-            _ => (None, None),
-        };
-        self.keep_witness(incarnation, kept);
-        finding
+            Err(Error::Closed | Error::Send(_)) if Instant::now() < until => Some(Finding::Ended),
+            _ => None,
+        }
     }
 
     /// Begins to find out whether the process of `server`, the connection of whose answer has ended, still runs. Plain
@@ -256,10 +258,9 @@
                 return Err(Error::Unframed);
             }
         }
-        let SelfReport { name, start, misdirected, unrelated } =
-            self.servers.read_self_report(&head, &bytes);
+        let testimony = self.servers.read_self_report(&head, &bytes);
         let keep_alive = self.servers.read_statement(&head).keep_alive;
-        Ok((Testimony { name, start, misdirected, unrelated }, (body, keep_alive)))
+        Ok((testimony, (body, keep_alive)))
     }
 }
 
