After a question was cut, the name of a server alone is no proof

Cause: since a question that shows nothing is asked again. One that was cut because its server was killed showed nothing; 100 ms later the process that was started in its place responded, under the same name. Change: once the connection of a question is closed before a response, only the start of a process counts, or a witness.

--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -41,6 +41,9 @@
     until: Instant,
 }
 
+/// The connection of a question was closed before a response.
+struct Cut;
+
 /// A response that was read to its end, and how long its connection is kept open while idle, if the server stated that.
 type Kept = (Body, Option<Duration>);
 
@@ -190,39 +193,51 @@
 
     /// Asks a server until a response shows whether its process runs.
     async fn find_out(&self, server: &Entry, head: &RequestHead) -> Finding {
+        let mut cut = false;
         loop {
             self.metrics.count_survival_question();
-            let finding = self.ask(server, head).await;
-            if finding != Finding::Unknown {
-                return finding;
+            match self.ask(server, head).await {
+                Ok(Finding::Unknown) => {}
+                // The server may have been started again since a question was cut.
+                Ok(Finding::Runs(Proof::Name | Proof::Address)) if cut => {}
+                Ok(finding) => return finding,
+                Err(Cut) => cut = true,
             }
             tokio::time::sleep(REPEAT_PAUSE).await;
         }
     }
 
-    /// Sends one question, over an idle connection if there is one.
-    async fn ask(&self, server: &Entry, head: &RequestHead) -> Finding {
+    /// Sends one question, over an idle connection if there is one. Fails if the connection of the question is closed
+    /// before a response.
+    async fn ask(&self, server: &Entry, head: &RequestHead) -> Result<Finding, Cut> {
         if let Some(finding) = self.ask_witness(server, head).await {
-            return finding;
+            return Ok(finding);
         }
         let process = process(server);
         while let Some(connection) = self.pool.take(&server.address) {
             // What comes over an idle connection may have been on its way already; a start or a name is only in
             // responses to questions.
-            if let Ok((testimony, body)) = self.exchange(connection, head).await
-                && (testimony.start.is_some() || testimony.name.is_some() || testimony.misdirected)
-            {
-                return self.judge(server, &process, &testimony, body);
+            match self.exchange(connection, head).await {
+                Err(Error::Closed | Error::Send(_)) => return Err(Cut),
+                Ok((testimony, kept))
+                    if testimony.start.is_some()
+                        || testimony.name.is_some()
+                        || testimony.misdirected =>
+                {
+                    return Ok(self.judge(server, &process, &testimony, kept));
+                }
+                _ => {}
             }
         }
         self.metrics.count_connection();
         match Connection::connect(&server.address, RESPONSE_TIMEOUT).await {
             Ok(connection) => match self.exchange(connection, head).await {
-                Ok((testimony, body)) => self.judge(server, &process, &testimony, body),
-                Err(_) => Finding::Unknown,
+                Ok((testimony, kept)) => Ok(self.judge(server, &process, &testimony, kept)),
+                Err(Error::Closed | Error::Send(_)) => Err(Cut),
+                Err(_) => Ok(Finding::Unknown),
             },
-            Err(cause) if cause.kind() == ErrorKind::ConnectionRefused => Finding::Ended,
-            Err(_) => Finding::Unknown,
+            Err(cause) if cause.kind() == ErrorKind::ConnectionRefused => Ok(Finding::Ended),
+            Err(_) => Ok(Finding::Unknown),
         }
     }
 
