Witnesses are opened before requests are sent, and names count only where there can be none

Cause, by reading: a witness that was closed by a kill was replaced by one to the process started in its place, and the answer of the former counted as witnessed by it; and answers that began before a witness was open went by the name alone. Change: once a service has given an answer without a length, a witness is opened before a request is sent to it; it counts only if it was opened before bytes of the answer last arrived; and without one, a name is no proof for such a request. Cost: a round trip before the first request to a server of such a service, no question as a witness is opened.

--- a/components/endings/src/inquiry.rs
+++ b/components/endings/src/inquiry.rs
@@ -61,6 +61,18 @@
         true
     }
 
+    /// The answers that the question to `process` under way settles.
+    ///
+    /// ```
+    /// let mut inquiries = endings::Inquiries::default();
+    /// inquiries.add("server", "first");
+    /// inquiries.add("server", "second");
+    /// assert_eq!(inquiries.asked(&"server"), ["first"]);
+    /// ```
+    pub fn asked(&self, process: &K) -> &[W] {
+        self.rounds.get(process).map_or(&[], |round| &round.asked)
+    }
+
     /// Ends the question to `process`. A process that has ended has ended for all answers; that it runs is shown only
     /// for those whose connections ended before the question was sent.
     pub fn settle(&mut self, process: &K, finding: Finding) -> Settled<W> {
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -12,6 +12,7 @@
 use http_client::{Body, Connection, Delimiter};
 use lifecycle::Unsent;
 use policy::{Ending, Reason};
+use tokio::time::Instant;
 
 use crate::adapter::{Adapter, Attempt, ServerProtocol, Statement, Verdict};
 use crate::answer::Answer;
@@ -172,6 +173,10 @@
     /// What followed the last whole event, once the body has ended.
     rest: Option<Bytes>,
     survival: Rc<Survival>,
+    /// When bytes of it last arrived.
+    alive_at: Instant,
+    /// A witness of its server was opened before its request was sent, or should have been.
+    prepared: bool,
     /// The question to the server whether it still runs.
     waiting: Option<survival::Waiting>,
     /// Where a server that isn't an engine is asked for its health.
@@ -224,6 +229,7 @@
             let Some(bytes) = self.body.next().await.map_err(lost)? else {
                 return self.end().await;
             };
+            self.alive_at = Instant::now();
             let Some(splitter) = &mut self.splitter else {
                 return Ok(Some(Chunk { bytes, events: 1 }));
             };
@@ -250,7 +256,9 @@
                 (Some(finding), _) => finding,
                 (None, Some(waiting)) => waiting.finding().await,
                 (None, None) => {
-                    let waiting = self.survival.inquire(&self.server, self.health_path.as_deref());
+                    let since = (self.alive_at, self.prepared);
+                    let health_path = self.health_path.as_deref();
+                    let waiting = self.survival.inquire(&self.server, health_path, since);
                     self.waiting.insert(waiting).finding().await
                 }
             };
@@ -336,6 +344,7 @@
     server: &Rc<Entry>,
     plan: &Plan,
 ) -> Result<Reply, AttemptError> {
+    let prepared = state.survival.prepare(server).await;
     let connection = match state.pool.take(&server.address) {
         Some(connection) => connection,
         None => {
@@ -400,7 +409,8 @@
     {
         return Err(AttemptError::OtherWeights { expected, got });
     }
-    receive_reply(state, received, server, (head, statement), body, plan.last_event_id).await
+    let after = plan.last_event_id;
+    receive_reply(state, received, server, (head, statement), (body, prepared), after).await
 }
 
 /// Why a request may not be sent to the server that it was assigned to; none if it may. What is known of the server
@@ -417,7 +427,7 @@
     received: &Received,
     server: &Rc<Entry>,
     (head, statement): (ResponseHead, Statement),
-    body: Body,
+    (body, prepared): (Body, bool),
     last_event_id: Option<u64>,
 ) -> Result<Reply, AttemptError> {
     let media = head.headers.get("content-type").and_then(|value| value.to_str().ok());
@@ -442,13 +452,15 @@
         ended: false,
         rest: None,
         survival: state.survival.clone(),
+        alive_at: Instant::now(),
+        prepared,
         waiting: None,
         health_path: None,
         finding: None,
     };
     if reply.delimiter() == Delimiter::Connection {
         reply.health_path = health_path(state, server);
-        state.survival.watch(server, reply.health_path.as_deref());
+        state.survival.watch(server);
     }
     if reply.splitter.is_some() {
         reply.first = reply.next_chunk().await?;
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -3,8 +3,7 @@
 //! What their responses show is decided in `endings`.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::collections::hash_map;
+use std::collections::{HashMap, HashSet};
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::ServerProtocol;
+use crate::attempt::CONNECT_TIMEOUT;
 use crate::registry;
 
 /// Time within which a server must respond. The end of an answer waits no longer.
@@ -33,14 +33,34 @@
 /// Time for which a witness counts if its server doesn't state how long it keeps idle connections.
 const WITNESS_TIME: Duration = Duration::from_secs(4);
 
-/// A connection to a server that is opened while the server gives an answer without a length. It ends with the process
-/// at its other side, so a later process at the same address, under the same name, doesn't respond on it.
+/// A connection to a server that was opened before an answer without a length, or as the first one began. It ends with the
+/// process at its other side, so a later process at the same address, under the same name, doesn't respond on it.
 struct Witness {
     connection: Connection,
+    opened: Instant,
     /// Until when the server keeps it open while it runs.
     until: Instant,
 }
 
+/// What a witness shows of an answer that has ended.
+enum Witnessed {
+    /// Whether the process of the answer still runs.
+    Shows(Finding),
+    /// Nothing, as the server may have closed it after its time.
+    Expired,
+    /// Nothing, as there is none that was opened early enough.
+    Missing,
+}
+
+/// An answer whose connection has ended.
+struct Ended {
+    /// When bytes of it last arrived.
+    alive_at: Instant,
+    /// A witness was opened before its request was sent, or should have been.
+    prepared: bool,
+    finding: oneshot::Sender<Finding>,
+}
+
 /// The connection of a question was closed before a response.
 struct Cut;
 
@@ -52,9 +72,11 @@
     servers: Box<dyn ServerProtocol>,
     pool: Pool,
     metrics: Rc<Metrics>,
-    inquiries: RefCell<Inquiries<Incarnation, oneshot::Sender<Finding>>>,
-    /// One for each server that doesn't state its start and gives answers without a length; none while it is opened.
-    witnesses: RefCell<HashMap<Incarnation, Option<Witness>>>,
+    inquiries: RefCell<Inquiries<Incarnation, Ended>>,
+    /// One for each server that doesn't state its start and gives answers without a length.
+    witnesses: RefCell<HashMap<Incarnation, Witness>>,
+    /// Services whose servers have given answers without a length.
+    undelimited: RefCell<HashSet<String>>,
 }
 
 /// An answer that waits until it is known whether its server still runs.
@@ -78,90 +100,92 @@
         pool: Pool,
         metrics: Rc<Metrics>,
     ) -> Rc<Self> {
-        let (inquiries, witnesses) = (RefCell::default(), RefCell::default());
-        Rc::new(Survival { servers: Box::new(servers), pool, metrics, inquiries, witnesses })
+        Rc::new(Survival {
+            servers: Box::new(servers),
+            pool,
+            metrics,
+            inquiries: RefCell::default(),
+            witnesses: RefCell::default(),
+            undelimited: RefCell::default(),
+        })
     }
 
-    /// Opens a witness for an answer without a length that has begun, unless there is one, or the server states its start
-    /// when it is asked.
-    pub(crate) fn watch(self: &Rc<Self>, server: &Rc<Entry>, health_path: Option<&str>) {
-        if server.engine {
-            return;
+    /// Opens a witness before a request is sent to a server, if the service is known to give answers without a length, there
+    /// is no witness, and the server doesn't state its start when it is asked. Returns whether there should be one now.
+    pub(crate) async fn prepare(&self, server: &Entry) -> bool {
+        let expected = self.undelimited.borrow().contains(&server.service);
+        if !expected || server.engine {
+            return false;
         }
         let incarnation = registry::incarnation(server);
-        let now = Instant::now();
-        let mut witnesses = self.witnesses.borrow_mut();
-        let lives = |witness: &Witness| now < witness.until && witness.connection.is_idle();
-        witnesses.retain(|_, witness| witness.as_ref().is_none_or(lives));
-        if let hash_map::Entry::Vacant(vacant) = witnesses.entry(incarnation)
-            && let Some(head) = self.servers.self_report_request(server, health_path)
-        {
-            vacant.insert(None);
-            actix_rt::spawn(self.clone().open_witness(server.clone(), head));
+        let witnesses = &self.witnesses;
+        witnesses.borrow_mut().retain(|_, witness| witness.connection.is_idle());
+        if !witnesses.borrow().contains_key(&incarnation) {
+            self.metrics.count_connection();
+            if let Ok(connection) = Connection::connect(&server.address, CONNECT_TIMEOUT).await {
+                let opened = Instant::now();
+                let witness = Witness { connection, opened, until: opened + WITNESS_TIME };
+                witnesses.borrow_mut().entry(incarnation).or_insert(witness);
+            }
         }
+        true
     }
 
-    /// Opens a witness and asks over it once, which tells whose it is and how long it is kept open.
-    async fn open_witness(self: Rc<Self>, server: Rc<Entry>, head: RequestHead) {
-        self.metrics.count_connection();
-        self.metrics.count_survival_question();
-        let response = async {
-            let connection = Connection::connect(&server.address, RESPONSE_TIMEOUT).await?;
-            self.exchange(connection, &head).await
-        };
-        let response = tokio::time::timeout(RESPONSE_TIMEOUT, response).await;
-        let kept = match response {
-            Ok(Ok((testimony, kept))) if process(&server).judge(&testimony) == NAMED => Some(kept),
-            _ => None,
-        };
-        self.keep_witness(registry::incarnation(&server), kept);
-    }
-
-    /// Keeps a connection as a witness, if it can be used again.
-    fn keep_witness(&self, incarnation: Incarnation, kept: Option<Kept>) {
-        let witness = kept.and_then(|(body, keep_alive)| {
-            let until = Instant::now() + keep_alive.unwrap_or(WITNESS_TIME);
-            Some(Witness { connection: body.into_connection()?, until })
-        });
-        let mut witnesses = self.witnesses.borrow_mut();
-        match witness {
-            Some(witness) => drop(witnesses.insert(incarnation, Some(witness))),
-            None => drop(witnesses.remove(&incarnation)),
+    /// Records that a server gives an answer without a length. Opens a witness for the first one of its service.
+    pub(crate) fn watch(self: &Rc<Self>, server: &Rc<Entry>) {
+        if server.engine {
+            return;
+        }
+        if self.undelimited.borrow_mut().insert(server.service.clone()) {
+            let (survival, server) = (self.clone(), server.clone());
+            actix_rt::spawn(async move { survival.prepare(&server).await });
         }
     }
 
-    /// Asks over the witness, if there is one. One that was closed before its time shows that the process has ended.
-    async fn ask_witness(&self, server: &Entry, head: &RequestHead) -> Option<Finding> {
+    /// Asks over the witness whether the process runs that gave an answer, of which bytes arrived at `alive_at`. A witness
+    /// that was closed before its time shows that the process has ended.
+    async fn ask_witness(
+        &self,
+        server: &Entry,
+        head: &RequestHead,
+        alive_at: Instant,
+    ) -> Witnessed {
         let incarnation = registry::incarnation(server);
-        let witness = {
-            let mut witnesses = self.witnesses.borrow_mut();
-            // One that is being opened stays.
-            witnesses.get(&incarnation)?.as_ref()?;
-            witnesses.remove(&incarnation)??
+        let witness = self.witnesses.borrow_mut().remove(&incarnation);
+        let Some(Witness { connection, opened, until }) = witness else {
+            return Witnessed::Missing;
         };
-        let until = witness.until;
-        let response = self.exchange(witness.connection, head).await;
-        match response {
-            Ok((testimony, kept)) if process(server).judge(&testimony) == NAMED => {
-                self.keep_witness(incarnation, Some(kept));
-                Some(Finding::Runs(Proof::Connection))
+        let response = self.exchange(connection, head).await;
+        let finding = match response {
+            Ok((testimony, (body, keep_alive))) if process(server).judge(&testimony) == NAMED => {
+                if let Some(connection) = body.into_connection() {
+                    let until = Instant::now() + keep_alive.unwrap_or(WITNESS_TIME);
+                    let witness = Witness { connection, opened, until };
+                    self.witnesses.borrow_mut().insert(incarnation, witness);
+                }
+                Finding::Runs(Proof::Connection)
             }
-            Err(Error::Closed | Error::Send(_)) if Instant::now() < until => Some(Finding::Ended),
-            _ => None,
-        }
+            Err(Error::Closed | Error::Send(_)) if Instant::now() < until => Finding::Ended,
+            Err(Error::Closed | Error::Send(_)) => return Witnessed::Expired,
+            _ => return Witnessed::Missing,
+        };
+        if opened <= alive_at { Witnessed::Shows(finding) } else { Witnessed::Missing }
     }
 
     /// Begins to find out whether the process of `server`, the connection of whose answer has ended, still runs. Plain
-    /// services are asked at `health_path`, if they have one.
+    /// services are asked at `health_path`, if they have one. Bytes of the answer last arrived at `alive_at`; `prepared` is
+    /// what [`Survival::prepare`] returned.
     pub(crate) fn inquire(
         self: &Rc<Self>,
         server: &Rc<Entry>,
         health_path: Option<&str>,
+        (alive_at, prepared): (Instant, bool),
     ) -> Waiting {
         let (sender, finding) = oneshot::channel();
         let until = Instant::now() + RESPONSE_TIMEOUT;
+        let ended = Ended { alive_at, prepared, finding: sender };
         if let Some(head) = self.servers.self_report_request(server, health_path)
-            && self.inquiries.borrow_mut().add(registry::incarnation(server), sender)
+            && self.inquiries.borrow_mut().add(registry::incarnation(server), ended)
         {
             actix_rt::spawn(self.clone().settle_all(server.clone(), head));
         }
@@ -177,13 +201,21 @@
     async fn settle_all(self: Rc<Self>, server: Rc<Entry>, head: RequestHead) {
         let incarnation = registry::incarnation(&server);
         loop {
-            let asked = tokio::time::timeout(RESPONSE_TIMEOUT, self.find_out(&server, &head)).await;
-            let finding = asked.unwrap_or(Finding::Unknown);
+            let (alive_at, prepared) = {
+                let inquiries = self.inquiries.borrow();
+                let asked = inquiries.asked(&incarnation);
+                let alive_at = asked.iter().map(|ended| ended.alive_at).min();
+                let prepared = asked.iter().any(|ended| ended.prepared);
+                (alive_at.unwrap_or_else(Instant::now), prepared)
+            };
+            let finding = self.find_out(&server, &head, alive_at, prepared);
+            let finding = tokio::time::timeout(RESPONSE_TIMEOUT, finding).await;
+            let finding = finding.unwrap_or(Finding::Unknown);
             let Settled { waiters, ask_again } =
                 self.inquiries.borrow_mut().settle(&incarnation, finding);
             for waiter in waiters {
                 // The caller may have left meanwhile.
-                let _ = waiter.send(finding);
+                let _ = waiter.finding.send(finding);
             }
             if !ask_again {
                 return;
@@ -192,16 +224,27 @@
     }
 
     /// Asks a server until a response shows whether its process runs.
-    async fn find_out(&self, server: &Entry, head: &RequestHead) -> Finding {
-        let mut cut = false;
+    async fn find_out(
+        &self,
+        server: &Entry,
+        head: &RequestHead,
+        alive_at: Instant,
+        prepared: bool,
+    ) -> Finding {
+        self.metrics.count_survival_question();
+        let mut names_count = match self.ask_witness(server, head, alive_at).await {
+            Witnessed::Shows(finding) => return finding,
+            Witnessed::Expired => true,
+            Witnessed::Missing => !prepared,
+        };
         loop {
             self.metrics.count_survival_question();
             match self.ask(server, head).await {
                 Ok(Finding::Unknown) => {}
-                // The server may have been started again since a question was cut.
-                Ok(Finding::Runs(Proof::Name | Proof::Address)) if cut => {}
+                Ok(Finding::Runs(Proof::Name | Proof::Address)) if !names_count => {}
                 Ok(finding) => return finding,
-                Err(Cut) => cut = true,
+                // The server may have been started again under its name when it is asked next.
+                Err(Cut) => names_count = false,
             }
             tokio::time::sleep(REPEAT_PAUSE).await;
         }
@@ -210,9 +253,6 @@
     /// Sends one question, over an idle connection if there is one. Fails if the connection of the question is closed
     /// before a response.
     async fn ask(&self, server: &Entry, head: &RequestHead) -> Result<Finding, Cut> {
-        if let Some(finding) = self.ask_witness(server, head).await {
-            return Ok(finding);
-        }
         let process = process(server);
         while let Some(connection) = self.pool.take(&server.address) {
             // What comes over an idle connection may have been on its way already; a start or a name is only in
