--- a/tests/soak/servers.rs
+++ b/tests/soak/servers.rs
@@ -300,12 +300,13 @@
                     let order = Order { pieces: 5, pace: POLL, framing };
                     let (service, _) = SERVICES[count % SERVICES.len()];
                     let node = std::slice::from_ref(node);
-                    self.call(node, service, &id, kind, &order, &mut rng).await
+                    let whole = self.call(node, service, &id, kind, &order, &mut rng).await;
+                    (whole, format!("{service} {kind:?} {framing:?}"))
                 });
             }
         }
         // A few at once, for servers have few slots.
-        let (mut whole, count) = (0, calls.len());
+        let (mut lost, count) = (vec![], calls.len());
         let mut calls = calls.into_iter();
         loop {
             let some: Vec<_> = calls.by_ref().take(ADDRESSES * 4).collect();
@@ -313,9 +314,11 @@
                 break;
             }
             let told = futures_util::future::join_all(some).await;
-            whole += told.into_iter().filter(|whole| *whole).count();
+            lost.extend(told.into_iter().filter(|(whole, _)| !whole).map(|(_, about)| about));
         }
-        assert!(whole * 10 >= count * 9, "{whole} of {count} answers came whole after all faults");
+        let whole = count - lost.len();
+        let told = format!("{whole} of {count} answers came whole after all faults, not {lost:?}");
+        assert!(whole * 10 >= count * 9, "{told}");
     }
 
     /// First words of all lines of the journal.
