--- a/components/endings/src/numbering.rs
+++ b/components/endings/src/numbering.rs
@@ -1,7 +1,7 @@
 //! Decides what a gap between the ids of two events of a stream shows.
 //!
 //! Ids increase, but need not be consecutive: a server may number its events, or the tokens or bytes up to them. Where
-//! events are numbered one by one, a gap means that an event is missing. A single stream doesn't tell the two apart: 1,
+//! events are numbered one by one, a gap means that an event is missing. A single stream doesn't show which: 1,
 //! 3, 5 is the whole of a stream whose ids rise by two, and what is left of one with five events. So the answers of all
 //! servers that run the same software are compared. How ids are given is a matter of the software, so that gaps which
 //! belong there show at most servers. Events are lost by single processes.
@@ -60,7 +60,7 @@
     }
 }
 
-/// How the servers with the same software number the events of their streams, as far as that was seen.
+/// How the servers with the same software number the events of their streams, as far as that is known.
 ///
 /// ```
 /// use endings::{Before, Numbering, Verdict};
--- a/components/endings/tests/numbering.rs
+++ b/components/endings/tests/numbering.rs
@@ -35,7 +35,7 @@
 }
 
 /// Servers number events one by one from 1, and one stream lacks some of them. Guards against an event that is passed on
-/// although the one before it is missing, whether or not streams were seen before.
+/// although the one before it is missing, whether or not there were streams before.
 #[test]
 fn no_event_is_passed_on_after_a_missing_one() {
     for seen in [0, 1, 2, 40] {
--- a/tests/soak/program.rs
+++ b/tests/soak/program.rs
@@ -1,4 +1,4 @@
-//! A server as a process of its own. It tells a journal what it runs and what it is asked, and answers in pieces, each
+//! A server as a process of its own. It writes what it runs and what it is asked to a journal, and answers in pieces, each
 //! of which is one write.
 
 use std::cell::Cell;
