--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -118,7 +118,8 @@
 /// The check of answers passes over a piece that is missing, comes twice or is of another run, and no soak fails then.
 #[test]
 fn faults_of_answers_are_noticed() {
-    let head = "HTTP/1.1 200 OK\r\nx-server-signature: 0-0.0\r\ntransfer-encoding: chunked\r\n\r\n";
+    let signed = fixture::RESPONSE_HEAD.replace("{id}", "a").replace("s.1", "0-0.0");
+    let head = signed + "transfer-encoding: chunked\r\n\r\n";
     let event = |number: u32, run: &str| {
         fixture::http_chunk(&format!("id: {number}\ndata: {run}.{number}\n\n"))
     };
--- a/tests/soak/pieces.rs
+++ b/tests/soak/pieces.rs
@@ -1,6 +1,6 @@
 //! What a caller got of an answer in pieces, and what is wrong with it.
 
-use crate::fixture::Kind;
+use crate::fixture::{Kind, RESPONSE_HEAD};
 
 /// A piece of an answer, and which run of which server wrote it.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,7 +34,8 @@
             None if head.contains("transfer-encoding: chunked") => dechunk(body),
             None => (body.to_string(), false),
         };
-        let signed = head.contains("x-server-signature: ");
+        let signature = RESPONSE_HEAD.lines().find_map(|line| line.strip_suffix("s.1"));
+        let signed = head.contains(signature.expect("a server's answer is signed"));
         Answer { status, complete, signed, body }
     }
 
