A request isn't kept waiting for a witness of a server that can't be reached

Cause, by reading: since a request waits up to 0.3 s for a witness before it connects itself; a node that is cut from all servers then took 0.6 s to notice that one can't be reached, longer than these callers wait, so that it never noticed. Change: if no connection can be made for the witness, the attempt counts as one that reached nothing, without a second connection.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -344,7 +344,10 @@
     server: &Rc<Entry>,
     plan: &Plan,
 ) -> Result<Reply, AttemptError> {
-    let prepared = state.survival.prepare(server).await;
+    let prepared = state.survival.prepare(server).await.map_err(|cause| {
+        reach::record_unreached(state, server);
+        AttemptError::Unreached(cause.to_string())
+    })?;
     let connection = match state.pool.take(&server.address) {
         Some(connection) => connection,
         None => {
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -4,7 +4,7 @@
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -111,24 +111,26 @@
     }
 
     /// Opens a witness before a request is sent to a server, if the service is known to give answers without a length, there
-    /// is no witness, and the server doesn't state its start when it is asked. Returns whether there should be one now.
-    pub(crate) async fn prepare(&self, server: &Entry) -> bool {
+    /// is no witness, and the server doesn't state its start when it is asked. Returns whether there is one now.
+    ///
+    /// # Errors
+    /// When no connection to the server can be made, so that a request wouldn't reach it either.
+    pub(crate) async fn prepare(&self, server: &Entry) -> io::Result<bool> {
         let expected = self.undelimited.borrow().contains(&server.service);
         if !expected || server.engine {
-            return false;
+            return Ok(false);
         }
         let incarnation = registry::incarnation(server);
         let witnesses = &self.witnesses;
         witnesses.borrow_mut().retain(|_, witness| witness.connection.is_idle());
         if !witnesses.borrow().contains_key(&incarnation) {
             self.metrics.count_connection();
-            if let Ok(connection) = Connection::connect(&server.address, CONNECT_TIMEOUT).await {
-                let opened = Instant::now();
-                let witness = Witness { connection, opened, until: opened + WITNESS_TIME };
-                witnesses.borrow_mut().entry(incarnation).or_insert(witness);
-            }
+            let connection = Connection::connect(&server.address, CONNECT_TIMEOUT).await?;
+            let opened = Instant::now();
+            let witness = Witness { connection, opened, until: opened + WITNESS_TIME };
+            witnesses.borrow_mut().entry(incarnation).or_insert(witness);
         }
-        true
+        Ok(true)
     }
 
     /// Records that a server gives an answer without a length. Opens a witness for the first one of its service.
@@ -138,7 +140,11 @@
         }
         if self.undelimited.borrow_mut().insert(server.service.clone()) {
             let (survival, server) = (self.clone(), server.clone());
-            actix_rt::spawn(async move { survival.prepare(&server).await });
+            actix_rt::spawn(async move {
+                if let Err(cause) = survival.prepare(&server).await {
+                    log::debug!(server = server.name.as_str(), cause:% = cause; "no witness");
+                }
+            });
         }
     }
 
