A take-up logs the age of the node's list, and how many peers answered

A conclusion from silence, or from a list that is some time old, looked like one from the answers of all peers: the lines had only the origin `only-version`. They now have `list_age_ms`, `answered` and `silent`.

--- a/components/forward/src/resumption/taking_up.rs
+++ b/components/forward/src/resumption/taking_up.rs
@@ -58,6 +58,13 @@
     }
 }
 
+/// How many peers answered a question, and how many didn't.
+#[derive(Clone, Copy, Debug, Default)]
+struct Answers {
+    received: usize,
+    missing: usize,
+}
+
 /// Restricts a request that takes a stream up to the version that began it.
 ///
 /// # Errors
@@ -71,16 +78,17 @@
     if !takes_up || !received.is_resumable() {
         return Ok(());
     }
-    let mut finding = find(state, received).await;
+    let (mut finding, mut answers) = find(state, received).await;
     while finding == Finding::Unknown && is_settling(state) {
         tokio::time::sleep(ASK_PAUSE).await;
-        finding = find(state, received).await;
+        (finding, answers) = find(state, received).await;
     }
     state.metrics.count_taken_up(finding.as_str());
     let peer = if let Finding::Peer(peer, _) = finding { Some(peer.to_string()) } else { None };
     log::info!(
         request = received.call.id.as_str(), resumes = received.call.resumes.as_deref(),
         after_event = received.call.last_event_id, origin = finding.as_str(), peer = peer,
+        list_age_ms = state.proof_age_ms(), answered = answers.received, silent = answers.missing,
         took_ms = state.elapsed_since(received.arrived).as_millis() as u64;
         "a caller takes a stream up"
     );
@@ -105,22 +113,23 @@
 }
 
 /// Finds out which version began the stream that a request takes up.
-async fn find<A: Adapter>(state: &State<A>, received: &Received) -> Finding {
+async fn find<A: Adapter>(state: &State<A>, received: &Received) -> (Finding, Answers) {
     let (resumption, now) = (&state.resumption, state.clock.now());
+    let mut answers = Answers::default();
     let Some(name) = state.registry.borrow().service_name(received.service) else {
-        return Finding::Unknown;
+        return (Finding::Unknown, answers);
     };
     // Of a caller that names no try, peers can only tell which versions they have seen.
     let stream = received.call.resumes.as_deref().map_or(Stream(0), Stream::begun_by);
     if let Some(origin) = resumption.table.borrow().origin(stream, now) {
-        return Finding::Own(origin);
+        return (Finding::Own(origin), answers);
     }
     let (service, lifetime) = (wire::key(&name), resumption.lifetime.get());
-    let others = match ask(state, stream, service).await {
+    let others = match ask(state, stream, service, &mut answers).await {
         Ok((peer, origin)) => {
             let expires = now + received.time_left(state);
             resumption.table.borrow_mut().insert(stream, origin, expires, now);
-            return Finding::Peer(peer, origin);
+            return (Finding::Peer(peer, origin), answers);
         }
         Err(others) => others,
     };
@@ -129,7 +138,7 @@
         seen.covered = Duration::ZERO;
     }
     let only = seen.conclude(&others, lifetime);
-    only.map_or(Finding::Unknown, Finding::OnlyVersion)
+    (only.map_or(Finding::Unknown, Finding::OnlyVersion), answers)
 }
 
 /// Asks the keepers of a stream which version began it; returns the first that knows.
@@ -140,6 +149,7 @@
     state: &State<A>,
     stream: Stream,
     service: u32,
+    answers: &mut Answers,
 ) -> Result<(SocketAddr, Origin), Vec<Evidence>> {
     let (resumption, own) = (&state.resumption, state.node().peers);
     let lifetime_ms = millis(resumption.lifetime.get());
@@ -151,6 +161,7 @@
         peers.into_iter().filter(|peer| *peer != own).map(post).collect();
     let mut others = vec![];
     while let Some((peer, reply)) = replies.next().await {
+        *if reply.is_ok() { &mut answers.received } else { &mut answers.missing } += 1;
         match reply {
             Ok(reply) if reply.known => return Ok((peer, origin_of(reply.version))),
             Ok(reply) => others.push(Evidence {
