A node concludes the version of a stream only from lists that are proved past its take-up

What callers saw: a stream that one software version began went on at another, where a caller took it up at a node that was cut off, or asked a seed that was. Both parts arrived as one answer.

Cause: `Evidence::conclude` named the only version that anyone had seen. A list whose proof was up to 2.5 s old counted as the newest, peers that didn't answer as if they had seen nothing else, and two nodes that were cut off together confirmed each other. A version that came and went within one answer of the store or of a peer was never seen. Class: "I have seen no other" is taken for "there is no other".

Change: evidence is a span of time over which a list is proved to have been complete. A version is concluded only if spans cover the whole time in which a server that began the stream may have been listed, up to the moment at which the caller took the stream up. That last part comes from a read of the store that began after that moment: of the node that reads the store for this one, or of this node itself. Take-ups that wait meanwhile share the next read. Versions that were listed for a moment are recorded; where a peer sends only what is left of several changes, the time is counted anew. A node whose list is old tells keepers of its streams although it knows of one version only.

Why it works: a stream begins before its caller takes it up, at a server whose entry the store had before; the store's reads are linearizable, so a read that begins later shows that entry, or its going. No clock of another node and no age of a list decides.

Without the store such take-ups are refused as not run.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -267,6 +267,10 @@
     /// [`StoreError::Outdated`] if the answer is of an earlier era than the position.
     async fn watch(&self, after: Position, wait: Duration) -> Result<WatchReply, StoreError>;
 
+    /// The store's newest position. As the store's reads are linearizable, it is at least that of each change which was made
+    /// before the call.
+    async fn position(&self) -> Result<Position, StoreError>;
+
     /// Whether the writer of the item with this key renews it as long as it holds, and the store removes it otherwise.
     fn is_renewed(&self, key: &str) -> bool;
 
--- a/components/forward/src/effects.rs
+++ b/components/forward/src/effects.rs
@@ -124,6 +124,7 @@
                 state.newest_invalid.set(true);
             }
             Record::Server(change) => {
+                record_unseen(state, &change);
                 let changed = state.membership.borrow_mut().apply(change, state.clock.now());
                 servers.extend(changed);
             }
@@ -132,6 +133,31 @@
     apply_servers(state, servers);
 }
 
+/// Records what a change of the list hides. An entry that is replaced or gone before this node used it had been listed. A peer
+/// sends only what is left of several changes: where a server changes its version, or is gone that this node never knew, others
+/// may have come and gone unseen.
+fn record_unseen<A: Adapter>(state: &State<A>, change: &Change) {
+    let (name, version) = match change {
+        Change::Listed(entry) => (&entry.name, Some(&entry.version)),
+        Change::Gone(name) => (name, None),
+    };
+    let (membership, registry) = (state.membership.borrow(), state.registry.borrow());
+    let (before, used) = (membership.get(name), registry.entry(name));
+    let now = state.clock.now();
+    if let Some(before) = before.filter(|before| Some(&before.version) != version)
+        && used.is_none_or(|used| used.version != before.version)
+    {
+        state.resumption.apply_passing(before, now);
+    }
+    let may_hide = match version {
+        Some(version) => before.is_some_and(|before| before.version != *version),
+        None => before.is_none(),
+    };
+    if may_hide && !state.contact.path.borrow().is_direct() {
+        state.resumption.record_gap(now);
+    }
+}
+
 /// Puts a revision of the settings in force if it is newer than the current one.
 fn apply_settings<A: Adapter>(state: &State<A>, settings: Settings) {
     let last = state.settings.borrow().as_ref().map(|last| last.revision);
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -298,7 +298,7 @@
 }
 
 /// Watches the store for changes after a position, for at most `wait`.
-async fn watch_store<A: Adapter>(
+pub(crate) async fn watch_store<A: Adapter>(
     state: &Rc<State<A>>,
     after: Position,
     wait: Duration,
--- a/components/forward/src/resumption.rs
+++ b/components/forward/src/resumption.rs
@@ -5,6 +5,7 @@
 //! isn't known isn't guessed. Only the first events of a version of which other nodes may not have heard wait until
 //! its keepers have, since the others would conclude that another version was the only one.
 
+mod confirming;
 mod taking_up;
 mod telling;
 
@@ -13,14 +14,17 @@
 use std::time::{Duration, Instant};
 
 use catalog::{Entry, Kind, Settings};
-use origins::{Census, Evidence, Members, Origin, Outbox, Record, Stream, Table, Version};
+use clock::Clock;
+use origins::{Census, Members, Origin, Outbox, Record, Seen, Stream, Table, Version};
 use tokio::sync::mpsc;
 use wire::gossip::Peer;
 use wire::origins::{Answer as Reply, Asked, Message, Row};
 
 use crate::adapter::{Adapter, Call};
+use crate::proof;
 use crate::state::State;
 
+use confirming::Confirmation;
 pub(crate) use taking_up::restrict;
 pub(crate) use telling::{answer, begin, start};
 
@@ -28,8 +32,8 @@
 pub(crate) const PATH: &str = "/origins";
 /// Time by which a caller may take a stream up later than its own time limit says.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
-/// Age of the proof that a node's list of servers is the newest, up to which the list counts. It is a little longer than
-/// a watch of the store lasts.
+/// Age of the proof that a node's list of servers is the newest, from which on other nodes may conclude that versions on the list
+/// don't serve any more. It is a little longer than a watch of the store lasts.
 const MAX_LIST_AGE: Duration = Duration::from_millis(2_500);
 /// Longest life of a stream while no settings are known.
 const DEFAULT_LIFETIME: Duration = Duration::from_secs(60);
@@ -41,6 +45,7 @@
     census: RefCell<Census>,
     pub(crate) members: RefCell<Members>,
     outbox: RefCell<Outbox>,
+    confirmation: Confirmation,
     /// Random number that identifies this process.
     boot: u32,
     started: Instant,
@@ -59,6 +64,7 @@
             census: RefCell::default(),
             members: RefCell::default(),
             outbox: RefCell::default(),
+            confirmation: Confirmation::default(),
             boot: rand::random(),
             started: now,
             lifetime: Cell::new(DEFAULT_LIFETIME),
@@ -97,6 +103,17 @@
         }
     }
 
+    /// Records that a server was listed for a moment and isn't listed any more, or not as it was.
+    pub(crate) fn apply_passing(&self, entry: &Entry, now: Instant) {
+        let (service, version) = (wire::key(&entry.service), version_of(entry));
+        let was_mixed = self.is_mixed(service, now);
+        self.census.borrow_mut().add_passing(service, version, now);
+        if !was_mixed && self.is_mixed(service, now) {
+            let begun = self.table.borrow().own_streams(Some(service));
+            self.tell(begun);
+        }
+    }
+
     fn is_mixed(&self, service: u32, now: Instant) -> bool {
         self.census.borrow().is_mixed(service, self.lifetime.get(), now)
     }
@@ -154,8 +171,8 @@
         self.table.borrow_mut().end(stream_of(call));
     }
 
-    /// The answer to a peer's message. `is_current` says whether this node's list is the newest.
-    fn answer(&self, message: Message, is_current: bool, now: Instant) -> Reply {
+    /// The answer to a peer's message, at a node whose list has a proof of this age.
+    fn answer(&self, message: Message, proof_age: Option<Duration>, now: Instant) -> Reply {
         let mut table = self.table.borrow_mut();
         for row in message.told {
             let origin = origin_of(row.version);
@@ -169,9 +186,13 @@
         reply.version = origin.and_then(version_key);
         if origin.is_none() {
             let within = Duration::from_millis(lifetime_ms.into());
-            let Evidence { covered, versions } =
-                self.census.borrow().evidence(service, within, now);
-            reply.covered_ms = if is_current { millis(covered) } else { 0 };
+            let Seen { covered, versions } = self.census.borrow().seen(service, within, now);
+            let is_current = proof_age.is_some_and(|age| age <= MAX_LIST_AGE);
+            reply.followed_ms = millis(covered);
+            reply.covered_ms = if is_current { reply.followed_ms } else { 0 };
+            // Rounded up, so that the list isn't taken to be newer than it is.
+            let rounding = Duration::from_micros(999);
+            reply.proof_age_ms = proof_age.map(|age| millis(age + rounding));
             reply.seen = versions.into_iter().map(|Version(key)| key).collect();
         }
         reply
@@ -186,13 +207,21 @@
             version: version_key(record.origin),
             lifetime_ms: millis(record.expires - now),
         };
-        Message { told: records.map(row).collect(), asked: None }
+        Message { told: records.map(row).collect(), ..Message::default() }
     }
 }
 
-/// Whether this node's list of servers is the newest.
+/// Age of the proof that this node's list of servers is complete; none without a proof. A short watch may have missed changes
+/// in its last moments.
+fn proof_age<A: Adapter>(state: &State<A>) -> Option<Duration> {
+    let age = state.replica.borrow().freshness().age(state.clock.boot_time())?;
+    Some(age + proof::WATCH_BLIND_TAIL)
+}
+
+/// Whether this node's list is so recent that others still count the versions on it.
 fn has_current_list<A: Adapter>(state: &State<A>) -> bool {
-    state.proof_age_ms().is_some_and(|age| Duration::from_millis(age) <= MAX_LIST_AGE)
+    let age = state.replica.borrow().freshness().age(state.clock.boot_time());
+    age.is_some_and(|age| age <= MAX_LIST_AGE)
 }
 
 /// Key of a version on the wire; none if it is uncertain.
--- a/components/forward/src/resumption/telling.rs
+++ b/components/forward/src/resumption/telling.rs
@@ -15,7 +15,8 @@
 use crate::intake::Received;
 use crate::state::State;
 
-use super::{EXPIRY_MARGIN, PATH, has_current_list, stream_of, version_of};
+use super::confirming::{READ_TIMEOUT, confirm};
+use super::{EXPIRY_MARGIN, PATH, has_current_list, proof_age, stream_of, version_of};
 
 /// Time within which a peer must answer: several round trips between two regions.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -64,7 +65,8 @@
     peer: SocketAddr,
     message: &Message,
 ) -> Result<Reply, String> {
-    let request = state.peer_client.post(format!("http://{peer}{PATH}")).timeout(ANSWER_TIMEOUT);
+    let timeout = if message.confirm { ANSWER_TIMEOUT + READ_TIMEOUT } else { ANSWER_TIMEOUT };
+    let request = state.peer_client.post(format!("http://{peer}{PATH}")).timeout(timeout);
     let sent = request.send_body(message.encode()).await;
     let mut response = sent.map_err(|cause| cause.to_string())?;
     let body = response.body().limit(MAX_MESSAGE_BYTES).await.map_err(|cause| cause.to_string())?;
@@ -84,7 +86,10 @@
     let Ok(message) = Message::decode(&body) else {
         return Response::new(StatusCode::BAD_REQUEST).map_into_boxed_body();
     };
-    let reply = state.resumption.answer(message, has_current_list(&state), state.clock.now());
+    let asked = state.clock.boot_time();
+    let is_confirmed = message.confirm && confirm(&state, asked).await;
+    let proof_age = if is_confirmed { Some(Duration::ZERO) } else { proof_age(&state) };
+    let reply = state.resumption.answer(message, proof_age, state.clock.now());
     Response::build(StatusCode::OK).body(reply.encode()).map_into_boxed_body()
 }
 
@@ -102,10 +107,11 @@
     let (service, name) = (wire::key(&server.service), wire::key(&server.name));
     let record = Record { stream, origin, expires };
     resumption.table.borrow_mut().begin(record, service, name, now);
-    if !resumption.is_mixed(service, now) {
+    let is_mixed = resumption.is_mixed(service, now);
+    if !is_mixed && has_current_list(state) {
         return;
     }
-    if resumption.census.borrow().is_news(service, version_of(server), now) {
+    if is_mixed && resumption.census.borrow().is_news(service, version_of(server), now) {
         tell_at_once(state, stream).await;
     } else {
         resumption.tell(vec![stream]);
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -45,7 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Timestamp {
     pub(crate) at: Instant,
-    boot_time: Duration,
+    pub(crate) boot_time: Duration,
 }
 
 /// Retries that a node may send at once to one service, beyond those that its first attempts have
--- a/components/origins/examples/cost.rs
+++ b/components/origins/examples/cost.rs
@@ -30,7 +30,7 @@
 fn main() {
     let told = Message {
         told: vec![Row { stream: u64::MAX, version: Some(u32::MAX), lifetime_ms: 15_000 }],
-        asked: None,
+        ..Message::default()
     };
     let asked = Message {
         asked: Some(Asked { stream: u64::MAX, service: u32::MAX, lifetime_ms: 16_000 }),
--- a/components/origins/src/census.rs
+++ b/components/origins/src/census.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use crate::evidence::Evidence;
 use crate::id::Version;
 
 /// Time after which all nodes have learned of a version.
@@ -18,6 +17,16 @@
     until: Instant,
 }
 
+derives::data! {
+    /// What a node has seen of the versions of one service.
+    pub struct Seen {
+        /// Time over which it has followed the list of servers without a gap.
+        pub covered: Duration,
+        /// The versions that were listed within the time that was asked for.
+        pub versions: Vec<Version>,
+    }
+}
+
 /// The versions of each service, as this node has seen them in the list of servers. Services are named by the hash
 /// of their names.
 ///
@@ -57,19 +66,25 @@
         }
     }
 
+    /// Records that a server was listed in between.
+    pub fn add_passing(&mut self, service: u32, version: Version, now: Instant) {
+        self.add(service, version, now);
+        self.remove(service, version, now);
+    }
+
     /// Records that this node may have missed changes before now.
     pub fn record_gap(&mut self, now: Instant) {
         self.since = self.since.map(|_| now);
     }
 
     /// What this node has seen of a service within a time that ends now.
-    pub fn evidence(&self, service: u32, within: Duration, now: Instant) -> Evidence {
+    pub fn seen(&self, service: u32, within: Duration, now: Instant) -> Seen {
         let covered =
             self.since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         let versions = self.services.get(&service).into_iter().flatten();
         let recent = |listed: &Listed| listed.servers > 0 || now < listed.until + within;
         let recent = versions.filter(|(_, listed)| recent(listed)).map(|(version, _)| *version);
-        Evidence { covered, versions: recent.collect() }
+        Seen { covered, versions: recent.collect() }
     }
 
     /// Whether a version came so recently that other nodes may not know of it.
@@ -80,6 +95,6 @@
 
     /// Whether a service had several versions within a time that ends now.
     pub fn is_mixed(&self, service: u32, within: Duration, now: Instant) -> bool {
-        self.evidence(service, within, now).versions.len() > 1
+        self.seen(service, within, now).versions.len() > 1
     }
 }
--- a/components/origins/src/lib.rs
+++ b/components/origins/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! Nothing is stored for this. While servers of several versions serve side by side, the node that begins a stream
 //! tells a few others, its keepers, which every node derives from the stream's id. A node at which a caller takes a
-//! stream up asks them. What nobody knows is concluded only where one version has served since before the stream began, as
-//! a node has seen that has followed the list of servers for so long.
+//! stream up asks them. What nobody knows is concluded only where one version has served from before the stream began until the
+//! caller took it up, by lists of servers that are proved to have been complete over all of that time.
 //!
 //! The crate does no I/O and reads no clock.
 
@@ -15,8 +15,8 @@
 mod outbox;
 mod table;
 
-pub use census::Census;
-pub use evidence::Evidence;
+pub use census::{Census, Seen};
+pub use evidence::{Evidence, Span};
 pub use id::{Stream, Version};
 pub use members::{ASKED, COPIES, MAX_MEMBERS, Members};
 pub use outbox::Outbox;
--- a/components/origins/tests/model.rs
+++ b/components/origins/tests/model.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use origins::{COPIES, Census, Members, Origin, Record, Stream, Table, Version};
+use origins::{
+    COPIES, Census, Evidence, Members, Origin, Record, Seen, Span, Stream, Table, Version,
+};
 use wire::gossip::Peer;
 
 const NODES: usize = 5;
@@ -11,17 +13,31 @@
 const OLD: Version = Version(1);
 const NEW: Version = Version(2);
 const LIFETIME: Duration = Duration::from_secs(10);
+/// Time for which the nodes have run when the first event happens.
+const BEFORE: Duration = LIFETIME;
+/// Time between two events.
+const STEP: Duration = Duration::from_millis(100);
 const STREAM: Stream = Stream(42);
+/// First of the nodes that may be cut off.
+const CUT: usize = NODES - 2;
+/// Events of an order.
+const DEPTH: usize = 4;
 
 /// What may happen next.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Event {
-    /// A node learns that the new version serves.
+    /// The first server of the new version is listed.
+    Join,
+    /// A node reads the list of servers.
     Learn(usize),
     /// The first node begins the stream at the newest version that it knows.
     Begin,
     /// One message of the first node arrives at a keeper.
     Tell(usize),
+    /// A node is cut off from the store and from the nodes that aren't, or stands still. Its callers still reach it.
+    Cut(usize),
+    /// A node that was cut off reaches the others again, and has read nothing yet.
+    Heal(usize),
     /// A node is killed and starts again with the list of servers as it is, and without anything else.
     Kill(usize),
     /// A node is killed and doesn't come back.
@@ -36,11 +52,18 @@
 
 struct Node {
     is_up: bool,
+    is_cut: bool,
     table: Table,
     census: Census,
+    /// Number of changes of the list that it has read, and when it last read it.
+    read: usize,
+    proof: Instant,
     told: bool,
 }
 
+/// A change of the list of servers.
+type Change = fn(&mut Census, Instant);
+
 #[derive(Default)]
 struct Outcomes {
     continued: u32,
@@ -58,87 +81,154 @@
     members
 }
 
-fn start(start: Instant, versions: &[Version]) -> Node {
-    let mut census = Census::default();
-    versions.iter().for_each(|version| census.add(SERVICE, *version, start));
-    Node { is_up: true, table: Table::default(), census, told: false }
+impl Node {
+    fn start(now: Instant, changes: &[Change]) -> Self {
+        let mut listed = Census::default();
+        listed.add(SERVICE, OLD, now);
+        changes.iter().for_each(|change| change(&mut listed, now));
+        // A node that has just started knows only of what is still listed.
+        let mut census = Census::default();
+        for version in listed.seen(SERVICE, Duration::ZERO, now).versions {
+            census.add(SERVICE, version, now);
+        }
+        let (table, read) = (Table::default(), changes.len());
+        Node { is_up: true, is_cut: false, table, census, read, proof: now, told: false }
+    }
+
+    fn learn(&mut self, changes: &[Change], now: Instant) {
+        changes[self.read..].iter().for_each(|change| change(&mut self.census, now));
+        (self.read, self.proof) = (changes.len(), now);
+    }
+
+    fn evidence(&self, epoch: Instant, now: Instant) -> Evidence {
+        let Seen { covered, versions } = self.census.seen(SERVICE, LIFETIME, now);
+        let (now, age) = (now - epoch, now - self.proof);
+        Evidence { span: Span::stated(now, now, covered, Some(age)), versions }
+    }
+}
+
+struct Fleet {
+    epoch: Instant,
+    now: Instant,
+    nodes: Vec<Node>,
+    changes: Vec<Change>,
+    truth: Option<Version>,
 }
 
-/// Plays events in order; returns the version that began the stream and, for each node at which it is then taken up,
-/// the version at which it goes on. Events that can't happen make the order void.
-fn play(events: &[Event], begun: Instant) -> Option<(Version, Vec<Option<Version>>)> {
-    let now = begun + LIFETIME;
-    let mut nodes: Vec<_> = (0..NODES).map(|_| start(begun, &[OLD])).collect();
-    let keepers = members().keepers(STREAM);
-    let mut truth = None;
-    let (mut new_serves, mut old_left) = (false, false);
-    for event in events {
-        new_serves |= matches!(event, Event::Learn(_) | Event::Kill(_));
-        let served = if new_serves { &[OLD, NEW][..] } else { &[OLD] };
-        let listed = if old_left { &[NEW][..] } else { served };
-        match *event {
-            Event::Leave if !new_serves => return None,
-            Event::Leave => {
-                old_left = true;
-                nodes.iter_mut().for_each(|node| node.census.remove(SERVICE, OLD, now));
+impl Fleet {
+    fn start(epoch: Instant) -> Self {
+        let nodes = (0..NODES).map(|_| Node::start(epoch, &[])).collect();
+        let mut fleet = Fleet { epoch, now: epoch + BEFORE, nodes, changes: vec![], truth: None };
+        (0..NODES).for_each(|node| fleet.nodes[node].learn(&[], epoch + BEFORE));
+        fleet
+    }
+
+    /// Lets an event happen; none if it can't.
+    fn apply(&mut self, event: Event) -> Option<()> {
+        self.now += STEP;
+        let (now, changes) = (self.now, &self.changes);
+        let has_joined = !changes.is_empty();
+        match event {
+            Event::Join => self.changes.push(|census, now| census.add(SERVICE, NEW, now)),
+            Event::Leave if !has_joined => return None,
+            Event::Leave => self.changes.push(|census, now| census.remove(SERVICE, OLD, now)),
+            Event::KillAll => {
+                self.nodes.iter_mut().for_each(|node| *node = Node::start(now, changes));
             }
-            Event::KillAll => nodes = (0..NODES).map(|_| start(now, listed)).collect(),
             Event::KillMost => {
-                nodes[..NODES - 1].iter_mut().for_each(|node| *node = start(now, listed));
+                let most = &mut self.nodes[..NODES - 1];
+                most.iter_mut().for_each(|node| *node = Node::start(now, changes));
             }
-            Event::Begin | Event::Tell(_) if !nodes[0].is_up => return None,
-            Event::Learn(node) => nodes[node].census.add(SERVICE, NEW, now),
-            Event::Begin => {
-                let first = &mut nodes[0];
-                let mixed = first.census.is_mixed(SERVICE, LIFETIME, now);
-                let version = if mixed || old_left { NEW } else { OLD };
-                let (origin, expires) = (Origin::Version(version), now + LIFETIME);
-                first.table.begin(Record { stream: STREAM, origin, expires }, SERVICE, 0, now);
-                truth = Some(version);
-                if version == NEW && nodes[0].census.is_news(SERVICE, NEW, now) {
-                    for node in (0..NODES).filter(|node| keepers.contains(&address(*node))) {
-                        nodes[node].table.insert(STREAM, origin, expires, now);
-                    }
-                }
+            Event::Kill(node) => self.nodes[node] = Node::start(now, changes),
+            Event::Lose(node) => self.nodes[node].is_up = false,
+            Event::Cut(node) if self.nodes[node].is_up => self.nodes[node].is_cut = true,
+            Event::Heal(node) if self.nodes[node].is_cut => self.nodes[node].is_cut = false,
+            Event::Learn(node) if self.nodes[node].is_up && !self.nodes[node].is_cut => {
+                self.nodes[node].learn(changes, now);
             }
-            Event::Tell(node) => {
-                let first = &nodes[0];
-                let mixed = first.census.is_mixed(SERVICE, LIFETIME, now);
-                let record = first.table.record(STREAM, now).filter(|_| mixed)?;
-                if !keepers.contains(&address(node)) || nodes[node].told {
-                    return None;
-                }
-                nodes[node].told = true;
-                nodes[node].table.insert(STREAM, record.origin, record.expires, now);
+            Event::Begin if self.nodes[0].is_up => self.begin(),
+            Event::Tell(node) if self.nodes[0].is_up => return self.tell(node),
+            Event::Cut(_) | Event::Heal(_) | Event::Learn(_) | Event::Begin | Event::Tell(_) => {
+                return None;
             }
-            Event::Kill(node) => nodes[node] = start(now, listed),
-            Event::Lose(node) => nodes[node].is_up = false,
         }
+        Some(())
     }
-    let take_up = |node: usize| {
+
+    fn begin(&mut self) {
+        let now = self.now;
+        let first = &mut self.nodes[0];
+        let listed = first.census.seen(SERVICE, Duration::ZERO, now).versions;
+        let version = if listed.contains(&NEW) { NEW } else { OLD };
+        let (origin, expires) = (Origin::Version(version), now + LIFETIME);
+        first.table.begin(Record { stream: STREAM, origin, expires }, SERVICE, 0, now);
+        self.truth = Some(version);
+        let is_news = version == NEW && first.census.is_news(SERVICE, NEW, now);
+        let keepers = members().keepers(STREAM);
+        for node in (0..NODES).filter(|node| is_news && keepers.contains(&address(*node))) {
+            if self.reaches(0, node) {
+                self.nodes[node].table.insert(STREAM, origin, expires, now);
+            }
+        }
+    }
+
+    fn tell(&mut self, node: usize) -> Option<()> {
+        let now = self.now;
+        let first = &self.nodes[0];
+        let is_mixed = first.census.is_mixed(SERVICE, LIFETIME, now);
+        let record = first.table.record(STREAM, now).filter(|_| is_mixed)?;
+        let is_keeper = members().keepers(STREAM).contains(&address(node));
+        if !is_keeper || self.nodes[node].told || !self.reaches(0, node) {
+            return None;
+        }
+        self.nodes[node].told = true;
+        self.nodes[node].table.insert(STREAM, record.origin, record.expires, now);
+        Some(())
+    }
+
+    /// Whether two nodes run and reach each other: those that are cut off reach only each other.
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let [from, to] = [from, to].map(|node| &self.nodes[node]);
+        from.is_up && to.is_up && from.is_cut == to.is_cut
+    }
+
+    /// The version at which the stream goes on at a node.
+    fn take_up(&mut self, node: usize) -> Option<Version> {
+        let now = self.now;
         let asked = members().asked(STREAM);
-        let known = |other: usize| nodes[other].table.origin(STREAM, now);
-        let others = (0..NODES).filter(|other| {
-            *other != node && nodes[*other].is_up && asked.contains(&address(*other))
-        });
-        let told = known(node).or_else(|| others.clone().find_map(known));
-        if let Some(origin) = told {
+        let others: Vec<_> = (0..NODES)
+            .filter(|other| *other != node && asked.contains(&address(*other)))
+            .filter(|other| self.reaches(node, *other))
+            .collect();
+        let known = |node: usize| self.nodes[node].table.origin(STREAM, now);
+        if let Some(origin) = known(node).or_else(|| others.iter().copied().find_map(known)) {
             return match origin {
                 Origin::Version(version) => Some(version),
                 Origin::Uncertain => None,
             };
         }
-        let evidence = |node: usize| nodes[node].census.evidence(SERVICE, LIFETIME, now);
-        let seen: Vec<_> = others.map(evidence).collect();
-        evidence(node).conclude(&seen, LIFETIME)
-    };
-    let up = (0..NODES).filter(|node| nodes[*node].is_up);
-    Some((truth?, up.map(take_up).collect()))
+        let evidence = |node: usize| self.nodes[node].evidence(self.epoch, now);
+        let mut all: Vec<_> = others.into_iter().chain([node]).map(evidence).collect();
+        if !self.nodes[node].is_cut {
+            self.nodes[node].learn(&self.changes, now);
+            all.push(self.nodes[node].evidence(self.epoch, now));
+        }
+        let until = now - self.epoch;
+        Evidence::conclude(&all, Span { since: until - LIFETIME, until })
+    }
 }
 
-fn search(events: &mut Vec<Event>, depth: usize, now: Instant, outcomes: &mut Outcomes) {
-    if let Some((truth, taken_up)) = play(events, now) {
-        for version in taken_up {
+fn search(events: &mut Vec<Event>, depth: usize, epoch: Instant, outcomes: &mut Outcomes) {
+    let mut fleet = Fleet::start(epoch);
+    if events.iter().any(|event| fleet.apply(*event).is_none()) {
+        return;
+    }
+    if let Some(truth) = fleet.truth {
+        for node in 0..NODES {
+            if !fleet.nodes[node].is_up {
+                continue;
+            }
+            let version = fleet.take_up(node);
             assert!(version.is_none_or(|version| version == truth), "{events:?}: {version:?}");
             outcomes.continued += u32::from(version.is_some());
             outcomes.refused += u32::from(version.is_none());
@@ -149,22 +239,28 @@
     }
     let per_node =
         (0..NODES).flat_map(|n| [Event::Learn(n), Event::Tell(n), Event::Kill(n), Event::Lose(n)]);
-    let all = [Event::Begin, Event::Leave, Event::KillAll, Event::KillMost];
+    let cuts = (CUT..NODES).flat_map(|n| [Event::Cut(n), Event::Heal(n)]);
+    let per_node = per_node.chain(cuts);
+    let all = [Event::Join, Event::Begin, Event::Leave, Event::KillAll, Event::KillMost];
     for event in per_node.chain(all) {
         if matches!(event, Event::Kill(_)) || !events.contains(&event) {
             events.push(event);
-            search(events, depth - 1, now, outcomes);
+            search(events, depth - 1, epoch, outcomes);
             events.pop();
         }
     }
 }
 
-/// Nodes learn of a version one after the other, and are killed before or after they have told anyone. Guards against
-/// a stream that goes on at another version in any order of these, and against a rule that refuses all.
+/// Versions come and go, nodes learn of them one after the other, are cut off, and are killed before or after they have told
+/// anyone. Guards against a stream that goes on at another version in any order of these, and against a rule that refuses
+/// all.
 #[test]
 fn no_order_of_events_makes_a_stream_change_its_version() {
     let mut outcomes = Outcomes::default();
-    search(&mut vec![], 4, Instant::now(), &mut outcomes);
+    search(&mut vec![], DEPTH, Instant::now(), &mut outcomes);
+    // Two nodes that hear only each other.
+    let mut cut = vec![Event::Cut(CUT), Event::Cut(CUT + 1), Event::Join];
+    search(&mut cut, DEPTH - 1, Instant::now(), &mut outcomes);
     assert!(
         outcomes.continued > 2 * outcomes.refused,
         "{} of {} go on",
--- a/components/wire/src/origins.rs
+++ b/components/wire/src/origins.rs
@@ -14,6 +14,9 @@
         /// A stream that is asked for.
         #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
         pub asked: Option<Asked>,
+        /// Whether the answer is to say what the list of servers is when the question arrives, by a read of the store.
+        #[serde(rename = "c", default, skip_serializing_if = "is_false")]
+        pub confirm: bool,
     }
 
     /// The answer to a [`Message`].
@@ -28,9 +31,16 @@
         /// The version that began it; none if that is uncertain.
         #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
         pub version: Option<u32>,
-        /// Time over which the node has followed the list of servers, in milliseconds.
+        /// As [`Answer::followed_ms`], for a node of an earlier release, which has no use for the age of the proof: zero if
+        /// the list may be out of date.
         #[serde(rename = "c", default)]
         pub covered_ms: u32,
+        /// Time over which the node has followed the list of servers, in milliseconds.
+        #[serde(rename = "f", default)]
+        pub followed_ms: u32,
+        /// Age of the proof that its list is complete, in milliseconds; none if it has no proof.
+        #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+        pub proof_age_ms: Option<u32>,
         /// Versions of the service that it has seen.
         #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
         pub seen: Vec<u32>,
