Other ways in which a version that isn't seen counts as absent: routes, entries, gaps, limits, old lists

What callers saw: as with nodes that are cut off, the rest of a stream came from another version or service than its first part.

- a route that has moved to another service, or is split while the caller names no try: only the versions of the present service counted;
- an entry that another writer replaced, or a server that started again, between two reads or two answers of a peer: an entry was compared by its version alone, and one that was written again with the same bytes wasn't looked at;
- a server that was of another version in between left the record of its stream certain;
- a gap wasn't passed on over two peers;
- a limit that was lowered shortened the life of streams that had begun under the longer one;
- a node without keys goes on with an old list for any time, at servers that are long gone for others.

Change: evidence speaks for one destination, a route with the services that it leads to, and for as long as that has led there (`origins::Destinations`, `origins::Lifetime`). Entries are compared by service, version and start; what a peer's answer may hide ends the time that a node has followed the list. A node whose list is older than keys are accepted by begins streams that may be resumed only if keepers have no newer list. The node that reads the store is asked with the keepers: what it knows counts, and if it answers, it alone reads the store; a failed read is shared only by those who waited for it.

Why it works: each fact on which a conclusion rests now has a time since when it is known without a gap.

--- a/components/forward/src/effects.rs
+++ b/components/forward/src/effects.rs
@@ -72,6 +72,11 @@
     for (key, revision) in changes.overruled.iter().take(MAX_LOGGED_ITEMS) {
         log::info!(key = key.as_str(), revision = *revision; "the store has an older version of an item; the known one stands");
     }
+    for item in &changes.renewed {
+        if let Some(Record::Server(change)) = state.adapter.store.decode(item) {
+            record_unseen(state, &change);
+        }
+    }
     apply_items(state, changes.items);
 }
 
@@ -134,30 +139,37 @@
 }
 
 /// Records what a change of the list hides. An entry that is replaced or gone before this node used it had been listed. A peer
-/// sends only what is left of several changes: where a server changes its version, or is gone that this node never knew, others
-/// may have come and gone unseen.
+/// sends only what is left of several changes: where a server is new or has started again, or is gone that this node never knew,
+/// other versions may have come and gone unseen.
 fn record_unseen<A: Adapter>(state: &State<A>, change: &Change) {
-    let (name, version) = match change {
-        Change::Listed(entry) => (&entry.name, Some(&entry.version)),
+    let (name, after) = match change {
+        Change::Listed(entry) => (&entry.name, Some(entry)),
         Change::Gone(name) => (name, None),
     };
     let (membership, registry) = (state.membership.borrow(), state.registry.borrow());
-    let (before, used) = (membership.get(name), registry.entry(name));
+    let (before, used) = (membership.get(name).map(Rc::as_ref), registry.entry(name));
     let now = state.clock.now();
-    if let Some(before) = before.filter(|before| Some(&before.version) != version)
-        && used.is_none_or(|used| used.version != before.version)
+    if let Some(before) = before.filter(|before| !after.is_some_and(|after| is_same(before, after)))
+        && !used.is_some_and(|used| is_same(before, used))
     {
         state.resumption.apply_passing(before, now);
     }
-    let may_hide = match version {
-        Some(version) => before.is_some_and(|before| before.version != *version),
-        None => before.is_none(),
-    };
-    if may_hide && !state.contact.path.borrow().is_direct() {
+    let is_known = before.zip(after).is_some_and(|(before, after)| {
+        // Without the time of its start, a server may have been another one in between.
+        is_same(before, after) && after.started.is_some()
+    });
+    let ends = before.is_some() && after.is_none();
+    if !is_known && !ends && !state.contact.path.borrow().is_direct() {
         state.resumption.record_gap(now);
     }
 }
 
+/// Whether two entries are of one start of a server, as far as they say.
+fn is_same(one: &Entry, other: &Entry) -> bool {
+    let identity = |entry: &Entry| (entry.service.clone(), entry.version.clone(), entry.started);
+    identity(one) == identity(other)
+}
+
 /// Puts a revision of the settings in force if it is newer than the current one.
 fn apply_settings<A: Adapter>(state: &State<A>, settings: Settings) {
     let last = state.settings.borrow().as_ref().map(|last| last.revision);
@@ -165,7 +177,11 @@
         return;
     }
     state.newest_invalid.set(false);
-    state.resumption.apply_settings(&settings);
+    state.resumption.apply_settings(&settings, state.clock.now());
+    if !state.contact.path.borrow().is_direct() {
+        // A peer sends only the last of several revisions.
+        state.resumption.record_gap(state.clock.now());
+    }
     state.registry.borrow_mut().apply_settings(&mut state.driver.scheduler.borrow_mut(), &settings);
     state.listener_limits.send_modify(|limits| {
         limits.head_timeout = settings.limits.head_timeout;
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -406,6 +406,9 @@
         let base = state.replica.borrow_mut().replace(all, base.position(), &Reader(state), now);
         effects::apply(state, base);
     }
+    if update.gap {
+        state.replica.borrow_mut().skip_to(update.position());
+    }
     let changes = state.replica.borrow_mut().apply(changes, update.position(), &Reader(state), now);
     effects::apply(state, changes);
     standing::learn(state, standing);
--- a/components/forward/src/resumption.rs
+++ b/components/forward/src/resumption.rs
@@ -9,13 +9,16 @@
 mod taking_up;
 mod telling;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use catalog::{Entry, Kind, Settings};
+use catalog::{Entry, Kind, Route, Settings};
 use clock::Clock;
-use origins::{Census, Members, Origin, Outbox, Record, Seen, Stream, Table, Version};
+use origins::{
+    Census, Destination, Destinations, Lifetime, Members, Origin, Outbox, Record, Seen, Stream,
+    Table, Version,
+};
 use tokio::sync::mpsc;
 use wire::gossip::Peer;
 use wire::origins::{Answer as Reply, Asked, Message, Row};
@@ -50,7 +53,8 @@
     boot: u32,
     started: Instant,
     /// Longest life of a stream.
-    lifetime: Cell<Duration>,
+    lifetime: RefCell<Lifetime>,
+    destinations: RefCell<Destinations>,
     /// Keepers to which sending has to begin.
     begin_sending: mpsc::UnboundedSender<SocketAddr>,
     to_begin: RefCell<Option<mpsc::UnboundedReceiver<SocketAddr>>>,
@@ -67,19 +71,24 @@
             confirmation: Confirmation::default(),
             boot: rand::random(),
             started: now,
-            lifetime: Cell::new(DEFAULT_LIFETIME),
+            lifetime: RefCell::new(Lifetime::new(DEFAULT_LIFETIME)),
+            destinations: RefCell::default(),
             begin_sending,
             to_begin: RefCell::new(Some(to_begin)),
         }
     }
 
-    /// Derives the longest life of a stream from the settings.
-    pub(crate) fn apply_settings(&self, settings: &Settings) {
+    /// Derives from the settings the longest life of a stream, and where routes lead.
+    pub(crate) fn apply_settings(&self, settings: &Settings, now: Instant) {
         let resumable =
             settings.routes().filter(|route| route.kind == Kind::Stream { resumable: true });
         if let Some(longest) = resumable.map(|route| route.timeout).max() {
-            self.lifetime.set(longest + EXPIRY_MARGIN);
+            self.lifetime.borrow_mut().set(longest + EXPIRY_MARGIN, now);
         }
+        let routes = settings.routes();
+        let routes =
+            routes.map(|route| (route.host.as_str(), route.prefix.as_str(), destination_of(route)));
+        self.destinations.borrow_mut().set(routes, now);
     }
 
     /// Records a change of the list of servers.
@@ -106,6 +115,8 @@
     /// Records that a server was listed for a moment and isn't listed any more, or not as it was.
     pub(crate) fn apply_passing(&self, entry: &Entry, now: Instant) {
         let (service, version) = (wire::key(&entry.service), version_of(entry));
+        let uncertain = self.table.borrow_mut().mark_uncertain(wire::key(&entry.name), version);
+        self.tell(uncertain);
         let was_mixed = self.is_mixed(service, now);
         self.census.borrow_mut().add_passing(service, version, now);
         if !was_mixed && self.is_mixed(service, now) {
@@ -115,7 +126,7 @@
     }
 
     fn is_mixed(&self, service: u32, now: Instant) -> bool {
-        self.census.borrow().is_mixed(service, self.lifetime.get(), now)
+        self.census.borrow().is_mixed(service, self.lifetime.borrow().longest(now), now)
     }
 
     /// Takes over the list of nodes, and tells the new keepers of the streams that this node sends.
@@ -179,25 +190,36 @@
             let lifetime = Duration::from_millis(row.lifetime_ms.into());
             table.insert(Stream(row.stream), origin, now + lifetime, now);
         }
-        let mut reply = Reply { boot: self.boot, ..Reply::default() };
-        let Some(Asked { stream, service, lifetime_ms }) = message.asked else { return reply };
+        // Rounded up, so that the list isn't taken to be newer than it is.
+        let rounding = Duration::from_micros(999);
+        let proof_age_ms = proof_age.map(|age| millis(age + rounding));
+        let mut reply = Reply { boot: self.boot, proof_age_ms, ..Reply::default() };
+        let Some(asked) = message.asked else { return reply };
+        let Asked { stream, .. } = asked;
         let origin = table.origin(Stream(stream), now);
         reply.known = origin.is_some();
         reply.version = origin.and_then(version_key);
         if origin.is_none() {
-            let within = Duration::from_millis(lifetime_ms.into());
-            let Seen { covered, versions } = self.census.borrow().seen(service, within, now);
+            let destination = Some(message.destination).filter(|hash| *hash != 0);
+            let Seen { covered, versions } = self.seen(asked, destination.map(Destination), now);
             let is_current = proof_age.is_some_and(|age| age <= MAX_LIST_AGE);
             reply.followed_ms = millis(covered);
             reply.covered_ms = if is_current { reply.followed_ms } else { 0 };
-            // Rounded up, so that the list isn't taken to be newer than it is.
-            let rounding = Duration::from_micros(999);
-            reply.proof_age_ms = proof_age.map(|age| millis(age + rounding));
             reply.seen = versions.into_iter().map(|Version(key)| key).collect();
         }
         reply
     }
 
+    /// What this node has seen of the versions of the service that is asked for, over the time in which requests for a
+    /// destination went there.
+    fn seen(&self, asked: Asked, destination: Option<Destination>, now: Instant) -> Seen {
+        let within = Duration::from_millis(asked.lifetime_ms.into());
+        let Seen { covered, versions } = self.census.borrow().seen(asked.service, within, now);
+        let led =
+            destination.map(|destination| self.destinations.borrow().followed(destination, now));
+        Seen { covered: led.map_or(covered, |led| covered.min(led)), versions }
+    }
+
     /// The message that tells a keeper of streams.
     fn message(&self, streams: Vec<Stream>, now: Instant) -> Message {
         let table = self.table.borrow();
@@ -236,6 +258,11 @@
     version_key.map_or(Origin::Uncertain, |key| Origin::Version(Version(key)))
 }
 
+fn destination_of(route: &Route) -> Destination {
+    let split = route.split.iter().map(|split| (split.service.as_str(), split.weight));
+    Destination::of(&route.host, &route.prefix, split)
+}
+
 fn version_of(entry: &Entry) -> Version {
     Version::of(&entry.service, &entry.version)
 }
--- a/components/forward/src/resumption/confirming.rs
+++ b/components/forward/src/resumption/confirming.rs
@@ -12,7 +12,7 @@
 use crate::state::State;
 
 /// Time within which the store must answer; a caller waits for it.
-pub(super) const READ_TIMEOUT: Duration = Duration::from_millis(300);
+const READ_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Reads of the store, one at a time: those who wait meanwhile share the next one.
 #[derive(Debug, Default)]
@@ -26,6 +26,7 @@
 struct Read {
     /// When it began, on the clock that runs during suspension.
     began: Duration,
+    ended: Duration,
     /// Whether it showed that nothing is missing.
     proved: bool,
 }
@@ -34,8 +35,10 @@
 /// suspension.
 pub(super) async fn confirm<A: Adapter>(state: &Rc<State<A>>, since: Duration) -> bool {
     let confirmation = &state.resumption.confirmation;
+    let called = state.clock.boot_time();
     let _turn = confirmation.turn.lock().await;
-    if let Some(last) = confirmation.last.get().filter(|last| last.began >= since) {
+    let is_shared = |last: &Read| last.began >= since && (last.proved || last.ended >= called);
+    if let Some(last) = confirmation.last.get().filter(is_shared) {
         return last.proved;
     }
     let began = state.clock.boot_time();
@@ -52,7 +55,8 @@
             false
         }
     };
-    confirmation.last.set(Some(Read { began, proved }));
+    let ended = state.clock.boot_time();
+    confirmation.last.set(Some(Read { began, ended, proved }));
     proved
 }
 
--- a/components/forward/src/resumption/taking_up.rs
+++ b/components/forward/src/resumption/taking_up.rs
@@ -1,15 +1,13 @@
 //! Finds out which version began the stream that a caller takes up.
 
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use clock::Clock;
 use futures_util::StreamExt;
-use futures_util::future::{Either, select};
 use futures_util::stream::FuturesUnordered;
-use origins::{Evidence, Origin, Seen, Span, Stream, Version};
+use origins::{Destination, Evidence, Origin, Seen, Span, Stream, Version};
 use wire::origins::{Answer as Reply, Asked, Message};
 
 use crate::adapter::Adapter;
@@ -18,15 +16,13 @@
 use crate::state::State;
 
 use super::confirming::confirm;
-use super::telling::post;
-use super::{millis, origin_of, proof_age};
+use super::telling::{CONFIRM_TIMEOUT, announce, is_alone, post};
+use super::{EXPIRY_MARGIN, destination_of, millis, origin_of, proof_age};
 
 /// Time after a node's start in which it may not have the list of nodes yet, so that it asks again.
 const SETTLING: Duration = Duration::from_secs(1);
 /// Pause before it asks again.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
-/// Time after which this node reads the store itself if the node that it asks to do so hasn't answered.
-const CONFIRM_PAUSE: Duration = Duration::from_millis(150);
 /// When a caller may come again whose stream no node knows.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -64,26 +60,33 @@
     }
 }
 
-/// How many peers answered a question, and how many didn't.
+/// Which peers answered a question.
 #[derive(Clone, Copy, Debug, Default)]
 struct Answers {
     received: usize,
     missing: usize,
+    /// The one that reads the store for this node, if it did.
+    reader: Option<SocketAddr>,
 }
 
 /// Restricts a request that takes a stream up to the version that began it.
 ///
 /// # Errors
-/// When that version can't be found out.
+/// When that version can't be found out, or when the request begins a stream at a node that is out of step with the others.
 pub(crate) async fn restrict<A: Adapter>(
     state: &Rc<State<A>>,
     received: &mut Received,
 ) -> Result<(), Error> {
     let call = &received.call;
     let takes_up = call.resumes.is_some() || call.last_event_id.is_some();
-    if !takes_up || !received.is_resumable() {
+    if !received.is_resumable() {
         return Ok(());
     }
+    if !takes_up {
+        let reason = "this node's list of servers is out of date";
+        let may_begin = announce(state, received).await;
+        return may_begin.then_some(()).ok_or(Error::Refused { reason, retry_after: RETRY_AFTER });
+    }
     let (mut finding, mut answers) = find(state, received).await;
     while finding == Finding::Unknown && is_settling(state) {
         tokio::time::sleep(ASK_PAUSE).await;
@@ -111,64 +114,87 @@
     !is_alone(state) && state.clock.now() < state.resumption.started + SETTLING
 }
 
-/// Whether no other node is expected.
-fn is_alone<A: Adapter>(state: &State<A>) -> bool {
-    let node = state.node();
-    node.seeds.iter().all(|seed| *seed == node.peers)
-        && state.resumption.members.borrow().others(node.peers) == 0
+/// A question for a stream that a request takes up.
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    asked: Asked,
+    /// The route of the request, and where it leads.
+    destination: Destination,
+    /// The time in which a server that began the stream was listed. A stream is no older than the longest life of one when its
+    /// caller takes it up, and began before that. The list of the node that began it was no older than nodes accept keys by.
+    life: Span,
+}
+
+impl Question {
+    fn message(&self, confirm: bool) -> Message {
+        let (asked, destination) = (Some(self.asked), self.destination.0);
+        Message { asked, destination, confirm, ..Message::default() }
+    }
+}
+
+/// The question for the stream that a request takes up; none if its service isn't known.
+fn question<A: Adapter>(state: &State<A>, received: &Received) -> Option<Question> {
+    let resumption = &state.resumption;
+    let name = state.registry.borrow().service_name(received.service)?;
+    let longest = resumption.lifetime.borrow().longest(state.clock.now());
+    let until = received.arrived.boot_time;
+    let since = until.saturating_sub(longest + state.node().max_proof_age());
+    let ago = state.clock.boot_time().saturating_sub(since);
+    // Of a caller that names no try, peers can only tell which versions they have seen.
+    let stream = received.call.resumes.as_deref().map_or(Stream(0), Stream::begun_by);
+    let lifetime_ms = millis(ago + EXPIRY_MARGIN);
+    Some(Question {
+        asked: Asked { stream: stream.0, service: wire::key(&name), lifetime_ms },
+        destination: destination_of(received.route()),
+        life: Span { since, until },
+    })
 }
 
 /// Finds out which version began the stream that a request takes up.
 async fn find<A: Adapter>(state: &Rc<State<A>>, received: &Received) -> (Finding, Answers) {
     let (resumption, now) = (&state.resumption, state.clock.now());
     let mut answers = Answers::default();
-    let Some(name) = state.registry.borrow().service_name(received.service) else {
-        return (Finding::Unknown, answers);
-    };
-    // Of a caller that names no try, peers can only tell which versions they have seen.
-    let stream = received.call.resumes.as_deref().map_or(Stream(0), Stream::begun_by);
+    let Some(question) = question(state, received) else { return (Finding::Unknown, answers) };
+    let stream = Stream(question.asked.stream);
     if let Some(origin) = resumption.table.borrow().origin(stream, now) {
         return (Finding::Own(origin), answers);
     }
-    let life = life(state, received);
-    let lifetime_ms = millis(life.until.saturating_sub(life.since));
-    let asked = Asked { stream: stream.0, service: wire::key(&name), lifetime_ms };
-    let mut evidence = match ask(state, asked, &mut answers).await {
-        Ok((peer, origin)) => {
-            let expires = now + received.time_left(state);
-            resumption.table.borrow_mut().insert(stream, origin, expires, now);
-            return (Finding::Peer(peer, origin), answers);
-        }
+    let told = |(peer, origin): (SocketAddr, Origin)| {
+        let expires = now + received.time_left(state);
+        resumption.table.borrow_mut().insert(stream, origin, expires, now);
+        Finding::Peer(peer, origin)
+    };
+    let reader = state.contact.path.borrow().reader();
+    let reader = reader.filter(|reader| *reader != state.node().peers);
+    let mut evidence = match ask(state, question, reader, &mut answers).await {
+        Ok(known) => return (told(known), answers),
         Err(evidence) => evidence,
     };
-    evidence.push(own_evidence(state, asked, proof_age(state)));
-    if Evidence::only_version(&evidence).is_none() {
+    evidence.push(own_evidence(state, question, proof_age(state)));
+    // The service is drawn by the id of the try that began the stream.
+    let may_be_elsewhere = received.route().split.len() > 1 && received.call.resumes.is_none();
+    if may_be_elsewhere || Evidence::only_version(&evidence).is_none() {
         return (Finding::Unknown, answers);
     }
-    if Evidence::conclude(&evidence, life).is_none() {
-        evidence.extend(ask_to_confirm(state, asked, life.until).await);
+    if Evidence::conclude(&evidence, question.life).is_none() {
+        match confirm_evidence(state, question, answers.reader).await {
+            Some(Confirmed::Known(peer, origin)) => return (told((peer, origin)), answers),
+            Some(Confirmed::Evidence(confirmed)) => evidence.push(confirmed),
+            None => {}
+        }
     }
-    let only = Evidence::conclude(&evidence, life);
+    let only = Evidence::conclude(&evidence, question.life);
     (only.map_or(Finding::Unknown, Finding::OnlyVersion), answers)
 }
 
-/// The time in which a server that began the stream was listed: the stream is no older than the longest life of one when its
-/// caller takes it up, and the list of the node that began it no older than nodes accept keys by.
-fn life<A: Adapter>(state: &State<A>, received: &Received) -> Span {
-    let until = received.arrived.boot_time;
-    let longest = state.resumption.lifetime.get() + state.node().max_proof_age();
-    Span { since: until.saturating_sub(longest), until }
-}
-
 /// What this node has seen, with a proof of this age.
 fn own_evidence<A: Adapter>(
     state: &State<A>,
-    asked: Asked,
+    question: Question,
     proof_age: Option<Duration>,
 ) -> Evidence {
-    let within = Duration::from_millis(asked.lifetime_ms.into());
-    let census = state.resumption.census.borrow();
-    let Seen { covered, versions } = census.seen(asked.service, within, state.clock.now());
+    let (asked, destination) = (question.asked, Some(question.destination));
+    let Seen { covered, versions } = state.resumption.seen(asked, destination, state.clock.now());
     let now = state.clock.boot_time();
     Evidence { span: Span::stated(now, now, covered, proof_age), versions }
 }
@@ -183,25 +209,31 @@
     }
 }
 
-/// Asks the keepers of a stream which version began it; returns the first that knows.
+/// Asks the keepers of a stream which version began it, and the `reader` that reads the store for this node; returns the first
+/// that knows.
 ///
 /// # Errors
 /// When none does: the versions of the service that those who answered have seen.
 async fn ask<A: Adapter>(
     state: &State<A>,
-    asked: Asked,
+    question: Question,
+    reader: Option<SocketAddr>,
     answers: &mut Answers,
 ) -> Result<(SocketAddr, Origin), Vec<Evidence>> {
     let (resumption, own) = (&state.resumption, state.node().peers);
     let began = state.clock.boot_time();
-    let peers = resumption.members.borrow().asked(Stream(asked.stream));
-    let message = Message { asked: Some(asked), ..Message::default() };
+    let mut peers = resumption.members.borrow().asked(Stream(question.asked.stream));
+    peers.extend(reader.filter(|reader| !peers.contains(reader)));
+    let message = question.message(false);
     let post = async |peer| (peer, post(state, peer, &message).await);
     let mut replies: FuturesUnordered<_> =
         peers.into_iter().filter(|peer| *peer != own).map(post).collect();
     let mut evidence = vec![];
     while let Some((peer, reply)) = replies.next().await {
         *if reply.is_ok() { &mut answers.received } else { &mut answers.missing } += 1;
+        if reply.is_ok() && Some(peer) == reader {
+            answers.reader = reader;
+        }
         match reply {
             Ok(reply) if reply.known => return Ok((peer, origin_of(reply.version))),
             Ok(reply) => evidence.push(peer_evidence(state, reply, began)),
@@ -213,46 +245,33 @@
     Err(evidence)
 }
 
-/// Evidence of a list that is proved to have been complete at `since` or later: of the node that reads the store for this one,
-/// so that many nodes share its reads, else of this node.
-async fn ask_to_confirm<A: Adapter>(
+/// What a read of the store shows.
+enum Confirmed {
+    /// A peer knows by now which version began the stream.
+    Known(SocketAddr, Origin),
+    /// Evidence of a list that was complete after the caller took the stream up.
+    Evidence(Evidence),
+}
+
+/// Has the store read: by the `reader` that reads it for this node, if it answers, so that many nodes share its reads, else by
+/// this node. A reader that answers without a proof has none, and a store that is slow isn't read by all nodes.
+async fn confirm_evidence<A: Adapter>(
     state: &Rc<State<A>>,
-    asked: Asked,
-    since: Duration,
-) -> Option<Evidence> {
-    let own = async {
-        let is_confirmed = confirm(state, since).await;
+    question: Question,
+    reader: Option<SocketAddr>,
+) -> Option<Confirmed> {
+    let since = question.life.until;
+    let Some(reader) = reader else {
+        let confirming = tokio::time::timeout(CONFIRM_TIMEOUT, confirm(state, since));
+        let is_confirmed = confirming.await.unwrap_or(false);
         let age = state.clock.boot_time().saturating_sub(since);
-        is_confirmed.then(|| own_evidence(state, asked, Some(age)))
-    };
-    let reader = state.contact.path.borrow().reader();
-    let Some(reader) = reader.filter(|reader| *reader != state.node().peers) else {
-        return own.await;
-    };
-    let began = state.clock.boot_time();
-    let message = Message { asked: Some(asked), confirm: true, ..Message::default() };
-    let other = async {
-        let reply = post(state, reader, &message).await.ok()?;
-        let is_confirmed = reply.proof_age_ms == Some(0);
-        is_confirmed.then(|| peer_evidence(state, reply, began))
+        return is_confirmed.then(|| Confirmed::Evidence(own_evidence(state, question, Some(age))));
     };
-    first_of(other, own).await
-}
-
-/// What `first` yields, or else `second`, which begins once `first` has failed or has taken too long.
-async fn first_of<T>(
-    first: impl Future<Output = Option<T>>,
-    second: impl Future<Output = Option<T>>,
-) -> Option<T> {
-    let (mut first, second) = (pin!(first), pin!(second));
-    match tokio::time::timeout(CONFIRM_PAUSE, &mut first).await {
-        Ok(Some(found)) => return Some(found),
-        Ok(None) => return second.await,
-        Err(_) => {}
-    }
-    match select(first, second).await {
-        Either::Left((Some(found), _)) | Either::Right((Some(found), _)) => Some(found),
-        Either::Left((None, second)) => second.await,
-        Either::Right((None, first)) => first.await,
+    let asked = state.clock.boot_time();
+    let reply = post(state, reader, &question.message(true)).await.ok()?;
+    if reply.known {
+        return Some(Confirmed::Known(reader, origin_of(reply.version)));
     }
+    let is_confirmed = reply.proof_age_ms == Some(0);
+    is_confirmed.then(|| Confirmed::Evidence(peer_evidence(state, reply, asked)))
 }
--- a/components/forward/src/resumption/telling.rs
+++ b/components/forward/src/resumption/telling.rs
@@ -8,18 +8,20 @@
 use catalog::Entry;
 use clock::Clock;
 use origins::{Origin, Record, Stream};
-use wire::origins::{Answer as Reply, Message};
+use wire::origins::{Answer as Reply, Message, Row};
 
 use crate::adapter::Adapter;
 use crate::answer::Answer;
 use crate::intake::Received;
 use crate::state::State;
 
-use super::confirming::{READ_TIMEOUT, confirm};
-use super::{EXPIRY_MARGIN, PATH, has_current_list, proof_age, stream_of, version_of};
+use super::confirming::confirm;
+use super::{EXPIRY_MARGIN, PATH, has_current_list, millis, proof_age, stream_of, version_of};
 
 /// Time within which a peer must answer: several round trips between two regions.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+/// The same for a peer that is to read the store first.
+pub(super) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 const MAX_MESSAGE_BYTES: usize = 64 << 10;
 
 /// Starts the task that tells keepers of streams. It ends with the node.
@@ -65,7 +67,7 @@
     peer: SocketAddr,
     message: &Message,
 ) -> Result<Reply, String> {
-    let timeout = if message.confirm { ANSWER_TIMEOUT + READ_TIMEOUT } else { ANSWER_TIMEOUT };
+    let timeout = if message.confirm { CONFIRM_TIMEOUT } else { ANSWER_TIMEOUT };
     let request = state.peer_client.post(format!("http://{peer}{PATH}")).timeout(timeout);
     let sent = request.send_body(message.encode()).await;
     let mut response = sent.map_err(|cause| cause.to_string())?;
@@ -118,6 +120,34 @@
     }
 }
 
+/// Whether a request may begin a stream at this node. If its list is so old that servers on it may be long gone for others, these
+/// may conclude that a version which they list began the stream. So keepers are told that nothing is known of its version, and
+/// none may have a newer list: they must have lost the store too.
+pub(super) async fn announce<A: Adapter>(state: &State<A>, received: &Received) -> bool {
+    if state.is_fresh() || is_alone(state) {
+        return true;
+    }
+    let (stream, own) = (stream_of(&received.call), state.node().peers);
+    let lifetime_ms = millis(received.time_left(state) + EXPIRY_MARGIN);
+    let row = Row { stream: stream.0, version: None, lifetime_ms };
+    let message = Message { told: vec![row], ..Message::default() };
+    let keepers = state.resumption.members.borrow().keepers(stream);
+    let others = keepers.into_iter().filter(|keeper| *keeper != own);
+    let tell = async |keeper| post(state, keeper, &message).await.ok();
+    let replies = futures_util::future::join_all(others.map(tell)).await;
+    let newest = millis(state.node().max_proof_age());
+    let has_newer = |reply: &Reply| reply.proof_age_ms.is_some_and(|age| age < newest);
+    let mut replies = replies.iter().flatten().peekable();
+    replies.peek().is_some() && !replies.any(has_newer)
+}
+
+/// Whether no other node is expected.
+pub(super) fn is_alone<A: Adapter>(state: &State<A>) -> bool {
+    let node = state.node();
+    node.seeds.iter().all(|seed| *seed == node.peers)
+        && state.resumption.members.borrow().others(node.peers) == 0
+}
+
 /// Tells the keepers of a stream, and returns once each has answered or is silent.
 async fn tell_at_once<A: Adapter>(state: &State<A>, stream: Stream) {
     let (resumption, own) = (&state.resumption, state.node().peers);
--- a/components/origins/src/lib.rs
+++ b/components/origins/src/lib.rs
@@ -9,15 +9,19 @@
 //! The crate does no I/O and reads no clock.
 
 mod census;
+mod destinations;
 mod evidence;
 mod id;
+mod lifetime;
 mod members;
 mod outbox;
 mod table;
 
 pub use census::{Census, Seen};
+pub use destinations::{Destination, Destinations};
 pub use evidence::{Evidence, Span};
 pub use id::{Stream, Version};
+pub use lifetime::Lifetime;
 pub use members::{ASKED, COPIES, MAX_MEMBERS, Members};
 pub use outbox::Outbox;
 pub use table::{Origin, Record, Table};
--- a/components/replica/src/replica.rs
+++ b/components/replica/src/replica.rs
@@ -28,6 +28,8 @@
     pub struct Changes {
         /// Items that take effect, in order.
         pub items: Vec<Item>,
+        /// Items that were written again as they are known.
+        pub renewed: Vec<Item>,
         /// Items that this node knows better than the store, by key, each with the store's revision.
         pub overruled: Vec<(String, u64)>,
         /// The era before the one to which this node changed.
@@ -173,6 +175,14 @@
         changes
     }
 
+    /// Moves to a position of the present era that a peer has reached with changes missing: items may have come and gone
+    /// before it.
+    pub fn skip_to(&mut self, position: Position) {
+        if position.era == self.era() {
+            self.advance(position, true);
+        }
+    }
+
     /// Applies the complete list of items at a position: items that aren't in it were deleted, except for those that the
     /// store has forgotten and that nobody renews.
     pub fn replace(
@@ -199,6 +209,7 @@
         let mut changes = self.merge_all(missing, enters, content, now);
         let listed = self.merge_all(items, enters, content, now);
         changes.items.extend(listed.items);
+        changes.renewed.extend(listed.renewed);
         changes.overruled.extend(listed.overruled);
         changes.former_era = former_era;
         self.forget_oldest_deletions();
@@ -377,7 +388,10 @@
         for item in items {
             match self.judge(&item, enters, content) {
                 Judgement::Known => {}
-                Judgement::Renewed => self.store(item, now),
+                Judgement::Renewed => {
+                    self.store(item.clone(), now);
+                    changes.renewed.push(item);
+                }
                 Judgement::Newer => {
                     self.record_ended(&item, enters, content);
                     self.store(item.clone(), now);
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -173,6 +173,10 @@
     !flag
 }
 
+pub(crate) fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// The key that stands for a name on the wire: 32 bits of its hash, to save bytes. Two of the hundred
 /// or so names of a cell collide in about one of a million cells; their counts would then be added.
 ///
--- a/components/wire/src/origins.rs
+++ b/components/wire/src/origins.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::is_false;
+use crate::{is_false, is_zero};
 
 derives::data! {
     /// Streams that a node has begun, and its question for one that a caller takes up.
@@ -17,6 +17,9 @@
         /// Whether the answer is to say what the list of servers is when the question arrives, by a read of the store.
         #[serde(rename = "c", default, skip_serializing_if = "is_false")]
         pub confirm: bool,
+        /// Hash of the route of the stream that is asked for and of the services that it leads to; 0 if it isn't stated.
+        #[serde(rename = "r", default, skip_serializing_if = "is_zero")]
+        pub destination: u64,
     }
 
     /// The answer to a [`Message`].
@@ -35,10 +38,11 @@
         /// the list may be out of date.
         #[serde(rename = "c", default)]
         pub covered_ms: u32,
-        /// Time over which the node has followed the list of servers, in milliseconds.
+        /// Time over which the node has followed the list of servers, and the route has led to the same services, in
+        /// milliseconds.
         #[serde(rename = "f", default)]
         pub followed_ms: u32,
-        /// Age of the proof that its list is complete, in milliseconds; none if it has no proof.
+        /// Age of the proof that the node's list is complete, in milliseconds; none if it has no proof.
         #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
         pub proof_age_ms: Option<u32>,
         /// Versions of the service that it has seen.
