Bodies and events that are buffered share one budget of a node's memory

What callers saw: with 500 requests open whose servers send bytes without end, or whose callers read nothing, a node took 45 to 170 MB more than with silent servers. Nodes have 110 MB, so the process ends, and with it the requests of all others.

Cause: each answer had a bound (256 KiB of a body, 128 KiB of an event), and all that are open at once had none. A body that was passed on was also copied whole into the connection's write buffer, where it stayed while its caller read nothing.

Change: the new crate `buffers` (no I/O, no clock) holds a budget of an eighth of `[room] memory_mb`. A buffer may grow to an eighth of what the others leave free, beyond an allowance of 8 KiB ("dynamic thresholds", as packet buffers are shared in a switch). A body for which there is no room is passed on as it arrives, as large ones are; an event ends its stream, which another server continues where the route allows that. What is passed on keeps its share until it is written, in slices of 4 KiB, and connections to callers hold 8 KiB unwritten in place of 32.

Why it works: a buffer's memory is counted before it grows, so all of them together stay below budget + 8 KiB each. Many that grow without end get little each and leave room for small answers, which always fit.

Cost: no honest body is refused. While buffers are full, a body of more than its part (28 KiB with 500 of them) is passed on before it is complete, so it can't be retried once it is interrupted, and an event over about that size ends its stream. Large answers take more and smaller writes.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -1,11 +1,13 @@
 //! Sends one attempt of a request to one backend server and receives the start of its answer.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode, Uri, Version};
-use bytes::{Bytes, BytesMut};
+use buffers::{Buffer, Exceeded, Share};
+use bytes::Bytes;
 use catalog::Entry;
 use clock::Clock;
 use endings::Finding;
@@ -18,6 +20,7 @@
 use crate::answer::Answer;
 use crate::cold;
 use crate::events::{Gap, OutOfOrder, Splitter, Truncated};
+use crate::held::Held;
 use crate::hop;
 use crate::intake::Received;
 use crate::mechanism::Mechanism;
@@ -37,8 +40,11 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest event of a stream. It is held until it is whole, and hundreds of streams are open at once.
 const MAX_EVENT_BYTES: usize = 128 << 10;
+/// A buffer that grows has room for up to so many times what it holds.
+const GROWTH: usize = 2;
 /// Largest answer that is buffered until it is complete, so that the request can still be retried at
-/// another server if it is interrupted. A larger one is passed on as it arrives.
+/// another server if it is interrupted. A larger one is passed on as it arrives, and so is any for which the budget of the
+/// node's buffers has no room.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// Why an attempt brought no answer.
@@ -76,6 +82,9 @@
     /// The request ran, and the server responded with an error.
     #[error("the server failed with status {}", .0.status.as_u16())]
     ServerError(Box<WholeReply>),
+    /// The part of the answer that isn't whole takes more room than this node has left.
+    #[error("{0}")]
+    Full(Exceeded),
     /// No answer came in time; the request may have run.
     #[error("no answer in time")]
     TimedOut,
@@ -94,6 +103,7 @@
             | AttemptError::Incomplete(_)
             | AttemptError::OtherWeights { .. }
             | AttemptError::ServerError(_)
+            | AttemptError::Full(_)
             | AttemptError::TimedOut => None,
         }
     }
@@ -115,6 +125,7 @@
             AttemptError::OutOfOrder(_)
             | AttemptError::Incomplete(_)
             | AttemptError::OtherWeights { .. }
+            | AttemptError::Full(_)
             | AttemptError::TimedOut => Ending::Failed,
         }
     }
@@ -125,7 +136,7 @@
 pub(crate) struct WholeReply {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Held,
 }
 
 impl WholeReply {
@@ -167,8 +178,10 @@
     body: Body,
     /// Splits the body into events, if it is a stream of them.
     splitter: Option<Splitter>,
-    /// Chunk that was read before the answer was passed on.
-    first: Option<Chunk>,
+    /// What the splitter holds.
+    share: Share,
+    /// Chunks that were read before the answer was passed on.
+    first: VecDeque<Chunk>,
     ended: bool,
     /// What followed the last whole event, once the body has ended.
     rest: Option<Bytes>,
@@ -200,7 +213,7 @@
 
 /// A chunk of an answer.
 pub(crate) struct Chunk {
-    pub(crate) bytes: Bytes,
+    pub(crate) bytes: Held,
     /// Number of events with an id in it; 1 if the answer isn't a stream.
     pub(crate) events: u32,
 }
@@ -218,7 +231,7 @@
 
     /// The next chunk; none after the regular end of the answer.
     pub(crate) async fn next_chunk(&mut self) -> Result<Option<Chunk>, AttemptError> {
-        if let Some(first) = self.first.take() {
+        if let Some(first) = self.first.pop_front() {
             return Ok(Some(first));
         }
         let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
@@ -231,11 +244,15 @@
             };
             self.alive_at = Instant::now();
             let Some(splitter) = &mut self.splitter else {
-                return Ok(Some(Chunk { bytes, events: 1 }));
+                return Ok(Some(Chunk { bytes: bytes.into(), events: 1 }));
             };
+            let growth = splitter.pending_bytes() + bytes.len();
+            self.share.resize(GROWTH * growth).map_err(AttemptError::Full)?;
             let batch = splitter.push(&bytes).map_err(AttemptError::OutOfOrder)?;
             if let Some(batch) = batch {
-                return Ok(Some(Chunk { bytes: batch.bytes, events: batch.events }));
+                let share = self.share.split(GROWTH * batch.bytes.len());
+                let bytes = Held::new(batch.bytes, share);
+                return Ok(Some(Chunk { bytes, events: batch.events }));
             }
             if self.cut_bytes() > MAX_EVENT_BYTES {
                 return Err(AttemptError::Lost("an event of the answer doesn't end".to_string()));
@@ -272,7 +289,7 @@
         }
         self.ended = true;
         let bytes = self.rest.take().unwrap_or_default();
-        Ok((!bytes.is_empty()).then_some(Chunk { bytes, events: 0 }))
+        Ok((!bytes.is_empty()).then_some(Chunk { bytes: bytes.into(), events: 0 }))
     }
 
     /// Whether its body has ended regularly, and only proof that it is complete is missing.
@@ -451,7 +468,8 @@
         keep_alive: statement.keep_alive,
         body,
         splitter,
-        first: None,
+        share: state.buffers.share(),
+        first: VecDeque::new(),
         ended: false,
         rest: None,
         survival: state.survival.clone(),
@@ -466,8 +484,8 @@
         state.survival.watch(server);
     }
     if reply.splitter.is_some() {
-        reply.first = reply.next_chunk().await?;
-        if reply.first.as_ref().is_some_and(|chunk| chunk.events > 0) {
+        reply.first = reply.next_chunk().await?.into_iter().collect();
+        if reply.first.front().is_some_and(|chunk| chunk.events > 0) {
             received.began.set(true);
             state.crashes.record_beginning(&received.subject);
         }
@@ -478,17 +496,18 @@
     }
     let max_buffered =
         if state.switches.is_on(Mechanism::AnswerBuffering) { MAX_BUFFERED_BYTES } else { 0 };
-    let mut all = BytesMut::new();
+    let mut all = Buffer::new(state.buffers.share());
     while let Some(chunk) = reply.next_chunk().await? {
-        all.extend_from_slice(&chunk.bytes);
-        if all.len() > max_buffered {
-            reply.first = Some(Chunk { bytes: all.freeze(), events: 1 });
+        let fits = all.len() + chunk.bytes.len() <= max_buffered;
+        if !fits || all.push(chunk.bytes.as_slice()).is_err() {
+            let before = (!all.is_empty()).then(|| Chunk { bytes: all.into(), events: 1 });
+            reply.first = before.into_iter().chain([chunk]).collect();
             return Ok(Reply::Partial(Box::new(reply)));
         }
     }
     let (status, headers) = (reply.status, std::mem::take(&mut reply.headers));
     reply.release_connection(state);
-    let whole = WholeReply { status, headers, body: all.freeze() };
+    let whole = WholeReply { status, headers, body: all.into() };
     if status.is_server_error() {
         return Err(AttemptError::ServerError(Box::new(whole)));
     }
--- a/components/forward/src/events.rs
+++ b/components/forward/src/events.rs
@@ -12,6 +12,8 @@
 use memchr::memmem;
 use origins::Version;
 
+/// Size of an event after which the memory that held it isn't kept for the next ones.
+const MAX_KEPT_BYTES: usize = 4 << 10;
 /// Software versions whose numbering is remembered.
 const MAX_VERSIONS: usize = 1_000;
 
@@ -141,6 +143,9 @@
                 out.extend_from_slice(&event);
             }
         }
+        if out.len() > MAX_KEPT_BYTES {
+            self.buf = BytesMut::from(&self.buf[..]);
+        }
         Ok((!out.is_empty()).then(|| Batch { bytes: out.freeze(), events }))
     }
 
--- a/components/forward/src/hop.rs
+++ b/components/forward/src/hop.rs
@@ -13,7 +13,8 @@
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, Request, RequestHead, ResponseHead, Uri};
-use bytes::{Bytes, BytesMut};
+use buffers::Buffer;
+use bytes::Bytes;
 use catalog::Entry;
 use futures_util::stream;
 use http_client::{Body, Connection, Delimiter};
@@ -57,6 +58,8 @@
 pub(crate) struct PartialReply {
     pub(crate) head: WholeReply,
     peer: SocketAddr,
+    /// What was read beyond the bytes in [`PartialReply::head`].
+    rest: Bytes,
     body: Body,
     ended: bool,
 }
@@ -64,8 +67,11 @@
 impl PartialReply {
     /// The next bytes of the answer; none after its regular end.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, http_client::Error> {
-        if !self.head.body.is_empty() {
-            return Ok(Some(std::mem::take(&mut self.head.body)));
+        if let Some(bytes) = self.head.body.take_slice() {
+            return Ok(Some(bytes));
+        }
+        if !self.rest.is_empty() {
+            return Ok(Some(std::mem::take(&mut self.rest)));
         }
         let next = self.body.next().await?;
         self.ended = next.is_none();
@@ -185,18 +191,21 @@
     }
     headers.remove(ORIGIN);
     headers.remove(SERVER);
-    let mut whole = WholeReply { status: head.status, headers, body: Bytes::new() };
-    let mut received = BytesMut::new();
-    while !is_stream && received.len() <= MAX_BUFFERED_BYTES {
+    let mut received = Buffer::new(state.buffers.share());
+    let mut rest = Bytes::new();
+    while !is_stream && rest.is_empty() {
         let Some(bytes) = body.next().await.map_err(lost)? else {
             state.pool.put(&peer.to_string(), body, None);
-            whole.body = received.freeze();
+            let whole = WholeReply { status: head.status, headers, body: received.into() };
             return Ok(Reply::Whole(origin, whole));
         };
-        received.extend_from_slice(&bytes);
+        let fits = received.len() + bytes.len() <= MAX_BUFFERED_BYTES;
+        if !fits || received.push(&bytes).is_err() {
+            rest = bytes;
+        }
     }
-    whole.body = received.freeze();
-    Ok(Reply::Partial(Box::new(PartialReply { head: whole, peer, body, ended: false })))
+    let head = WholeReply { status: head.status, headers, body: received.into() };
+    Ok(Reply::Partial(Box::new(PartialReply { head, peer, rest, body, ended: false })))
 }
 
 /// An answer that is being passed on from a peer to a caller.
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -16,6 +16,7 @@
 mod events;
 mod follow;
 mod gossip;
+mod held;
 mod hop;
 mod intake;
 mod limits;
--- a/components/forward/src/node.rs
+++ b/components/forward/src/node.rs
@@ -136,7 +136,15 @@
     DEFAULT_LINK_MBPS
 }
 
+/// Buffers may take this fraction of a node's memory: one in so many. Bodies of requests have a part of their own.
+const BUFFER_MEMORY_DIVISOR: u64 = 8;
+
 impl Resources {
+    /// Bytes that all buffers together may take whose contents servers, peers and callers determine.
+    pub(crate) fn buffer_bytes(&self) -> usize {
+        ((self.memory_mb << 20) / BUFFER_MEMORY_DIVISOR) as usize
+    }
+
     /// Bandwidth of the node's link in bytes per second.
     pub(crate) fn link_bytes_per_second(&self) -> f64 {
         self.link_mbps * BYTES_PER_MBPS
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use buffers::Budget;
 use catalog::{Membership, Settings};
 use clock::Clock;
 use driver::{Crashes, Driver};
@@ -138,6 +139,8 @@
     pub(crate) evacuations: Evacuations,
     /// Limits of the callers' listener.
     pub(crate) listener_limits: watch::Sender<listen::Limits>,
+    /// What servers, peers and callers have sent that is buffered until it is whole or written.
+    pub(crate) buffers: Rc<Budget>,
     /// Bytes of the bodies of open requests.
     pub(crate) body_bytes: Cell<usize>,
     /// Ids of the open requests.
@@ -173,6 +176,7 @@
         };
         let gossip = Gossip::new(rand::random(), node.room.link_bytes_per_second());
         let max_proof_age = node.max_proof_age();
+        let buffers = Budget::new(node.room.buffer_bytes());
         let pool =
             Pool::new(PoolLimits { max_idle: MAX_IDLE_CONNECTIONS, idle_timeout: IDLE_TIMEOUT });
         let metrics = Rc::new(Metrics::new());
@@ -216,6 +220,7 @@
             }),
             evacuations: Evacuations::default(),
             listener_limits: watch::channel(listener_limits).0,
+            buffers,
             body_bytes: Cell::new(0),
             open_requests: RefCell::default(),
             request_ended: Notify::new(),
@@ -233,6 +238,7 @@
     pub(crate) fn reload(&self, node: Node) {
         self.replica.borrow_mut().freshness_mut().set_max_age(node.max_proof_age());
         self.driver.scheduler.borrow_mut().set_drain_time(node.drain_time());
+        self.buffers.set_capacity(node.room.buffer_bytes());
         *self.node.borrow_mut() = Rc::new(node);
         self.apply_fleet_size();
         let all = self.membership.borrow().iter().map(|entry| entry.name.clone()).collect();
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -17,6 +17,7 @@
 
 use crate::adapter::{Adapter, ServerProtocol};
 use crate::attempt::{AttemptError, Chunk, PartialReply, Reply};
+use crate::held::Held;
 use crate::mechanism::Mechanism;
 use crate::serve::ActiveRequest;
 
@@ -33,6 +34,8 @@
     active: ActiveRequest<A>,
     life: Option<lifecycle::Request<Streaming>>,
     reply: Option<Box<PartialReply>>,
+    /// What is left of the last chunk.
+    rest: Held,
     /// The server that began the answer, as it was when the request was sent to it.
     began: Rc<Entry>,
     /// The status with which the answer began.
@@ -60,6 +63,7 @@
             active,
             life,
             reply,
+            rest: Held::default(),
             began,
             status,
             last_chunk: None,
@@ -73,12 +77,18 @@
     /// connection, so that the caller can't take an interrupted answer for a complete one.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
+            if let Some(bytes) = self.rest.take_slice() {
+                return Some(Ok(bytes));
+            }
             if self.broken {
                 tokio::time::sleep(FLUSH_DELAY).await;
                 return Some(Err(io::Error::other("the answer broke off")));
             }
             let error = match self.next_chunk().await {
-                Ok(Some(chunk)) => return Some(Ok(self.record_chunk(chunk))),
+                Ok(Some(chunk)) => {
+                    self.rest = self.record_chunk(chunk);
+                    continue;
+                }
                 Ok(None) => return self.complete(),
                 Err(error) => error,
             };
@@ -120,12 +130,12 @@
     }
 
     /// Counts the tokens of a chunk and measures its delay; returns its bytes.
-    fn record_chunk(&mut self, chunk: Chunk) -> Bytes {
+    fn record_chunk(&mut self, chunk: Chunk) -> Held {
         let ActiveRequest { state, received, submission, stats, server, weights, .. } =
             &mut self.active;
         if chunk.events > 0 {
             if weights.is_some() {
-                *weights = state.adapter.servers.read_weights(&chunk.bytes).or(*weights);
+                *weights = state.adapter.servers.read_weights(chunk.bytes.as_slice()).or(*weights);
             }
             let settings = state.settings.borrow();
             let services = settings.as_ref().map(|settings| &settings.services);
--- a/components/listen/src/accept.rs
+++ b/components/listen/src/accept.rs
@@ -31,6 +31,9 @@
 /// Time that a connection is still served before it is closed as idle. Without it a request that has
 /// arrived but wasn't read yet would be lost.
 const CLOSE_DELAY: Duration = Duration::from_millis(5);
+/// Bytes of a response that a connection holds, in addition to those in the kernel, before it asks for more. Callers that read
+/// nothing make all connections hold so many.
+const WRITE_BUFFER_BYTES: usize = 8 << 10;
 /// Time for which a task sleeps whose delay is measured.
 const MEASUREMENT_SLEEP: Duration = Duration::from_millis(1);
 /// Connections that were closed unread between two lines of the log about them.
@@ -142,6 +145,7 @@
         .client_disconnect_timeout(LINGER)
         .keep_alive(limits.keep_alive)
         .h1_allow_half_closed(false)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         .on_connect_ext(|io: &Io, data: &mut actix_http::Extensions| {
             data.insert(io.connection.clone());
         })
