Heads of servers' answers, and answers to questions, are buffered within the node's budget

What callers saw: with 500 requests open whose servers send 120 KiB of a head that never ends, a node took 61 MB more than with silent servers, and ended if more were open.

Cause: the HTTP library ends a head after 128 KiB, in a buffer of its own that doubles, and nothing bounds all of them. `survival` kept up to 64 KiB of each answer to its questions, one for each server.

Change: `http_client` reads heads itself, 3 KiB at a time, into a buffer that grows within a share of the budget; the codec only parses. A head without room ends its attempt as one that may have run (502, or another server where the request may run again), and doesn't count against the server as a broken connection does. The share is kept until the head is passed on. The client of the router's own interface has a budget of 16 MiB for the heads of all answers.

Why it works: as for bodies; a head of up to 4 KiB always has room, larger ones have what the others leave.

Cost: a head of more than 4 KiB ends its attempt while the buffers are full. Heads are read in steps of 3 KiB in place of 8.

The test components/http_client/tests/pool.rs passes a share; what it checks is unchanged.

--- a/components/buffers/src/buffer.rs
+++ b/components/buffers/src/buffer.rs
@@ -35,6 +35,11 @@
         self.bytes.is_empty()
     }
 
+    /// Its bytes.
+    pub fn as_slice(&self) -> &[u8] {
+        &self.bytes
+    }
+
     /// Appends bytes.
     ///
     /// ```
--- a/components/engine/src/client.rs
+++ b/components/engine/src/client.rs
@@ -1,10 +1,12 @@
 //! HTTP client that sends calls to backend servers and checks that each answer is the call's own
 //! and complete.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ResponseHead, Uri};
+use buffers::Budget;
 use bytes::{Bytes, BytesMut};
 use http_client::{Body, Connection, Delimiter, Pool};
 use serde::Deserialize;
@@ -18,6 +20,8 @@
 
 /// Largest accepted body of an answer that isn't streamed.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Most bytes that the heads of all answers take that are being received.
+const HEAD_BYTES: usize = 16 << 20;
 
 derives::data! {
     /// Checks that an answer must pass.
@@ -223,6 +227,8 @@
 pub struct Client {
     http: awc::Client,
     pool: Pool,
+    /// Buffers of the heads of all answers.
+    heads: Rc<Budget>,
     connect_timeout: Duration,
     idle_timeout: Duration,
 }
@@ -235,7 +241,8 @@
         let connector = awc::Connector::new().timeout(connect_timeout).limit(0);
         let builder = awc::Client::builder().connector(connector).disable_timeout();
         let http = builder.disable_redirects().finish();
-        Client { http, pool: Pool::default(), connect_timeout, idle_timeout }
+        let heads = Budget::new(HEAD_BYTES);
+        Client { http, pool: Pool::default(), heads, connect_timeout, idle_timeout }
     }
 
     /// Sends a call and waits for its answer, or for the start of a stream. The call is sent at
@@ -276,7 +283,9 @@
                 .await
                 .map_err(|cause| unconnected(cause.to_string()))?,
         };
-        let answer = tokio::time::timeout(self.idle_timeout, connection.exchange(head, body)).await;
+        let mut share = self.heads.share();
+        let answer = connection.exchange(head, body, &mut share);
+        let answer = tokio::time::timeout(self.idle_timeout, answer).await;
         let answer = answer.map_err(|_| {
             indeterminate("timed out waiting for the head of the answer".to_string())
         })?;
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -90,6 +90,15 @@
     TimedOut,
 }
 
+impl From<http_client::Error> for AttemptError {
+    fn from(cause: http_client::Error) -> Self {
+        match cause {
+            http_client::Error::Full(cause) => AttemptError::Full(cause),
+            cause => AttemptError::Lost(cause.to_string()),
+        }
+    }
+}
+
 impl AttemptError {
     /// Proof that the attempt didn't run, if there is one.
     pub(crate) fn not_run_proof(&self) -> Option<Unsent> {
@@ -172,6 +181,8 @@
     pub(crate) headers: HeaderMap,
     /// Version of the model's weights with which it begins, if the server states that.
     pub(crate) weights: Option<u64>,
+    /// What the head holds, until it is passed on.
+    head_share: Option<Share>,
     server: Rc<Entry>,
     /// How long the server keeps the connection open while idle, if it stated that.
     keep_alive: Option<Duration>,
@@ -219,6 +230,12 @@
 }
 
 impl PartialReply {
+    /// Takes the headers, which are written at once.
+    pub(crate) fn take_headers(&mut self) -> HeaderMap {
+        self.head_share = None;
+        std::mem::take(&mut self.headers)
+    }
+
     /// The server that sends the answer.
     pub(crate) fn server(&self) -> &Rc<Entry> {
         &self.server
@@ -234,12 +251,11 @@
         if let Some(first) = self.first.pop_front() {
             return Ok(Some(first));
         }
-        let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
         while !self.ended {
             if let Some(gap) = self.splitter.as_ref().and_then(Splitter::gap) {
                 return Err(AttemptError::Incomplete(gap));
             }
-            let Some(bytes) = self.body.next().await.map_err(lost)? else {
+            let Some(bytes) = self.body.next().await? else {
                 return self.end().await;
             };
             self.alive_at = Instant::now();
@@ -387,9 +403,8 @@
     let sent = state.clock.now();
     reach::record_sent(state, server);
     statements::record_send(state, &received.call.id, server);
-    let lost = |cause: http_client::Error| AttemptError::Lost(cause.to_string());
-    let (mut head, mut body) =
-        connection.exchange(head, received.body.clone()).await.map_err(lost)?;
+    let mut share = state.buffers.share();
+    let (mut head, mut body) = connection.exchange(head, received.body.clone(), &mut share).await?;
     reach::record_reached(state, server);
     let mut mismatched = 0;
     let statement = loop {
@@ -412,11 +427,11 @@
             Verdict::Mismatched if mismatched < MAX_MISMATCHED => {
                 mismatched += 1;
                 state.metrics.count_mismatched_answer();
-                if !discard(&mut body).await.map_err(lost)? {
+                if !discard(&mut body).await? {
                     let cause = "an answer to another request doesn't end";
                     return Err(AttemptError::Lost(cause.to_string()));
                 }
-                (head, body) = body.next_response().await.map_err(lost)?;
+                (head, body) = body.next_response(&mut share).await?;
             }
             Verdict::Mismatched => {
                 return Err(AttemptError::Lost("the server responds to other requests".into()));
@@ -430,7 +445,7 @@
         return Err(AttemptError::OtherWeights { expected, got });
     }
     let after = plan.last_event_id;
-    receive_reply(state, received, server, (head, statement), (body, prepared), after).await
+    receive_reply(state, received, server, (head, statement), (body, share, prepared), after).await
 }
 
 /// Why a request may not be sent to the server that it was assigned to; none if it may. What is known of the server
@@ -447,7 +462,7 @@
     received: &Received,
     server: &Rc<Entry>,
     (head, statement): (ResponseHead, Statement),
-    (body, prepared): (Body, bool),
+    (body, head_share, prepared): (Body, Share, bool),
     last_event_id: Option<u64>,
 ) -> Result<Reply, AttemptError> {
     let media = head.headers.get("content-type").and_then(|value| value.to_str().ok());
@@ -468,6 +483,7 @@
         keep_alive: statement.keep_alive,
         body,
         splitter,
+        head_share: Some(head_share),
         share: state.buffers.share(),
         first: VecDeque::new(),
         ended: false,
--- a/components/forward/src/check.rs
+++ b/components/forward/src/check.rs
@@ -8,6 +8,7 @@
 
 use actix_http::header::{HOST, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, ResponseHead, Uri};
+use buffers::Share;
 use bytes::Bytes;
 use catalog::Entry;
 use clock::Clock;
@@ -45,8 +46,9 @@
     let service = settings.as_ref().and_then(|settings| settings.services.get(&server.service));
     let Some(path) = service.and_then(|service| service.health_path.as_deref()) else { return };
     state.metrics.count_health_check();
+    let share = state.buffers.share();
     let asked = state.clock.now();
-    let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask(&server.address, path)).await;
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask(&server.address, path, share)).await;
     let Ok(Some(head)) = answer else { return };
     let statement = state.adapter.servers.read_statement(&head);
     let incarnation = registry::incarnation(&server);
@@ -65,12 +67,12 @@
 }
 
 /// The head of a server's answer to the question for its health.
-async fn ask(address: &str, path: &str) -> Option<ResponseHead> {
+async fn ask(address: &str, path: &str, mut share: Share) -> Option<ResponseHead> {
     let mut head = RequestHead::default();
     (head.method, head.uri) = (Method::GET, path.parse::<Uri>().ok()?);
     head.headers.insert(HOST, HeaderValue::from_str(address).ok()?);
     head.set_connection_type(ConnectionType::Close);
     let connection = Connection::connect(address, CONNECT_TIMEOUT).await.ok()?;
-    let (head, _body) = connection.exchange(head, Bytes::new()).await.ok()?;
+    let (head, _body) = connection.exchange(head, Bytes::new(), &mut share).await.ok()?;
     Some(head)
 }
--- a/components/forward/src/hop.rs
+++ b/components/forward/src/hop.rs
@@ -109,7 +109,9 @@
     head.headers.insert(actix_http::header::HOST, header_value(address.as_bytes()));
     head.set_connection_type(ConnectionType::KeepAlive);
     let answer = async {
-        let (head, body) = connection.exchange(head, message.into()).await.map_err(lost)?;
+        let mut share = state.buffers.share();
+        let (head, body) =
+            connection.exchange(head, message.into(), &mut share).await.map_err(lost)?;
         receive(state, peer, head, body).await
     };
     let answer = tokio::time::timeout(time_left + ANSWER_GRACE, answer).await;
@@ -117,7 +119,10 @@
 }
 
 fn lost(cause: http_client::Error) -> AttemptError {
-    AttemptError::Lost(format!("peer: {cause}"))
+    match cause {
+        http_client::Error::Full(cause) => AttemptError::Full(cause),
+        cause => AttemptError::Lost(format!("peer: {cause}")),
+    }
 }
 
 fn header_value(bytes: &[u8]) -> HeaderValue {
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -521,7 +521,7 @@
             Reply::Partial(reply) => reply,
         };
         let mut response = Response::new(reply.status);
-        *response.headers_mut() = std::mem::take(&mut reply.headers);
+        *response.headers_mut() = reply.take_headers();
         let relay = Relay::new(self, sending.stream(), reply);
         response.set_body(stream::body(relay)).map_into_boxed_body()
     }
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -180,7 +180,8 @@
         let pool =
             Pool::new(PoolLimits { max_idle: MAX_IDLE_CONNECTIONS, idle_timeout: IDLE_TIMEOUT });
         let metrics = Rc::new(Metrics::new());
-        let survival = Survival::new(adapter.servers.clone(), pool.clone(), metrics.clone());
+        let (servers, own) = (adapter.servers.clone(), metrics.clone());
+        let survival = Survival::new(servers, pool.clone(), own, buffers.clone());
         let state = Rc::new(State {
             node: RefCell::new(Rc::new(node)),
             switches,
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use actix_http::RequestHead;
-use bytes::{Bytes, BytesMut};
+use buffers::{Budget, Buffer};
+use bytes::Bytes;
 use catalog::Entry;
 use endings::{Finding, Inquiries, Process, Proof, Settled, Testimony};
 use http_client::{Body, Connection, Error, Pool};
@@ -72,6 +73,7 @@
     servers: Box<dyn ServerProtocol>,
     pool: Pool,
     metrics: Rc<Metrics>,
+    buffers: Rc<Budget>,
     inquiries: RefCell<Inquiries<Incarnation, Ended>>,
     /// One for each server that doesn't state its start and gives answers without a length.
     witnesses: RefCell<HashMap<Incarnation, Witness>>,
@@ -99,11 +101,13 @@
         servers: impl ServerProtocol + 'static,
         pool: Pool,
         metrics: Rc<Metrics>,
+        buffers: Rc<Budget>,
     ) -> Rc<Self> {
         Rc::new(Survival {
             servers: Box::new(servers),
             pool,
             metrics,
+            buffers,
             inquiries: RefCell::default(),
             witnesses: RefCell::default(),
             undelimited: RefCell::default(),
@@ -311,15 +315,16 @@
         let mut question = RequestHead::default();
         (question.method, question.uri) = (head.method.clone(), head.uri.clone());
         question.headers = head.headers.clone();
-        let (head, mut body) = connection.exchange(question, Bytes::new()).await?;
-        let mut bytes = BytesMut::new();
+        let mut share = self.buffers.share();
+        let (head, mut body) = connection.exchange(question, Bytes::new(), &mut share).await?;
+        let mut bytes = Buffer::new(self.buffers.share());
         while let Some(chunk) = body.next().await? {
-            bytes.extend_from_slice(&chunk);
+            bytes.push(&chunk)?;
             if bytes.len() > MAX_RESPONSE_BYTES {
                 return Err(Error::Unframed);
             }
         }
-        let testimony = self.servers.read_self_report(&head, &bytes);
+        let testimony = self.servers.read_self_report(&head, bytes.as_slice());
         let keep_alive = self.servers.read_statement(&head).keep_alive;
         Ok((testimony, (body, keep_alive)))
     }
--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -1,14 +1,17 @@
 //! Reads the body of a response, and hands its connection on after the end.
 
+use std::future::poll_fn;
+
 use actix_codec::{Decoder, Framed, FramedParts};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::header::HeaderValue;
 use actix_http::{ResponseHead, StatusCode, Version, header};
+use buffers::Share;
 use bytes::{BufMut, Bytes, BytesMut};
-use futures_util::StreamExt;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
+use crate::head::Reader;
 use crate::interim::Interim;
 use crate::{Connection, Error};
 
@@ -112,25 +115,27 @@
     /// when this response belongs to an earlier request, whose answer was abandoned or sent twice.
     ///
     /// # Errors
-    /// When no further response arrives.
-    pub async fn next_response(self) -> Result<(ResponseHead, Body), Error> {
-        let mut framed = match self.framing {
-            Framing::Empty(framed) => framed,
+    /// When no further response arrives, or its head takes more room than `share` may have.
+    pub async fn next_response(self, share: &mut Share) -> Result<(ResponseHead, Body), Error> {
+        let mut reader = match self.framing {
+            Framing::Empty(framed) => {
+                let FramedParts { io, codec, read_buf, .. } = framed.into_parts();
+                Reader::resume(io, codec, read_buf, share)
+            }
             Framing::Delimited(Payload { io, codec, buf }) => {
-                let parts = FramedParts::with_read_buf(io, codec.into_message_codec(), buf);
-                Framed::from_parts(parts)
+                Reader::resume(io, codec.into_message_codec(), buf, share)
             }
             Framing::UntilClose(..) => return Err(Error::Closed),
         };
         let mut interim = Interim::default();
         let head = loop {
-            let head = framed.next().await.ok_or(Error::Closed)??;
+            let head = poll_fn(|cx| reader.poll_head(cx)).await?.ok_or(Error::Closed)?;
             if !interim.is_next(&head)? {
                 break head;
             }
-            framed = without_payload(framed);
+            reader = reader.skip_body();
         };
-        let body = Body::new(&head, framed, self.flushed, self.head_only)?;
+        let body = Body::new(&head, reader.into_framed(), self.flushed, self.head_only)?;
         Ok((head, body))
     }
 
--- /dev/null
+++ b/components/http_client/src/head.rs
@@ -0,0 +1,87 @@
+//! Reads the heads of responses, within a share of the budget of buffers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use actix_codec::{Decoder, Framed, FramedParts};
+use actix_http::ResponseHead;
+use actix_http::error::ParseError;
+use actix_http::h1::ClientCodec;
+use buffers::Share;
+use bytes::BytesMut;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::{Error, Outgoing, body};
+
+/// Most that is read at once.
+const READ_BYTES: usize = 3 << 10;
+/// A buffer that grows has room for up to so many times what it holds.
+const GROWTH: usize = 2;
+
+/// A connection on which a response is due.
+pub(crate) struct Reader<'a> {
+    framed: Framed<TcpStream, ClientCodec>,
+    buf: BytesMut,
+    share: &'a mut Share,
+}
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(framed: Framed<TcpStream, ClientCodec>, share: &'a mut Share) -> Self {
+        Reader { framed, buf: BytesMut::new(), share }
+    }
+
+    /// As [`Reader::new`], for a connection of which `buf` was read already.
+    pub(crate) fn resume(
+        io: TcpStream,
+        codec: ClientCodec,
+        buf: BytesMut,
+        share: &'a mut Share,
+    ) -> Self {
+        Reader { framed: Framed::new(io, codec), buf, share }
+    }
+
+    /// Writes what is left of the request.
+    pub(crate) fn poll_flush(&mut self, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.framed).flush::<Outgoing>(cx)
+    }
+
+    /// The next head; none if the connection ends before it.
+    pub(crate) fn poll_head(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<ResponseHead>, Error>> {
+        loop {
+            if !self.buf.is_empty()
+                && let Some(head) = self.framed.codec_mut().decode(&mut self.buf)?
+            {
+                return Poll::Ready(Ok(Some(head)));
+            }
+            let mut bytes = [0; READ_BYTES];
+            let mut read = ReadBuf::new(&mut bytes);
+            ready!(Pin::new(self.framed.io_mut()).poll_read(cx, &mut read))
+                .map_err(ParseError::Io)?;
+            if read.filled().is_empty() {
+                let cut = !self.buf.is_empty();
+                return Poll::Ready(if cut {
+                    Err(ParseError::Incomplete.into())
+                } else {
+                    Ok(None)
+                });
+            }
+            self.share.resize(GROWTH * (self.buf.len() + read.filled().len()))?;
+            self.buf.extend_from_slice(read.filled());
+        }
+    }
+
+    /// Makes the codec not wait for a body after the last head.
+    pub(crate) fn skip_body(self) -> Self {
+        Reader { framed: body::without_payload(self.framed), ..self }
+    }
+
+    /// The connection, with what was read after the last head.
+    pub(crate) fn into_framed(self) -> Framed<TcpStream, ClientCodec> {
+        let FramedParts { io, codec, .. } = self.framed.into_parts();
+        Framed::from_parts(FramedParts::with_read_buf(io, codec, self.buf))
+    }
+}
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -7,6 +7,7 @@
 //! sending and the end of the body are separate steps.
 
 mod body;
+mod head;
 mod interim;
 mod pool;
 
@@ -20,10 +21,12 @@
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead};
+use buffers::{Exceeded, Share};
 use bytes::Bytes;
 use tokio::net::TcpStream;
 
 pub use body::{Body, Delimiter};
+use head::Reader;
 use interim::Interim;
 pub use pool::{Pool, PoolLimits};
 
@@ -53,6 +56,9 @@
     /// The response is in HTTP/1.0, which has no transfer codings, and states one.
     #[error("an HTTP/1.0 response states a transfer coding")]
     ChunksUnknown,
+    /// The head takes more room than is left.
+    #[error("{0}")]
+    Full(#[from] Exceeded),
     /// The bytes that frame the body don't end.
     #[error("no byte of the body comes, only its framing")]
     Unframed,
@@ -103,14 +109,15 @@
 
     /// Sends a request and receives the head of its response. If the response arrives before the whole
     /// request was sent, the rest isn't sent. Such a connection isn't used again, since the other side
-    /// still expects the rest.
+    /// still expects the rest. The head is buffered within `share`, which must be kept as long as the head.
     ///
     /// # Errors
-    /// When no valid head arrives. The request may have been received and run nevertheless.
+    /// When no valid head arrives, or it takes more room than its share may have. The request may have been received and run nevertheless.
     pub async fn exchange(
         self,
         head: RequestHead,
         body: Bytes,
+        share: &mut Share,
     ) -> Result<(ResponseHead, Body), Error> {
         let head_only = head.method == Method::HEAD;
         let mut framed = Framed::new(self.0, ClientCodec::default());
@@ -123,30 +130,31 @@
             Pin::new(&mut framed).write(chunk)?;
         }
         let (mut flushed, mut send_error) = (false, None);
+        let mut reader = Reader::new(framed, share);
         let mut interim = Interim::default();
         let head = loop {
             let head = poll_fn(|cx| {
-                let mut framed = Pin::new(&mut framed);
                 if !flushed && send_error.is_none() {
-                    match framed.as_mut().flush::<Outgoing>(cx) {
+                    match reader.poll_flush(cx) {
                         std::task::Poll::Ready(Ok(())) => flushed = true,
                         // The other side may have responded before it stopped reading.
                         std::task::Poll::Ready(Err(cause)) => send_error = Some(cause),
                         std::task::Poll::Pending => {}
                     }
                 }
-                framed.next_item(cx)
+                reader.poll_head(cx)
             });
             let head = match head.await {
-                Some(Ok(head)) => head,
-                Some(Err(cause)) => return Err(send_error.map_or(cause.into(), Error::Send)),
-                None => return Err(send_error.map_or(Error::Closed, Error::Send)),
+                Ok(Some(head)) => head,
+                Err(cause) => return Err(send_error.map_or(cause, Error::Send)),
+                Ok(None) => return Err(send_error.map_or(Error::Closed, Error::Send)),
             };
             if !interim.is_next(&head)? {
                 break head;
             }
-            framed = body::without_payload(framed);
+            reader = reader.skip_body();
         };
+        let framed = reader.into_framed();
         let body = Body::new(&head, framed, flushed, head_only)?;
         Ok((head, body))
     }
--- a/components/http_client/tests/pool.rs
+++ b/components/http_client/tests/pool.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix_http::{ConnectionType, RequestHead};
+use buffers::Budget;
 use bytes::Bytes;
 use http_client::{Connection, Pool, PoolLimits};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,7 +20,8 @@
     server.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.unwrap();
     let mut head = RequestHead::default();
     head.set_connection_type(ConnectionType::KeepAlive);
-    let (_, mut body) = connection.exchange(head, Bytes::new()).await.unwrap();
+    let mut share = Budget::new(0).share();
+    let (_, mut body) = connection.exchange(head, Bytes::new(), &mut share).await.unwrap();
     assert!(body.next().await.unwrap().is_none());
     pool.put(&address, body, None);
     server
