Heads of callers' requests are buffered within the node's budget

What callers saw: 500 callers that send 120 KiB of a head that never ends made a node take 46 MB more for as long as a head may take; a node accepts 2,050 connections, and ends before.

Cause: the HTTP library refuses a head after 128 KiB, and `maxHeaderBytes` is checked once a head is whole. Nothing bounded the sum of those that aren't.

Change: `listen::io` counts what is read while no request is in progress against the budget of buffers. Without room, what was read is parsed once more, since it may hold a whole head and the start of its body; then the connection ends. Listeners that aren't given a budget have one of 16 MiB each.

Cost: while buffers are full, a caller whose head has more than 4 KiB and doesn't come at once loses its connection unanswered; its request wasn't run.

--- a/components/buffers/src/lib.rs
+++ b/components/buffers/src/lib.rs
@@ -120,6 +120,11 @@
         Ok(())
     }
 
+    /// Gives back all bytes.
+    pub fn clear(&mut self) {
+        self.replace(0);
+    }
+
     /// Moves bytes to a share of their own; at most those that it holds.
     ///
     /// ```
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -80,15 +80,20 @@
         let shared = state.clone();
         let handler = move |request| serve::handle(shared.clone(), request);
         let limits = state.listener_limits.subscribe();
-        let callers = Listener::open_named("callers", callers, limits, handler).await?;
+        let callers =
+            Listener::open_named_within("callers", &state.buffers, callers, limits, handler)
+                .await?;
         let shared = state.clone();
         let handler = move |request| operators::handle(shared.clone(), request);
         let own = watch::channel(Limits::default()).1;
-        let operators = Listener::open_named("operators", operators, own, handler).await?;
+        let operators =
+            Listener::open_named_within("operators", &state.buffers, operators, own, handler)
+                .await?;
         let shared = state.clone();
         let handler = move |request| updates::handle(shared.clone(), request);
         let own = watch::channel(Limits::default()).1;
-        let peers = Listener::open_named("peers", peers, own, handler).await?;
+        let peers =
+            Listener::open_named_within("peers", &state.buffers, peers, own, handler).await?;
         let disabled = state.node().disabled.join(", ");
         if !disabled.is_empty() {
             log::warn!(without = disabled.as_str(); "mechanisms are disabled");
--- a/components/listen/src/accept.rs
+++ b/components/listen/src/accept.rs
@@ -21,6 +21,7 @@
 use crate::io::Io;
 use crate::response::TrackedBody;
 use crate::{Limits, State, error};
+use buffers::Budget;
 
 /// Pause after a failed accept. Errors such as too many open files persist, so that accepting again
 /// at once would be a busy loop.
@@ -86,6 +87,7 @@
 
 pub(crate) async fn run<H, F>(
     socket: TcpListener,
+    buffers: Rc<Budget>,
     mut limits: watch::Receiver<Limits>,
     handler: H,
     mut state: watch::Receiver<State>,
@@ -120,7 +122,7 @@
             if open.clones() < current.max_connections {
                 let _ = stream.set_nodelay(true);
                 let connection = Rc::new(Connection::default());
-                let io = Io::new(stream, connection.clone(), current);
+                let io = Io::new(stream, connection.clone(), current, buffers.share());
                 let serving = Box::pin(service.call((io, Some(peer))));
                 actix_rt::spawn(drive(serving, connection, state.clone(), open.clone()));
             } else if refusals.clones() < MAX_REFUSALS {
--- a/components/listen/src/io.rs
+++ b/components/listen/src/io.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use actix_rt::net::TcpStream;
+use buffers::Share;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
@@ -21,10 +22,15 @@
 /// slot at an engine for as long as it likes.
 const MIN_WRITE_BYTES: usize = 4 << 10;
 
+/// A buffer that grows has room for up to so many times what it holds.
+const GROWTH: usize = 2;
+
 pub(crate) struct Io {
     pub(crate) stream: TcpStream,
     pub(crate) connection: Rc<Connection>,
     pub(crate) limits: Limits,
+    /// What was read of a head that isn't whole yet.
+    head: Head,
     /// Bytes that arrived ahead of the response in progress.
     read_ahead: usize,
     /// Number of requests served when bytes of a further head arrived.
@@ -46,13 +52,19 @@
 }
 
 impl Io {
-    pub(crate) fn new(stream: TcpStream, connection: Rc<Connection>, limits: Limits) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        connection: Rc<Connection>,
+        limits: Limits,
+        share: Share,
+    ) -> Self {
         let (idle_timer, write_timer) = (Timer::default(), Timer::default());
         let (head_begun_at, idle_phase) = (None, (0, false));
         Io {
             stream,
             connection,
             limits,
+            head: Head { share, bytes: 0, room: Room::Left },
             read_ahead: 0,
             head_begun_at,
             idle_timer,
@@ -81,7 +93,11 @@
 
     fn record_read(&mut self, count: usize) {
         if !self.connection.is_active() {
-            self.head_begun_at = Some(self.connection.served());
+            let served = Some(self.connection.served());
+            if std::mem::replace(&mut self.head_begun_at, served) != served {
+                self.head.clear();
+            }
+            self.head.record(count);
         } else if self.connection.is_body_received() {
             self.read_ahead += count;
         }
@@ -115,6 +131,37 @@
     }
 }
 
+/// What was read of a head that isn't whole yet.
+struct Head {
+    share: Share,
+    bytes: usize,
+    room: Room,
+}
+
+/// Whether there is room for more of a head.
+#[derive(Clone, Copy)]
+enum Room {
+    Left,
+    /// What was read last had none, and may still be parsed.
+    Missing,
+    /// It was parsed, and the head isn't whole.
+    Refused,
+}
+
+impl Head {
+    fn record(&mut self, count: usize) {
+        self.bytes += count;
+        if self.share.resize(GROWTH * self.bytes).is_err() {
+            self.room = Room::Missing;
+        }
+    }
+
+    fn clear(&mut self) {
+        (self.bytes, self.room) = (0, Room::Left);
+        self.share.clear();
+    }
+}
+
 impl Drop for Io {
     fn drop(&mut self) {
         self.update_reset();
@@ -131,6 +178,20 @@
         if this.read_ahead >= MAX_READ_AHEAD_BYTES && this.connection.is_active() {
             return Poll::Pending; // the end of the request in progress wakes the connection
         }
+        match this.head.room {
+            _ if this.connection.is_active() => this.head.clear(),
+            Room::Left => {}
+            Room::Missing => {
+                // What was read may hold a whole head, and its request is begun before the next read.
+                this.head.room = Room::Refused;
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            Room::Refused => {
+                let cause = "all buffers together hold as many bytes as they may";
+                return Poll::Ready(Err(Error::new(ErrorKind::OutOfMemory, cause)));
+            }
+        }
         let before = buf.filled().len();
         match Pin::new(&mut this.stream).poll_read(cx, buf) {
             Poll::Ready(done) => {
--- a/components/listen/src/lib.rs
+++ b/components/listen/src/lib.rs
@@ -20,6 +20,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
 use actix_rt::net::TcpListener;
+use buffers::Budget;
 use tokio::net::TcpSocket;
 use tokio::sync::watch;
 
@@ -28,6 +29,8 @@
 
 /// Connections that the kernel queues until the process accepts them.
 const BACKLOG: u32 = 1_024;
+/// Budget for the heads of requests at a listener that isn't given one.
+const HEAD_BYTES: usize = 16 << 20;
 /// Send buffer of a connection in the kernel. It allows 64 KiB in flight in each round trip; without
 /// a limit the kernel buffers megabytes for a slow reader.
 const SEND_BUFFER_BYTES: u32 = 64 << 10;
@@ -114,6 +117,23 @@
         limits: watch::Receiver<Limits>,
         handler: H,
     ) -> std::io::Result<Self>
+    where
+        H: Fn(Request) -> F + Clone + 'static,
+        F: Future<Output = Response<BoxBody>> + 'static,
+    {
+        Self::open_within(&Budget::new(HEAD_BYTES), address, limits, handler).await
+    }
+
+    /// As [`Listener::open_with_live_limits`]; the heads of requests are buffered within a budget.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn open_within<H, F>(
+        buffers: &Rc<Budget>,
+        address: SocketAddr,
+        limits: watch::Receiver<Limits>,
+        handler: H,
+    ) -> std::io::Result<Self>
     where
         H: Fn(Request) -> F + Clone + 'static,
         F: Future<Output = Response<BoxBody>> + 'static,
@@ -121,7 +141,7 @@
         let socket = bind(address)?;
         let address = socket.local_addr()?;
         let (state, watch) = watch::channel(State::Open);
-        actix_rt::spawn(accept::run(socket, limits, handler, watch));
+        actix_rt::spawn(accept::run(socket, buffers.clone(), limits, handler, watch));
         Ok(Listener { address, state })
     }
 
@@ -144,6 +164,25 @@
         listener.map_err(|cause| BindError { name, address, cause })
     }
 
+    /// As [`Listener::open_within`], with an error that contains the `name` of those whom the listener serves.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn open_named_within<H, F>(
+        name: &'static str,
+        buffers: &Rc<Budget>,
+        address: SocketAddr,
+        limits: watch::Receiver<Limits>,
+        handler: H,
+    ) -> Result<Self, BindError>
+    where
+        H: Fn(Request) -> F + Clone + 'static,
+        F: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let listener = Listener::open_within(buffers, address, limits, handler).await;
+        listener.map_err(|cause| BindError { name, address, cause })
+    }
+
     /// The address that it listens at, with the port that the system chose if 0 was asked for.
     pub fn address(&self) -> SocketAddr {
         self.address
