--- a/components/listen/src/accept.rs
+++ b/components/listen/src/accept.rs
@@ -21,6 +21,7 @@
 use crate::io::Io;
 use crate::response::TrackedBody;
 use crate::{Limits, State, error};
+use buffers::Budget;
 
 /// Pause after a failed accept. Errors such as too many open files persist, so that accepting again
 /// at once would be a busy loop.
@@ -31,6 +32,9 @@
 /// Time that a connection is still served before it is closed as idle. Without it a request that has
 /// arrived but wasn't read yet would be lost.
 const CLOSE_DELAY: Duration = Duration::from_millis(5);
+/// Bytes of a response that a connection holds, in addition to those in the kernel, before it asks for more. Callers that read
+/// nothing make all connections hold so many.
+const WRITE_BUFFER_BYTES: usize = 8 << 10;
 /// Time for which a task sleeps whose delay is measured.
 const MEASUREMENT_SLEEP: Duration = Duration::from_millis(1);
 /// Connections that were closed unread between two lines of the log about them.
@@ -83,6 +87,7 @@
 
 pub(crate) async fn run<H, F>(
     socket: TcpListener,
+    buffers: Rc<Budget>,
     mut limits: watch::Receiver<Limits>,
     handler: H,
     mut state: watch::Receiver<State>,
@@ -117,7 +122,7 @@
             if open.clones() < current.max_connections {
                 let _ = stream.set_nodelay(true);
                 let connection = Rc::new(Connection::default());
-                let io = Io::new(stream, connection.clone(), current);
+                let io = Io::new(stream, connection.clone(), current, buffers.share());
                 let serving = Box::pin(service.call((io, Some(peer))));
                 actix_rt::spawn(drive(serving, connection, state.clone(), open.clone()));
             } else if refusals.clones() < MAX_REFUSALS {
@@ -142,6 +147,7 @@
         .client_disconnect_timeout(LINGER)
         .keep_alive(limits.keep_alive)
         .h1_allow_half_closed(false)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         .on_connect_ext(|io: &Io, data: &mut actix_http::Extensions| {
             data.insert(io.connection.clone());
         })
