The soak takes streams up at nodes that are out of step

What was seen: a stream that one software version began went on at another, where a caller took it up at a node that was cut off or stood still. The soak missed it: its callers take streams up at any node, but while a node is out of step the others, which know who began a stream, are there to be asked.

Change: a play of its own. Ten nodes as processes, each with its own path to the store and to each seed. Of those, one stands still, two are cut off in all ways (silent, resetting), a seed and another node lose the store, and one loses its seeds. Meanwhile the server of another version joins and the old one leaves. Streams begin at the new version through a node that is in step, with ids of which only such nodes are told; then those stand still or are killed, and callers take the streams up by id at all nodes that are out of step. What wrote each event is checked. A stream of a service that has had one version only is taken up beside them, which may go on.

Paths are healed before processes are started: a process that is just being started still holds the listener that a path has closed, and the path couldn't listen again.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 #[path = "../../platform/tests/fixture/mod.rs"]
 mod fixture;
 mod nodes;
+mod out_of_step;
 mod paused;
 mod pieces;
 mod program;
@@ -24,6 +25,7 @@
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
+use out_of_step::Silence;
 use tokio::signal::unix::{SignalKind, signal};
 use watch::Watch;
 use world::World;
@@ -161,6 +163,27 @@
     }
 }
 
+/// Nodes are suspended or cut off, each in a way of its own, while servers of another version join, and callers take up there
+/// streams that the new version began elsewhere. Guards against a node that takes its old list, and peers that are silent, for
+/// a proof that no other version has served.
+#[actix_rt::test]
+async fn nodes_that_are_out_of_step_dont_guess_the_version_of_a_stream() {
+    out_of_step::play(0, &[(0.3, Silence::Suspended), (1.0, Silence::Killed)]).await;
+}
+
+/// As above at more ages, as many times as `SOAK_SEEDS` says.
+#[actix_rt::test]
+#[ignore = "takes minutes; run by hand"]
+async fn nodes_that_are_out_of_step_for_long_dont_guess_the_version_of_a_stream() {
+    let count = std::env::var("SOAK_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(0);
+    let ages = [0.1, 0.3, 0.6, 1.0, 1.6, 2.3, 3.0, 5.0];
+    let rounds: Vec<_> =
+        ages.into_iter().flat_map(|age| Silence::ALL.map(|silence| (age, silence))).collect();
+    for number in 0..count {
+        out_of_step::play(number, &rounds).await;
+    }
+}
+
 /// A server of a soak, as a process of its own.
 #[actix_rt::test]
 #[ignore = "is started by a soak"]
--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -35,7 +35,7 @@
 pub struct Node {
     pub callers: SocketAddr,
     operators: SocketAddr,
-    peers: SocketAddr,
+    pub peers: SocketAddr,
     settings: PathBuf,
     child: RefCell<Option<Child>>,
     /// Keep its ports from being handed out again, to another node or a stand-in, while it isn't
@@ -47,6 +47,16 @@
     /// Nodes of one fleet, each with its own way to the store; the first ones are its seeds. If `own_stores`, each
     /// reads its store itself.
     pub fn fleet(seed: u64, stores: &[SocketAddr], own_stores: bool) -> Vec<Node> {
+        Self::fleet_with_ways(seed, stores, own_stores, |_, seed| seed)
+    }
+
+    /// As [`Node::fleet`]; `way` gives the address at which a node reaches another one that is a seed.
+    pub fn fleet_with_ways(
+        seed: u64,
+        stores: &[SocketAddr],
+        own_stores: bool,
+        mut way: impl FnMut(usize, SocketAddr) -> SocketAddr,
+    ) -> Vec<Node> {
         let without = if own_stores { "without = [\"seeds\"]\n" } else { "" };
         let mut nodes = vec![];
         for index in 0..stores.len() {
@@ -57,16 +67,18 @@
             let child = RefCell::default();
             nodes.push(Node { callers, operators, peers, settings, child, _ports: ports });
         }
-        let seeds: Vec<_> = nodes.iter().take(SEEDS).map(|n| format!("\"{}\"", n.peers)).collect();
+        let seeds: Vec<_> = nodes.iter().take(SEEDS).map(|node| node.peers).collect();
         for (index, (node, store)) in nodes.iter().zip(stores).enumerate() {
             let Node { callers, operators, peers, .. } = node;
+            let ways = seeds.iter().map(|to| if to == peers { *to } else { way(index, *to) });
+            let ways: Vec<_> = ways.map(|address| format!("\"{address}\"")).collect();
             let text = format!(
                 "adapter = \"platform\"\nname = \"node-{index}\"\ndomain = \"riga-a\"\n\
                  callers = \"{callers}\"\noperators = \"{operators}\"\npeers = \"{peers}\"\n\
                  seeds = [{}]\nstore = \"{store}\"\n{without}[domains]\nriga-a = \"riga\"\n\
                  [room]\nmemory_mb = 110\ndescriptors = 1000\n\
                  [promises]\nrevocation_ms = 5000\ngrace_s = 4\nrepeats = 0.2\nretry_slack = {}\ndrain_ms = 2500\n",
-                seeds.join(", "),
+                ways.join(", "),
                 ALLOWED.slack
             );
             std::fs::write(&node.settings, text).unwrap();
