The soak checks that requests late in a stop get an answer

What was missed: a request that a node read after it was asked to stop, and passed on, was lost when its server took longer than the rest of the grace period. Callers of the soak sent each request on a connection of its own, so that none arrived late in a stop, and only a few servers took long.

Change: a play of its own. Nodes close connections without a request later on, so of charges that come then the last byte of the body arrives alone.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod pieces;
 mod program;
 mod servers;
+mod stopping;
 mod stores;
 mod versions;
 mod watch;
@@ -184,6 +185,13 @@
     }
 }
 
+/// A node is asked to stop, and callers send late in its grace, on kept connections, to servers that take long. Guards against
+/// a request that is read and passed on, and whose connection is closed without an answer.
+#[actix_rt::test]
+async fn requests_that_run_late_in_the_grace_of_a_stop_get_an_answer() {
+    stopping::play().await;
+}
+
 /// A server of a soak, as a process of its own.
 #[actix_rt::test]
 #[ignore = "is started by a soak"]
