A request that is read during a stop is refused as not run or gets an answer

What callers saw: a node that was asked to stop went on accepting requests until its listener closed, 2.5 s later, and those on open connections whose body was still arriving after that. It passed all of them on with the caller's whole time limit. Where the server needed longer than the rest of the grace period, the connection was closed without an answer 0.4 s before its end. So was each request that was open since before the stop. A request that may run only once was lost that way; one that had only waited in the queue, or whose body hadn't arrived, looked the same to its caller.

Cause: the time limit of a request was that of the caller and the route; the end of the process wasn't part of it. At the end of the grace period all connections were aborted, with no time reserved for error responses. Class: work is accepted without a look at the time in which it must end.

Change: the new crate `stopping` divides the grace period into phases (`Schedule`) and decides from observed durations whether a request is accepted (`Durations`). `forward::stop` keeps the phase, records how long the last 32 requests of each service and route took, and ends every wait for a server when the last phase begins. A request is refused as not run (503, Retry-After 20 ms, Connection: close) if its own limit is later than the end of that wait and its answer isn't likely to come before; the check is made after its body was read, before each attempt, and for those in the queue when the stop begins. What is open when the last phase begins gets 504 if it may have run and 503 if not; a stream of which a part was passed on is broken off without a regular end. The deadline that servers and peers are given ends there too.

Why it works: each wait of a request (body, queue, version of a stream, server, chunk, peer) ends with the same event, a twentieth of the grace period before connections are aborted, and the code after it already distinguishes what was sent from what wasn't. The estimate is the product-limit one, so that requests which are still open count against a service that hangs, and it needs no figure of the site: many shorter requests, or one much shorter, are enough.

Cost: waits for servers end 0.4 s earlier than before with 8 s of grace. One sample a request, at most 32 of 24 bytes for each of 1,024 workloads. During a stop each decision sorts those of its workload and walks the open requests.

--- a/components/forward/src/answer.rs
+++ b/components/forward/src/answer.rs
@@ -45,6 +45,8 @@
     Refused { reason: &'static str, retry_after: Duration },
     #[error("this node reaches no backend server; send the request again, it wasn't run")]
     Unreachable,
+    #[error("this node is stopping; send the request again, it wasn't run")]
+    Stopping,
     #[error("no whole answer came; the request may have run")]
     Unknown,
     #[error("no answer came in time; the request may have run")]
@@ -53,7 +55,7 @@
 
 /// When to retry a request that this node couldn't accept: almost at once, since the load balancer
 /// sends it to another node.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
+pub(crate) const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 
 impl Error {
     /// 408, 421, 429 and 503 guarantee that the request didn't run and won't; the others don't.
@@ -68,6 +70,7 @@
             Error::SettingsTooOld
             | Error::NodeFull
             | Error::Unreachable
+            | Error::Stopping
             | Error::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Error::Unknown => StatusCode::BAD_GATEWAY,
             Error::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -87,6 +90,7 @@
             Error::NodeFull => "node-full",
             Error::Unreachable => "unreachable",
             Error::Refused { reason, .. } => reason,
+            Error::Stopping => "stopping",
             Error::Unknown => "unknown",
             Error::TimedOut => "no-answer-in-time",
         }
@@ -96,7 +100,9 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Error::Refused { retry_after, .. } => Some(*retry_after),
-            Error::SettingsTooOld | Error::NodeFull | Error::Unreachable => Some(RETRY_ELSEWHERE),
+            Error::SettingsTooOld | Error::NodeFull | Error::Unreachable | Error::Stopping => {
+                Some(RETRY_ELSEWHERE)
+            }
             _ => None,
         }
     }
--- a/components/forward/src/hop.rs
+++ b/components/forward/src/hop.rs
@@ -106,7 +106,7 @@
         let (head, body) = connection.exchange(head, message.into()).await.map_err(lost)?;
         receive(state, peer, head, body).await
     };
-    let answer = tokio::time::timeout(time_left + ANSWER_GRACE, answer).await;
+    let answer = state.stop.timeout(time_left + ANSWER_GRACE, answer).await;
     answer.unwrap_or(Err(AttemptError::TimedOut))
 }
 
@@ -210,9 +210,10 @@
     /// The next bytes for the caller; none after the regular end of the answer. An error closes the caller's
     /// connection.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        let time_left = self.active.received.time_left(&self.active.state) + ANSWER_GRACE;
+        let state = &self.active.state;
+        let time_left = self.active.received.time_left(state) + ANSWER_GRACE;
         let next = match &mut self.reply {
-            Some(reply) => tokio::time::timeout(time_left, reply.next()).await,
+            Some(reply) => state.stop.timeout(time_left, reply.next()).await,
             None => return Some(Err(io::Error::other("the answer broke off"))),
         };
         let life = match next {
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -77,9 +77,10 @@
         ids.collect::<Vec<_>>().join(",")
     }
 
-    /// Time left until the answer must end.
+    /// Time left until the answer must end, which is also before the node stops.
     pub(crate) fn time_left<A: Adapter>(&self, state: &State<A>) -> Duration {
-        self.time_limit.saturating_sub(state.elapsed_since(self.arrived))
+        let own = self.time_limit.saturating_sub(state.elapsed_since(self.arrived));
+        state.time_until_responses().map_or(own, |stop| stop.min(own))
     }
 
     /// Whether its answer is a stream that another server may continue.
@@ -108,10 +109,15 @@
     let call = call.map_err(|Malformed(what)| Error::Malformed(what))?;
     let found = find_route(state, &settings, &call)?;
     let time_limit = call.timeout.min(found.route.timeout);
-    let body = tokio::time::timeout(time_limit, read_body(state, &mut head, &settings, open)).await;
-    let body = body.map_err(|_| Error::BodyTimeout)??;
+    let body = state.stop.timeout(time_limit, read_body(state, &mut head, &settings, open)).await;
+    let late = || if state.stop.is_responding() { Error::Stopping } else { Error::BodyTimeout };
+    let body = body.map_err(|_| late())??;
     listen::mark_body_received(&head);
-    admit(state, &settings, Content { head, call, body }, found, arrived, None)
+    let received = admit(state, &settings, Content { head, call, body }, found, arrived, None)?;
+    if !state.accepts(&received) {
+        return Err(Error::Stopping);
+    }
+    Ok(received)
 }
 
 /// Admits a request that a peer received whole and passed on. By older settings than the peer's it isn't served.
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -33,15 +33,17 @@
 mod standing;
 mod state;
 mod statements;
+mod stop;
 mod stream;
 mod survival;
 mod updates;
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use listen::{Limits, Listener};
+use stopping::Schedule;
 use tokio::sync::watch;
 
 pub use attempt::end_to_end_headers;
@@ -51,12 +53,6 @@
 use crate::mechanism::Mechanism;
 use crate::state::State;
 
-/// Time that the callers' listener stays open after the node reports that it isn't ready: the load
-/// balancer checks every second and removes a node after two failed checks.
-const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
-/// Time before the end of the grace period at which the remaining requests are aborted, so that
-/// there is time to log them.
-const ABORT_MARGIN: Duration = Duration::from_millis(400);
 /// Aborted requests that are logged one by one.
 const LOGGED_ABORTS: usize = 100;
 
@@ -143,19 +139,25 @@
     }
 
     /// Shuts down gracefully: reports that the node isn't ready, keeps the listener open until the
-    /// load balancer has noticed, and finishes open requests within the grace period. Requests that
-    /// are still open then are aborted; returns their ids.
+    /// load balancer has noticed, and finishes open requests within the grace period. Shortly before
+    /// its end, requests that are still open get error responses. Connections that are open after that
+    /// are aborted; returns the ids of their requests.
     pub async fn drain(&self) -> Vec<String> {
-        self.state.draining.set(true);
+        let schedule = Schedule::new(self.state.node().grace_period());
+        self.state.begin_stop(schedule);
         self.callers.drain();
-        let grace = self.state.node().grace_period().saturating_sub(ABORT_MARGIN);
-        let balancer_delay = BALANCER_DELAY.min(grace / 2);
-        tokio::time::sleep(balancer_delay).await;
-        let answered = async {
+        tokio::time::sleep(schedule.listening).await;
+        let mut answered = pin!(async {
             self.callers.close().await;
             self.state.wait_until_idle().await;
-        };
-        let _ = tokio::time::timeout(grace - balancer_delay, answered).await;
+        });
+        let waiting = schedule.waiting - schedule.listening;
+        if tokio::time::timeout(waiting, &mut answered).await.is_err() {
+            log::info!(open = self.open_requests(); "the grace period is about to end; servers are no longer waited for");
+            self.state.stop.end_waiting();
+            let responding = schedule.responding - schedule.waiting;
+            let _ = tokio::time::timeout(responding, answered).await;
+        }
         self.abort()
     }
 
--- a/components/forward/src/passing.rs
+++ b/components/forward/src/passing.rs
@@ -55,6 +55,7 @@
         let mut prior = self.submission.withdraw();
         for peer in peers.into_iter().take(MAX_PEERS) {
             let sending = waiting.send();
+            self.mark_sent();
             let sent = hop::send(&self.state, &self.received, peer, self.may_have_run, prior);
             let error = match sent.await {
                 Ok(reply) => return Ok(Passed::Reply(sending, peer, reply)),
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -16,13 +16,14 @@
 use tokio::sync::oneshot;
 
 use crate::adapter::{Adapter, CallerProtocol};
-use crate::answer::{Answer, Error};
+use crate::answer::{Answer, Error, RETRY_ELSEWHERE};
 use crate::attempt::{self, AttemptError, End, Plan, Reply, WholeReply};
 use crate::intake::{self, Received};
 use crate::passing::Passed;
 use crate::reach;
 use crate::resumption;
 use crate::state::{OpenRequest, State};
+use crate::stop::Elapsed;
 use crate::stream::{self, Relay};
 
 /// A server that hasn't started to answer after this many times the route's target is abandoned for
@@ -71,6 +72,9 @@
 const DECLINED: Refused =
     Refused { refusal: Refusal::Full, retry_after: Duration::from_millis(50) };
 
+/// The node stops, and the request wasn't sent, or no answer to it is likely to end in time.
+const STOPPING: Refused = Refused { refusal: Refusal::Late, retry_after: RETRY_ELSEWHERE };
+
 /// Outcome in logs and metrics of a request whose caller disconnected.
 const CALLER_GONE: &str = "caller-gone";
 
@@ -106,7 +110,6 @@
     pub(crate) state: Rc<State<A>>,
     pub(crate) received: Received,
     pub(crate) submission: Submission,
-    #[allow(dead_code, reason = "counts the request until its answer ends")]
     open: OpenRequest<A>,
     /// The server of the latest attempt.
     pub(crate) server: Option<Rc<Entry>>,
@@ -130,7 +133,8 @@
     mut received: Received,
     open: OpenRequest<A>,
 ) -> Answer {
-    if let Err(error) = resumption::restrict(&state, &mut received).await {
+    let restricted = state.stop.until_responding(resumption::restrict(&state, &mut received));
+    if let Err(error) = restricted.await.unwrap_or(Err(Error::Stopping)) {
         state.metrics.count_refusal(error.as_str());
         log::info!(
             request = received.call.id.as_str(), path = received.call.path.as_str(),
@@ -160,6 +164,9 @@
         return active.refuse(waiting, refused);
     }
     loop {
+        if !active.may_be_sent() {
+            return active.refuse(waiting, STOPPING);
+        }
         if active.needs_peer() {
             if active.received.hop.is_some() {
                 return active.refuse_unreachable(waiting);
@@ -176,16 +183,20 @@
             Ok(server) => server,
             Err(refused) => return active.refuse(waiting, refused),
         };
+        if !active.may_be_sent() {
+            active.submission.end_attempt(Ending::Cancelled);
+            return active.refuse(waiting, STOPPING);
+        }
         let sending = waiting.send();
         let error = match active
             .send_attempt(sending.attempt(), &server, active.received.call.last_event_id)
             .await
         {
             Ok(reply) => {
-                if let Reply::Partial(reply) = &reply {
-                    resumption::begin(&active.state, &active.received, reply.server()).await;
+                if active.record_beginning(&reply).await.is_ok() {
+                    return active.relay(sending, reply);
                 }
-                return active.relay(sending, reply);
+                AttemptError::TimedOut
             }
             Err(error) => error,
         };
@@ -211,7 +222,7 @@
     /// Waits until the scheduler assigns a server; returns the server to send the request to.
     pub(crate) async fn wait_for_server(&mut self) -> Result<Rc<Entry>, Refused> {
         loop {
-            let key = self.submission.wait_for_server().await?;
+            let key = self.wait_in_queue().await?;
             if self.received.time_left(&self.state).is_zero() {
                 // The process may have been suspended since the server was assigned.
                 self.submission.end_attempt(Ending::Cancelled);
@@ -242,6 +253,40 @@
         }
     }
 
+    /// Waits until the scheduler assigns a server, or until the node stops and the request wouldn't end in time.
+    async fn wait_in_queue(&mut self) -> Result<ids::Server, Refused> {
+        let state = self.state.clone();
+        let mut assigned = pin!(self.submission.wait_for_server());
+        if !state.draining.get() {
+            tokio::select! {
+                biased;
+                server = &mut assigned => return server,
+                () = state.stop.begun() => {}
+            }
+            if !state.accepts(&self.received) {
+                return Err(STOPPING);
+            }
+        }
+        state.stop.until_responding(assigned).await.unwrap_or(Err(STOPPING))
+    }
+
+    /// Counts the request among those that are being served.
+    pub(crate) fn mark_sent(&self) {
+        self.open.mark_sent(self.received.workload(), self.received.arrived);
+    }
+
+    /// Whether the request may be sent to a server or a peer: not if the node stops before its answer is likely to end.
+    fn may_be_sent(&self) -> bool {
+        self.state.accepts(&self.received)
+    }
+
+    /// Records that a server has begun to answer.
+    async fn record_beginning(&self, reply: &Reply) -> Result<(), Elapsed> {
+        let Reply::Partial(reply) = reply else { return Ok(()) };
+        let begun = resumption::begin(&self.state, &self.received, reply.server());
+        self.state.stop.until_responding(begun).await
+    }
+
     /// Whether a server is in a region in which the settings that are now in force allow the request. They may
     /// have changed while it waited.
     fn may_serve(&self, server: &Entry) -> bool {
@@ -291,11 +336,13 @@
             job: self.submission.job,
         };
         let mut sending = pin!(attempt::send(&self.state, &self.received, server, &plan));
-        let mut result = tokio::time::timeout(timeout, &mut sending).await;
+        self.mark_sent();
+        let stop = &self.state.stop;
+        let mut result = stop.timeout(timeout, &mut sending).await;
         if result.is_err() && early && !self.submission.may_retry() {
             // A server that is only silent for a moment still answers, and no other may be sent the request.
             let tolerance = SILENCE.min(time_left.mul_f64(SILENCE_FRACTION));
-            result = tokio::time::timeout(tolerance.saturating_sub(timeout), &mut sending).await;
+            result = stop.timeout(tolerance.saturating_sub(timeout), &mut sending).await;
         }
         let reply = result.unwrap_or(Err(AttemptError::TimedOut))?;
         if last_event_id.is_some() && !self.state.registry.borrow().has_version_of(server) {
@@ -339,7 +386,8 @@
         let plan = Plan { last_event_id, from_copy: true, weights, job, ..Plan::default() };
         let time_left = self.received.time_left(&self.state);
         let sending = attempt::send(&self.state, &self.received, server, &plan);
-        tokio::time::timeout(time_left, sending).await.unwrap_or(Err(AttemptError::TimedOut))
+        let reply = self.state.stop.timeout(time_left, sending).await;
+        reply.unwrap_or(Err(AttemptError::TimedOut))
     }
 
     /// Logs and counts a failed attempt, and lets [`driver::Crashes`] check whether the server crashed. The
@@ -395,6 +443,10 @@
         let time = self.state.elapsed_since(received.arrived);
         let server = self.server.as_ref().map_or("", |server| &server.name);
         self.ended.set(true);
+        if self.stats.sends > 0 || self.stats.peer.is_some() {
+            self.state.record_duration(received, outcome == Outcome::Complete.as_str());
+        }
+        let stopping = self.state.stopping_for();
         self.state.metrics.count_outcome(route, outcome);
         let millis = |time: Duration| time.as_millis() as u64;
         let silent_ms =
@@ -434,7 +486,7 @@
             prompt = received.request.prompt_tokens, tokens = tokens,
             most_tokens = received.request.max_tokens, guess = received.call.prompt.length_hint,
             target_ms = millis(route_terms.target_latency), bears_ms = route_terms.target_pause.map(millis),
-            limit_ms = millis(received.time_limit),
+            limit_ms = millis(received.time_limit), stopping_ms = stopping.map(millis),
             revision = received.revision, age_ms = self.state.proof_age_ms(); "ended"
         );
     }
@@ -462,6 +514,12 @@
         if outcome == Outcome::Unknown {
             return self.answer_without_reply(outcome, refused.refusal == Refusal::Late);
         }
+        if refused.refusal == Refusal::Late && self.state.draining.get() {
+            let error = Error::Stopping;
+            self.state.metrics.count_refusal(error.as_str());
+            self.record_outcome(error.as_str(), error.status().as_u16());
+            return error.response();
+        }
         let reason = match refused.refusal {
             Refusal::Full => "no room",
             Refusal::Displaced => "given up for a higher tier",
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -33,6 +33,7 @@
 use crate::registry::Registry;
 use crate::resumption::Resumption;
 use crate::standing;
+use crate::stop::{Stop, Workload};
 use crate::survival::Survival;
 use crate::updates::{self, WorkReports};
 
@@ -108,6 +109,7 @@
     pub(crate) survival: Rc<Survival>,
     pub(crate) numberings: Numberings,
     pub(crate) draining: Cell<bool>,
+    pub(crate) stop: Stop,
     /// Copy of the store's items.
     pub(crate) replica: RefCell<Replica>,
     pub(crate) contact: Contact,
@@ -140,8 +142,7 @@
     pub(crate) listener_limits: watch::Sender<listen::Limits>,
     /// Bytes of the bodies of open requests.
     pub(crate) body_bytes: Cell<usize>,
-    /// Ids of the open requests.
-    open_requests: RefCell<Slab<String>>,
+    open_requests: RefCell<Slab<Open>>,
     /// Notified when an open request ends.
     request_ended: Notify,
 }
@@ -196,6 +197,7 @@
             survival,
             numberings: Numberings::default(),
             draining: Cell::new(false),
+            stop: Stop::default(),
             replica: RefCell::new(Replica::new(max_proof_age)),
             contact: Contact::default(),
             standing: standing::Exchange::default(),
@@ -367,7 +369,16 @@
 
     /// Ids of the open requests.
     pub(crate) fn open_request_ids(&self) -> Vec<String> {
-        self.open_requests.borrow().iter().map(|(_, id)| id.clone()).collect()
+        self.open_requests.borrow().iter().map(|(_, open)| open.id.clone()).collect()
+    }
+
+    /// For how long the other requests of a workload have been open that arrived before one that arrived at `arrived`.
+    pub(crate) fn open_since(&self, workload: Workload, arrived: Timestamp) -> Vec<Duration> {
+        let open = self.open_requests.borrow();
+        let earlier =
+            open.iter().filter_map(|(_, open)| open.sent.filter(|(of, _)| *of == workload));
+        let earlier = earlier.filter(|(_, since)| since.boot_time < arrived.boot_time);
+        earlier.map(|(_, since)| self.elapsed_since(since)).collect()
     }
 
     /// Returns once no request is open.
@@ -379,7 +390,8 @@
 
     /// Counts a request as open until the returned guard is dropped.
     pub(crate) fn open_request(self: &Rc<Self>, id: &str) -> OpenRequest<A> {
-        let key = self.open_requests.borrow_mut().insert(id.to_string());
+        let open = Open { id: id.to_string(), sent: None };
+        let key = self.open_requests.borrow_mut().insert(open);
         OpenRequest { state: self.clone(), key, bytes: 0 }
     }
 
@@ -406,6 +418,13 @@
     }
 }
 
+/// An open request.
+struct Open {
+    id: String,
+    /// Its workload and when it arrived, once it was sent to a server.
+    sent: Option<(Workload, Timestamp)>,
+}
+
 /// Guard that counts one request as open while it lives.
 pub(crate) struct OpenRequest<A: Adapter> {
     state: Rc<State<A>>,
@@ -414,6 +433,13 @@
 }
 
 impl<A: Adapter> OpenRequest<A> {
+    /// Records that it was sent to a server.
+    pub(crate) fn mark_sent(&self, workload: Workload, arrived: Timestamp) {
+        if let Some(open) = self.state.open_requests.borrow_mut().get_mut(self.key) {
+            open.sent = Some((workload, arrived));
+        }
+    }
+
     /// Adds bytes of its body to [`State::body_bytes`] until it is dropped.
     pub(crate) fn add_body_bytes(&mut self, bytes: usize) {
         self.bytes += bytes;
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -102,14 +102,15 @@
         let patience = stalled.saturating_sub(self.waited);
         let timeout = if repeatable { time_left.min(patience) } else { time_left };
         let asked = self.active.state.clock.now();
-        let mut next = tokio::time::timeout(timeout, reply.next_chunk()).await;
+        let stop = &self.active.state.stop;
+        let mut next = stop.timeout(timeout, reply.next_chunk()).await;
         if next.is_err()
             && repeatable
             && (reply.awaits_proof() || !self.active.submission.may_retry())
         {
             // No other server may continue the stream, or nothing of it is missing, so its own is waited for.
             let time_left = self.active.received.time_left(&self.active.state);
-            next = tokio::time::timeout(time_left, reply.next_chunk()).await;
+            next = stop.timeout(time_left, reply.next_chunk()).await;
         }
         self.active.stats.end = Some(reply.end_state());
         // A server that sends nothing but comments is as good as silent.
