The own interface answers what is still open when its grace period ends

What callers saw: when a node of the own interface was replaced, each request without a whole answer at the end of `grace` got a closed connection, also one that only waited in the queue and may be sent again.

Cause: as at the adapter's interface, all connections were aborted at the end of the grace period with no time for error responses.

Evidence: on the code before, 2 of 7 tests of tests/shutdown.rs fail; the empty line is the whole answer of the caller:

thread 'answers_what_outlasts_the_grace' panicked at tests/shutdown.rs:156:9:

thread 'refuses_what_is_queued_until_the_grace_ends' panicked at tests/shutdown.rs:178:5:

Change: the last twentieth of `grace` is reserved. When it begins, servers and owners of keys are no longer waited for: a request that was sent gets 502, one in the queue 503 as not run. A request that must not run twice goes on until the process ends, as it does when its caller disconnects; `cut` names it as before.

Why it works: whether a request has left the queue is known at the place where it waits; 502 promises nothing.

Cost: servers are waited for a twentieth of `grace` less (1.5 s of 30 s). Open: a request that arrives during the stop is accepted without a look at the time left; streams are cut visibly, as before.

--- a/components/router/src/keyed.rs
+++ b/components/router/src/keyed.rs
@@ -166,7 +166,11 @@
     let limits = &settings.limits;
     let client = Client::new(limits.connect, time_left + limits.idle_stream + OWNER_GRACE);
     let sending = Waiting::Queued(lifecycle.queue()).send();
-    let failure = match client.call(&call).await {
+    let Some(ended) = state.until_responding(client.call(&call)).await else {
+        relay::record_outcome(&state, id, &payload.class.name, Outcome::Unknown);
+        return answer::error(id, Outcome::Unknown, &Error::Unknown, None);
+    };
+    let failure = match ended {
         Ok(Reply::Whole(whole)) => return whole_answer(&state, &payload, sending, whole),
         Ok(Reply::Stream(source)) => return stream_answer(&state, &payload, sending, source, open),
         Err(failure) => failure,
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -23,6 +23,7 @@
 mod vm_list;
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +35,9 @@
 
 /// Time that listeners stay open after the node stops being ready, while there are no settings.
 const DEFAULT_BALANCER_DELAY: Duration = Duration::from_secs(3);
+/// Part of the grace period that is reserved for error responses to requests that are still open: one
+/// in so many.
+const RESPONSE_DIVISOR: u32 = 20;
 /// Most aborted requests that are logged one by one.
 const MAX_LOGGED_ABORTS: usize = 1_000;
 
@@ -110,7 +114,8 @@
     }
 
     /// Shuts down gracefully: the node stops being ready, its listeners stay open until the load
-    /// balancer has noticed, and requests in progress are answered within the settings' grace period.
+    /// balancer has noticed, and requests in progress are answered within the settings' grace period:
+    /// those whose servers haven't answered shortly before its end get an error response.
     /// Returns the requests that were aborted after it.
     pub async fn drain(&self) -> Vec<ids::Request> {
         self.state.draining.set(true);
@@ -120,12 +125,16 @@
             limits.as_ref().map_or(DEFAULT_BALANCER_DELAY, |limits| limits.balancer);
         let grace = limits.as_ref().map_or(Duration::ZERO, |limits| limits.grace);
         tokio::time::sleep(balancer_delay).await;
-        let answered = async {
+        let mut answered = pin!(async {
             self.callers.close().await;
             // A request that must not run twice goes on when its caller's connection ends.
             self.state.wait_until_idle().await;
-        };
-        let _ = tokio::time::timeout(grace, answered).await;
+        });
+        let responding = grace / RESPONSE_DIVISOR;
+        if tokio::time::timeout(grace - responding, &mut answered).await.is_err() {
+            self.state.end_waiting();
+            let _ = tokio::time::timeout(responding, answered).await;
+        }
         handover::send(&self.state).await;
         self.abort()
     }
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -165,21 +165,30 @@
     let waiting = Waiting::Queued(lifecycle.queue());
     let mut submission = Submission::new(&state, &payload);
     let mut queued = QueuedPayload(Some(payload));
-    let selected = submission.wait_for_server().await;
+    let selected = state.until_responding(submission.wait_for_server()).await;
     let Some(payload) = queued.0.take() else {
         return answer::error(id, Outcome::Unknown, &Error::Unknown, None);
     };
-    let server = match selected {
+    // The node stops.
+    let late = Err(Refused { refusal: Refusal::Late, ..Refused::NO_SERVER });
+    let server = match selected.unwrap_or(late) {
         Ok(server) => server,
         Err(refused) => return refuse(&state, &payload, waiting, refused),
     };
     let idempotent = payload.class.idempotent;
-    let running = run(state, payload, waiting, submission, server, open);
+    let class = payload.class.clone();
+    let running = run(state.clone(), payload, waiting, submission, server, open);
+    let unknown = || answer::error(id, Outcome::Unknown, &Error::Unknown, None);
     if idempotent {
-        return running.await;
+        let ended = state.until_responding(running).await;
+        return ended.unwrap_or_else(|| {
+            record_outcome(&state, id, &class.name, Outcome::Unknown);
+            unknown()
+        });
     }
-    let task = actix_rt::spawn(running);
-    task.await.unwrap_or_else(|_| answer::error(id, Outcome::Unknown, &Error::Unknown, None))
+    // The task goes on after its caller was answered, until the process ends.
+    let ended = state.until_responding(actix_rt::spawn(running)).await;
+    ended.and_then(Result::ok).unwrap_or_else(unknown)
 }
 
 async fn run(
--- a/components/router/src/state.rs
+++ b/components/router/src/state.rs
@@ -61,6 +61,8 @@
     pub(crate) peer_client: awc::Client,
     pub(crate) metrics: Metrics,
     pub(crate) draining: Cell<bool>,
+    /// The grace period is about to end, and servers are no longer waited for.
+    responding: watch::Sender<bool>,
     /// Limits of the listener for callers.
     pub(crate) listener_limits: watch::Sender<listen::Limits>,
     open_requests: RefCell<Slab<ids::Request>>,
@@ -101,6 +103,7 @@
             peer_client: awc::Client::default(),
             metrics: Metrics::new(),
             draining: Cell::new(false),
+            responding: watch::channel(false).0,
             listener_limits: watch::channel(listen::Limits::default()).0,
             open_requests: RefCell::default(),
             request_ended: Notify::new(),
@@ -140,6 +143,21 @@
         }
     }
 
+    /// Ends all waiting for servers.
+    pub(crate) fn end_waiting(&self) {
+        self.responding.send_replace(true);
+    }
+
+    /// Waits for a future; none if servers are no longer waited for before it is ready.
+    pub(crate) async fn until_responding<F: Future>(&self, future: F) -> Option<F::Output> {
+        let mut responding = self.responding.subscribe();
+        tokio::select! {
+            biased;
+            output = future => Some(output),
+            _ = responding.wait_for(|responding| *responding) => None,
+        }
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub(crate) fn open_request(self: &Rc<Self>, id: ids::Request) -> OpenRequest {
         let key = self.open_requests.borrow_mut().insert(id);
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -136,3 +136,44 @@
     assert_eq!(site.routers[0].drain().await, vec![]);
     assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
 }
+
+/// A whole answer isn't ready when the grace of a replaced node ends. Its caller must learn that the
+/// request may have run, in place of a closed connection.
+#[actix_rt::test]
+async fn answers_what_outlasts_the_grace() {
+    let limits = "[deployment]\nbalancer = \"100ms\"\ngrace = \"2s\"\n";
+    let site = Site::tuned(1, 1, SLOW, limits).await;
+    site.desk.set_pace(Duration::from_secs(20));
+    let address = site.routers[0].caller_address();
+    let charge = post("/desk/charge", "x-class: charge\r\n", "{}");
+    let callers = [open(address, &kept(WHOLE)).await, open(address, &charge).await];
+    assert!(eventually(|| site.engines[0].running() == 1 && site.desk.total() == 1).await);
+    let begun = tokio::time::Instant::now();
+    site.routers[0].drain().await;
+    assert!(begun.elapsed() < Duration::from_millis(2_200), "{:?}", begun.elapsed());
+    for caller in callers {
+        let answer = rest(caller).await;
+        assert!(answer.starts_with("HTTP/1.1 502") && answer.contains("unknown"), "{answer}");
+    }
+}
+
+/// A request waits in the queue of a replaced node until its grace ends. It hasn't run, and its caller
+/// must learn that it may be sent again.
+#[actix_rt::test]
+async fn refuses_what_is_queued_until_the_grace_ends() {
+    let limits = "[deployment]\nbalancer = \"100ms\"\ngrace = \"2s\"\n";
+    let site = Site::tuned(1, 1, SLOW, limits).await;
+    let address = site.routers[0].caller_address();
+    let mut running = vec![];
+    for _ in 0..3 * SLOW.slots {
+        running.push(open(address, &kept(WHOLE)).await);
+    }
+    assert!(eventually(|| site.engines[0].running() == SLOW.slots).await);
+    let queued = open(address, &kept(WHOLE)).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let begun = tokio::time::Instant::now();
+    let (_, (answer, answered)) =
+        tokio::join!(site.routers[0].drain(), async { (rest(queued).await, begun.elapsed()) });
+    assert!(answered > Duration::from_millis(1_900), "not queued: {answered:?}, {answer}");
+    assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after"), "{answer}");
+}
