The own interface refuses a charge during a stop whose answer may not come in time

What callers saw: a node of the own interface that was being replaced accepted each request until its listener closed. A charge whose server needed longer than the rest of `grace` was answered 502 at its end and may not be sent again; it could have been refused as not run at once.

Cause: as at the adapter's interface, a request was accepted without a look at the time in which it must end.

Change: `State::accepts` asks `stopping::Durations`, by class and model, before a request is submitted to the scheduler. The times of complete answers are recorded as ended, those of answers that are unknown as lower bounds.

Cost: one sample a request.

--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -27,6 +27,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clock::Clock;
 use listen::{Limits, Listener};
 use settings::node::Node;
 use tokio::sync::watch;
@@ -124,13 +125,15 @@
         let balancer_delay =
             limits.as_ref().map_or(DEFAULT_BALANCER_DELAY, |limits| limits.balancer);
         let grace = limits.as_ref().map_or(Duration::ZERO, |limits| limits.grace);
+        let responding = grace / RESPONSE_DIVISOR;
+        let until = self.state.clock.now() + balancer_delay + grace - responding;
+        self.state.waiting_until.set(Some(until));
         tokio::time::sleep(balancer_delay).await;
         let mut answered = pin!(async {
             self.callers.close().await;
             // A request that must not run twice goes on when its caller's connection ends.
             self.state.wait_until_idle().await;
         });
-        let responding = grace / RESPONSE_DIVISOR;
         if tokio::time::timeout(grace - responding, &mut answered).await.is_err() {
             self.state.end_waiting();
             let _ = tokio::time::timeout(responding, answered).await;
--- a/components/router/src/relay.rs
+++ b/components/router/src/relay.rs
@@ -163,15 +163,18 @@
     let Job { lifecycle, payload } = job;
     let id = lifecycle.id();
     let waiting = Waiting::Queued(lifecycle.queue());
+    // The node stops.
+    let late = Refused { refusal: Refusal::Late, ..Refused::NO_SERVER };
+    if !state.accepts(&payload.request) {
+        return refuse(&state, &payload, waiting, late);
+    }
     let mut submission = Submission::new(&state, &payload);
     let mut queued = QueuedPayload(Some(payload));
     let selected = state.until_responding(submission.wait_for_server()).await;
     let Some(payload) = queued.0.take() else {
         return answer::error(id, Outcome::Unknown, &Error::Unknown, None);
     };
-    // The node stops.
-    let late = Err(Refused { refusal: Refusal::Late, ..Refused::NO_SERVER });
-    let server = match selected.unwrap_or(late) {
+    let server = match selected.unwrap_or(Err(late)) {
         Ok(server) => server,
         Err(refused) => return refuse(&state, &payload, waiting, refused),
     };
@@ -313,6 +316,7 @@
     let settings = state.settings();
     let workspace = settings.as_ref().and_then(|s| s.workspaces.get(payload.request.workspace));
     let workspace = workspace.map_or("", |workspace| &workspace.name);
+    state.record_duration(&payload.request, true);
     let time = state.clock.now() - payload.request.arrived;
     state.metrics.observe_answer(&payload.class.name, workspace, time);
 }
@@ -342,6 +346,7 @@
 
 /// Answers a request that may have run.
 fn answer_unknown(state: &State, payload: &Payload, id: ids::Request, outcome: Outcome) -> Answer {
+    state.record_duration(&payload.request, false);
     record_outcome(state, id, &payload.class.name, outcome);
     answer::error(id, outcome, &Error::Unknown, None)
 }
--- a/components/router/src/state.rs
+++ b/components/router/src/state.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use clock::Clock;
 use driver::{Crashes, Driver};
@@ -11,6 +11,7 @@
 use settings::Effective;
 use settings::node::Node;
 use slab::Slab;
+use stopping::{Durations, Pending, Sample, Verdict};
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 
@@ -63,6 +64,10 @@
     pub(crate) draining: Cell<bool>,
     /// The grace period is about to end, and servers are no longer waited for.
     responding: watch::Sender<bool>,
+    /// Until when servers are waited for; none while the node isn't stopping.
+    pub(crate) waiting_until: Cell<Option<Instant>>,
+    /// How long requests took, by class and model.
+    durations: RefCell<Durations<(ids::Class, ids::Model)>>,
     /// Limits of the listener for callers.
     pub(crate) listener_limits: watch::Sender<listen::Limits>,
     open_requests: RefCell<Slab<ids::Request>>,
@@ -104,6 +109,8 @@
             metrics: Metrics::new(),
             draining: Cell::new(false),
             responding: watch::channel(false).0,
+            waiting_until: Cell::default(),
+            durations: RefCell::default(),
             listener_limits: watch::channel(listen::Limits::default()).0,
             open_requests: RefCell::default(),
             request_ended: Notify::new(),
@@ -143,6 +150,26 @@
         }
     }
 
+    /// Whether a request may be sent to a server: the node isn't stopping, or the answer is likely to end before.
+    pub(crate) fn accepts(&self, request: &policy::Request) -> bool {
+        let Some(until) = self.waiting_until.get() else { return true };
+        let now = self.clock.now();
+        let room = until.saturating_duration_since(now);
+        let repeatable = request.idempotent;
+        // A request that must not run twice goes on after its deadline.
+        let deadline = request.deadline.saturating_duration_since(now);
+        let limit = if repeatable { deadline } else { Duration::MAX };
+        let pending = Pending { room, limit, repeatable };
+        let workload = (request.class, request.service);
+        self.durations.borrow().decide(&workload, pending, []) == Verdict::Accept
+    }
+
+    /// Records how long a request took.
+    pub(crate) fn record_duration(&self, request: &policy::Request, ended: bool) {
+        let sample = Sample { time: self.clock.now() - request.arrived, ended };
+        self.durations.borrow_mut().record((request.class, request.service), sample);
+    }
+
     /// Ends all waiting for servers.
     pub(crate) fn end_waiting(&self) {
         self.responding.send_replace(true);
