A path of the stand-ins is healed while other tests start processes

Cause: a process that another test of the same binary is just starting holds a copy of the closed listener until it runs its program, so that its address can't be listened at for that moment.

Change: the path tries again, for 5 s at most, while its address is in use. What is cut and when is as before.

--- a/components/fakes/src/path.rs
+++ b/components/fakes/src/path.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -16,6 +17,9 @@
 const BACKLOG: u32 = 64;
 /// Bytes that are copied at once.
 const BUFFER_BYTES: usize = 16 << 10;
+/// How often a path listens again at its address while that is in use, and the pause between two tries.
+const LISTEN_TRIES: u32 = 1_000;
+const LISTEN_PAUSE: Duration = Duration::from_millis(5);
 
 derives::value! {
     /// How a path is partitioned.
@@ -55,7 +59,7 @@
             filling: RefCell::default(),
             passed: Rc::default(),
         };
-        path.accept()?;
+        path.accept(path.listen(BACKLOG)?);
         Ok(path)
     }
 
@@ -79,10 +83,13 @@
         self.filling.take();
         self.cut.send_replace(cut);
         match cut {
-            Cut::None => self.accept(),
+            Cut::None => {
+                self.accept(self.listen_again(BACKLOG).await?);
+                Ok(())
+            }
             Cut::Refusing | Cut::Resetting => Ok(()),
             Cut::Silent => {
-                let listener = self.listen(0)?;
+                let listener = self.listen_again(0).await?;
                 let filling = TcpStream::connect(self.address()?).await?;
                 self.filling.replace(Some((listener, filling)));
                 Ok(())
@@ -97,8 +104,20 @@
         socket.listen(backlog)
     }
 
-    fn accept(&self) -> io::Result<()> {
-        let listener = self.listen(BACKLOG)?;
+    /// Listens at the address of a listener that was closed. A process that another thread is just starting holds that one
+    /// until it runs its program.
+    async fn listen_again(&self, backlog: u32) -> io::Result<TcpListener> {
+        for _ in 1..LISTEN_TRIES {
+            match self.listen(backlog) {
+                Err(cause) if cause.kind() == io::ErrorKind::AddrInUse => {}
+                result => return result,
+            }
+            tokio::time::sleep(LISTEN_PAUSE).await;
+        }
+        self.listen(backlog)
+    }
+
+    fn accept(&self, listener: TcpListener) {
         let (to, cut, passed) = (self.to, self.cut.clone(), self.passed.clone());
         let accepting = actix_rt::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
@@ -106,7 +125,6 @@
             }
         });
         self.accepting.replace(Some(accepting));
-        Ok(())
     }
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -46,6 +46,8 @@
 /// How often, and how many times, it is looked whether they ended.
 const POLL: Duration = Duration::from_millis(20);
 const POLLS: u32 = 500;
+/// Processes that are started while a path is cut and healed.
+const STARTS: u32 = 300;
 
 /// Plays a seed. Asked to stop, it fails at once and so ends the nodes that it started.
 async fn play(seed: u64, time: Duration) {
@@ -80,6 +82,27 @@
     assert!(listener.is_ok(), "a node can't listen at the port kept for it");
 }
 
+/// Another test starts processes while a path is cut and healed. Guards against a soak that fails because such a process still
+/// holds the listener of the path.
+#[actix_rt::test]
+async fn paths_are_healed_while_processes_start() {
+    let path = fakes::Path::open(fakes::any()).unwrap();
+    let starts = std::thread::spawn(|| {
+        for _ in 0..STARTS {
+            Command::new("true").status().unwrap();
+        }
+    });
+    let mut healed = 0;
+    while !starts.is_finished() {
+        for cut in [fakes::Cut::Silent, fakes::Cut::None] {
+            path.set(cut).await.unwrap_or_else(|cause| panic!("{cut:?} after {healed}: {cause}"));
+        }
+        healed += 1;
+    }
+    starts.join().unwrap();
+    assert!(healed > 0);
+}
+
 /// A soak is killed from outside, as by the time limit of the command that runs it. Its nodes ran on, but for
 /// one that was just draining, which nobody started again, and held the output of that command open: it never
 /// ended, and was taken for a soak that stands still with a node missing. Five seeds were listed so, all of them
