Ask an engine on each connection when it started, before a stream that may go on elsewhere

What callers saw: a stream that an engine of one software version had begun went on at another version, within one answer or after the caller had taken it up (ORDER).

Cause: an engine may start again under its old name with other software and serve before its entry in the store says so. The stream counted as begun by the version in the entry, and an engine whose entry was out of date was sent streams of that version. No answer says which process gave it.

Evidence: platform/tests/identity.rs on the code before, 4 of 6 tests failed:

a_stream_of_an_engine_whose_entry_is_out_of_date_doesnt_go_on: node 0: status 200, body "id: 2\ndata: w2-v1\n\n" (v2 began it) an_answer_of_an_engine_whose_entry_is_out_of_date_isnt_joined: body "id: 1\ndata: w1-v1\n\n ... id: 2\ndata: w2-v2\n\n", complete a_take_up_is_refused_where_only_engines_are_left_whose_entries_are_out_of_date: node 0: status 200, body "id: 2\ndata: w2-v2\n\n" a_stream_of_an_engine_that_doesnt_say_when_it_started_begins_and_doesnt_go_on: status 200, body "id: 2\ndata: w2-v1\n\n"

a_stream_doesnt_go_on_at_an_engine_whose_entry_is_out_of_date passed there, as the right engine was chosen; it has more streams and orders of engines since, and fails where sends aren't withheld. a_stream_of_an_engine_goes_on guards against refusing too much. Each of the three changes of logic (withheld sends, uncertain streams, keepers that have them at once) makes a test fail when it alone is taken out.

Change: before such a stream is sent, the engine is asked for its report on the same connection, once for each connection, and the connection keeps the stated start. origins::Identity compares it with the start in the entry. If they are the same, the version in the entry is that of the process. If not, or if there is no answer within 150 ms, the stream begins all the same, counts as uncertain, and its keepers have that before its first event is passed on; it isn't resumed elsewhere, and no stream is sent there to go on: the request wasn't sent, so it may try another engine or is refused as not run.

Why it works: a connection ends with the process at its other side, so what was stated on it holds as long as it lasts, whatever the store lists meanwhile; an entry's version and start are of one process. origins/tests/identity.rs plays all orders of six events (starts, entries that are written, lapse or come back from a copy, reads, connections, answers), with no stream named wrongly.

The age of a connection against the age of the list was considered instead: it has to wait for some check-in intervals, longer than most streams last, and depends on when a store that was down removes entries.

Not covered: servers whose entries state no start, which count as listed as before. The test of those stays in KNOWN-RED.txt, its entry says so. Where the node that began an uncertain stream and all its keepers are gone, others still conclude the only version that they list.

Measured: the six tests 20 of 20 on one core and 20 of 20 on all. platform/tests/{names,versions,continuations,endings,leaving,rest}.rs and the tests of origins, http_client, forward, telemetry and wire pass; out_of_step and weights but for the tests that KNOWN-RED.txt lists.

--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -13,6 +13,7 @@
 use endings::Finding;
 use http_client::{Body, Connection, Delimiter};
 use lifecycle::Unsent;
+use origins::Identity;
 use policy::{Ending, Reason};
 use tokio::time::Instant;
 
@@ -22,6 +23,7 @@
 use crate::events::{Gap, OutOfOrder, Splitter, Truncated};
 use crate::held::Held;
 use crate::hop;
+use crate::identity;
 use crate::intake::Received;
 use crate::mechanism::Mechanism;
 use crate::reach;
@@ -59,6 +61,9 @@
     /// Another server has the address.
     #[error("another server has its address now")]
     Misdirected,
+    /// Nothing shows that the server has the software with which a stream must go on.
+    #[error("the request wasn't sent: the process there isn't known to be the listed one ({})", .0.as_str())]
+    Unidentified(Identity),
     /// The server states that it didn't run the request.
     #[error("the server declined with status {0}")]
     Declined(u16),
@@ -106,6 +111,7 @@
             AttemptError::Unreached(_)
             | AttemptError::Held(_)
             | AttemptError::Misdirected
+            | AttemptError::Unidentified(_)
             | AttemptError::Declined(_) => Some(Unsent::assume()),
             AttemptError::Lost(_)
             | AttemptError::OutOfOrder(_)
@@ -119,16 +125,21 @@
 
     /// Whether the server may have received the request, even if it didn't run it.
     pub(crate) fn may_have_arrived(&self) -> bool {
-        !matches!(self, AttemptError::Unreached(_) | AttemptError::Held(_))
+        !matches!(
+            self,
+            AttemptError::Unreached(_) | AttemptError::Held(_) | AttemptError::Unidentified(_)
+        )
     }
 
     /// How the attempt ended, for the scheduler.
     pub(crate) fn ending(&self) -> Ending {
         match self {
             AttemptError::Unreached(_) => Ending::Unreached,
-            AttemptError::Misdirected => Ending::Misdirected,
+            AttemptError::Misdirected | AttemptError::Unidentified(Identity::Other) => {
+                Ending::Misdirected
+            }
             AttemptError::Held(_) => Ending::Held,
-            AttemptError::Declined(_) => Ending::NotRun,
+            AttemptError::Declined(_) | AttemptError::Unidentified(_) => Ending::NotRun,
             AttemptError::ServerError(_) => Ending::ServerError,
             AttemptError::Lost(_) => Ending::Broken,
             AttemptError::OutOfOrder(_)
@@ -201,6 +212,8 @@
     alive_at: Instant,
     /// A witness of its server was opened before its request was sent, or should have been.
     prepared: bool,
+    /// Which process of its server sends it.
+    pub(crate) identity: Identity,
     /// The question to the server whether it still runs.
     waiting: Option<survival::Waiting>,
     /// Where a server that isn't an engine is asked for its health.
@@ -381,18 +394,16 @@
         reach::record_unreached(state, server);
         AttemptError::Unreached(cause.to_string())
     })?;
-    let connection = match state.pool.take(&server.address) {
-        Some(connection) => connection,
-        None => {
-            state.metrics.count_connection();
-            let connection = Connection::connect(&server.address, CONNECT_TIMEOUT).await;
-            match connection {
-                Ok(_) => reach::record_reached(state, server),
-                Err(_) => reach::record_unreached(state, server),
-            }
-            connection.map_err(|cause| AttemptError::Unreached(cause.to_string()))?
+    let mut connection = connect(state, server).await?;
+    let mut identity = Identity::Unstated;
+    if received.is_resumable() {
+        (connection, identity) = identity::identify(state, server, connection).await?;
+        let continues = received.request.version.is_some() || plan.last_event_id.is_some();
+        if continues && !plan.from_copy && !identity.is_accepted() {
+            state.pool.put_unused(&server.address, connection);
+            return Err(AttemptError::Unidentified(identity));
         }
-    };
+    }
     if let Some(reason) = hold_reason(state, plan.job) {
         state.pool.put_unused(&server.address, connection);
         return Err(AttemptError::Held(reason));
@@ -445,7 +456,30 @@
         return Err(AttemptError::OtherWeights { expected, got });
     }
     let after = plan.last_event_id;
-    receive_reply(state, received, server, (head, statement), (body, share, prepared), after).await
+    let source = (body, share, prepared);
+    let mut reply =
+        receive_reply(state, received, server, (head, statement), source, after).await?;
+    if let Reply::Partial(reply) = &mut reply {
+        reply.identity = identity;
+    }
+    Ok(reply)
+}
+
+/// Takes an idle connection to a server, or makes one.
+pub(crate) async fn connect<A: Adapter>(
+    state: &State<A>,
+    server: &Entry,
+) -> Result<Connection, AttemptError> {
+    if let Some(connection) = state.pool.take(&server.address) {
+        return Ok(connection);
+    }
+    state.metrics.count_connection();
+    let connection = Connection::connect(&server.address, CONNECT_TIMEOUT).await;
+    match connection {
+        Ok(_) => reach::record_reached(state, server),
+        Err(_) => reach::record_unreached(state, server),
+    }
+    connection.map_err(|cause| AttemptError::Unreached(cause.to_string()))
 }
 
 /// Why a request may not be sent to the server that it was assigned to; none if it may. What is known of the server
@@ -491,6 +525,7 @@
         survival: state.survival.clone(),
         alive_at: Instant::now(),
         prepared,
+        identity: Identity::Unstated,
         waiting: None,
         health_path: None,
         finding: None,
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod gossip;
 mod held;
 mod hop;
+mod identity;
 mod intake;
 mod limits;
 mod mechanism;
--- a/components/forward/src/resumption/telling.rs
+++ b/components/forward/src/resumption/telling.rs
@@ -7,7 +7,7 @@
 use actix_http::{Request, Response, StatusCode};
 use catalog::Entry;
 use clock::Clock;
-use origins::{Origin, Record, Stream};
+use origins::{Identity, Origin, Record, Stream};
 use wire::origins::{Answer as Reply, Message, Row};
 
 use crate::adapter::Adapter;
@@ -97,23 +97,31 @@
 
 /// Records that the first events of a request's answer have arrived from a server, if another one may continue it.
 /// Returns once they may be passed on.
-pub(crate) async fn begin<A: Adapter>(state: &State<A>, received: &Received, server: &Entry) {
+pub(crate) async fn begin<A: Adapter>(
+    state: &State<A>,
+    received: &Received,
+    server: &Entry,
+    identity: Identity,
+) {
     if !received.is_resumable() {
         return;
     }
     let (resumption, now) = (&state.resumption, state.clock.now());
     let stream = stream_of(&received.call);
     let is_certain = state.registry.borrow().has_version_of(server);
-    let origin = if is_certain { Origin::Version(version_of(server)) } else { Origin::Uncertain };
+    let origin = if is_certain { identity.origin(version_of(server)) } else { Origin::Uncertain };
     let expires = now + received.time_left(state) + EXPIRY_MARGIN;
     let (service, name) = (wire::key(&server.service), wire::key(&server.name));
     let record = Record { stream, origin, expires };
     resumption.table.borrow_mut().begin(record, service, name, now);
     let is_mixed = resumption.is_mixed(service, now);
-    if !is_mixed && has_current_list(state) {
+    let is_uncertain = origin == Origin::Uncertain;
+    if !is_mixed && !is_uncertain && has_current_list(state) {
         return;
     }
-    if is_mixed && resumption.census.borrow().is_news(service, version_of(server), now) {
+    let is_news = is_mixed && resumption.census.borrow().is_news(service, version_of(server), now);
+    // Others would conclude that a version which they list began it.
+    if is_uncertain || is_news {
         tell_at_once(state, stream).await;
     } else {
         resumption.tell(vec![stream]);
--- a/components/forward/src/serve.rs
+++ b/components/forward/src/serve.rs
@@ -283,7 +283,7 @@
     /// Records that a server has begun to answer.
     async fn record_beginning(&self, reply: &Reply) -> Result<(), Elapsed> {
         let Reply::Partial(reply) = reply else { return Ok(()) };
-        let begun = resumption::begin(&self.state, &self.received, reply.server());
+        let begun = resumption::begin(&self.state, &self.received, reply.server(), reply.identity);
         self.state.stop.until_responding(begun).await
     }
 
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -12,6 +12,7 @@
 use clock::Clock;
 use futures_util::stream;
 use lifecycle::{Ended, Orphaned, Streaming};
+use origins::Identity;
 use policy::Ending;
 use tokio::sync::oneshot;
 
@@ -38,6 +39,8 @@
     rest: Held,
     /// The server that began the answer, as it was when the request was sent to it.
     began: Rc<Entry>,
+    /// Which process of that server began it.
+    identity: Identity,
     /// The status with which the answer began.
     status: StatusCode,
     /// When the last chunk with events was passed on.
@@ -57,7 +60,7 @@
         reply: Box<PartialReply>,
     ) -> Self {
         active.weights = reply.weights;
-        let (began, status) = (reply.server().clone(), reply.status);
+        let (began, status, identity) = (reply.server().clone(), reply.status, reply.identity);
         let (life, reply) = (Some(life), Some(reply));
         Relay {
             active,
@@ -65,6 +68,7 @@
             reply,
             rest: Held::default(),
             began,
+            identity,
             status,
             last_chunk: None,
             waited: Duration::ZERO,
@@ -192,11 +196,11 @@
     fn restrict_to_version(&mut self) -> bool {
         let ActiveRequest { state, received, submission, .. } = &mut self.active;
         let mut registry = state.registry.borrow_mut();
-        if !registry.has_version_of(&self.began) {
+        if !registry.has_version_of(&self.began) || !self.identity.is_accepted() {
             log::warn!(
                 request = received.call.id.as_str(), server = self.began.name.as_str(),
-                version = self.began.version.as_str();
-                "stream isn't resumed: its server has started again with another version"
+                version = self.began.version.as_str(), identity = self.identity.as_str();
+                "stream isn't resumed: its server may have started again with another version"
             );
             return false;
         }
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -66,7 +66,7 @@
 struct Cut;
 
 /// A response that was read to its end, and how long its connection is kept open while idle, if the server stated that.
-type Kept = (Body, Option<Duration>);
+pub(crate) type Kept = (Body, Option<Duration>);
 
 /// Finds out whether the process that gave an answer still runs.
 pub(crate) struct Survival {
@@ -307,7 +307,7 @@
     }
 
     /// Sends a question and reads what the server says of itself.
-    async fn exchange(
+    pub(crate) async fn exchange(
         &self,
         connection: Connection,
         head: &RequestHead,
--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -27,6 +27,8 @@
 /// The body of a response that is being received. Dropping it before its end closes the connection.
 pub struct Body {
     framing: Framing,
+    /// As in its [`Connection`].
+    stated_start: Option<u64>,
     /// The request is one for the head alone.
     head_only: bool,
     /// The request was sent whole, so the connection may carry another one.
@@ -61,8 +63,8 @@
     pub(crate) fn new(
         head: &ResponseHead,
         framed: Framed<TcpStream, ClientCodec>,
-        flushed: bool,
-        head_only: bool,
+        stated_start: Option<u64>,
+        (flushed, head_only): (bool, bool),
     ) -> Result<Self, Error> {
         let is_old = head.version < Version::HTTP_11;
         if is_old && head.headers.contains_key(header::TRANSFER_ENCODING) {
@@ -78,7 +80,7 @@
             let FramedParts { io, read_buf, .. } = framed.into_parts();
             Framing::UntilClose(io, read_buf)
         };
-        Ok(Body { framing, head_only, flushed })
+        Ok(Body { framing, stated_start, head_only, flushed })
     }
 
     /// How the end of the body is marked.
@@ -135,7 +137,8 @@
             }
             reader = reader.skip_body();
         };
-        let body = Body::new(&head, reader.into_framed(), self.flushed, self.head_only)?;
+        let sent = (self.flushed, self.head_only);
+        let body = Body::new(&head, reader.into_framed(), self.stated_start, sent)?;
         Ok((head, body))
     }
 
@@ -151,7 +154,8 @@
             Framing::Delimited(payload) => (payload.codec.keep_alive(), payload.buf, payload.io),
             Framing::UntilClose(..) => return None,
         };
-        (keep_alive && self.flushed && rest.is_empty()).then_some(Connection(io))
+        let reusable = keep_alive && self.flushed && rest.is_empty();
+        reusable.then_some(Connection { io, stated_start: self.stated_start })
     }
 }
 
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -69,7 +69,11 @@
 
 /// A connection to a server that carries no request at the moment.
 #[derive(Debug)]
-pub struct Connection(TcpStream);
+pub struct Connection {
+    io: TcpStream,
+    /// When the process at its other side started, by what it stated on this connection.
+    stated_start: Option<u64>,
+}
 
 impl Connection {
     /// Connects to `address` (IP address and port) within `timeout`. Sends no bytes of a request.
@@ -88,7 +92,30 @@
         stream.set_nodelay(true)?;
         let timeout_ms = ACK_TIMEOUT.as_millis() as u32;
         rustix::net::sockopt::set_tcp_user_timeout(&stream, timeout_ms)?;
-        Ok(Connection(stream))
+        Ok(Connection { io: stream, stated_start: None })
+    }
+
+    /// What [`Connection::record_start`] was last called with.
+    ///
+    /// ```
+    /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = listener.local_addr().unwrap().to_string();
+    /// let timeout = std::time::Duration::from_secs(1);
+    /// let mut connection = http_client::Connection::connect(&address, timeout).await.unwrap();
+    /// assert_eq!(connection.stated_start(), None);
+    /// connection.record_start(7);
+    /// assert_eq!(connection.stated_start(), Some(7));
+    /// # });
+    /// ```
+    pub fn stated_start(&self) -> Option<u64> {
+        self.stated_start
+    }
+
+    /// Records when the process at its other side started, by what it stated on this connection. That holds for as long as
+    /// the connection lasts.
+    pub fn record_start(&mut self, start: u64) {
+        self.stated_start = Some(start);
     }
 
     /// Whether the connection is open and nothing arrived since the last response.
@@ -103,7 +130,7 @@
     /// # });
     /// ```
     pub fn is_idle(&self) -> bool {
-        let read = self.0.try_read(&mut [0]);
+        let read = self.io.try_read(&mut [0]);
         read.is_err_and(|cause| cause.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -120,7 +147,8 @@
         share: &mut Share,
     ) -> Result<(ResponseHead, Body), Error> {
         let head_only = head.method == Method::HEAD;
-        let mut framed = Framed::new(self.0, ClientCodec::default());
+        let stated_start = self.stated_start;
+        let mut framed = Framed::new(self.io, ClientCodec::default());
         let no_body = body.is_empty() && [Method::GET, Method::HEAD].contains(&head.method);
         let length = if no_body { BodySize::None } else { BodySize::Sized(body.len() as u64) };
         let item: Outgoing = Message::Item((RequestHeadType::from(head), length));
@@ -155,7 +183,7 @@
             reader = reader.skip_body();
         };
         let framed = reader.into_framed();
-        let body = Body::new(&head, framed, flushed, head_only)?;
+        let body = Body::new(&head, framed, stated_start, (flushed, head_only))?;
         Ok((head, body))
     }
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -35,6 +35,7 @@
     health_checks: IntCounter,
     ends_by_connection: IntCounterVec,
     survival_questions: IntCounter,
+    identity_questions: IntCounter,
     cold_permits: IntCounterVec,
     continuations: IntCounterVec,
     taken_up: IntCounterVec,
@@ -147,6 +148,14 @@
         registry
             .register(Box::new(survival_questions.clone()))
             .expect("the metric is registered once");
+        let identity_questions = IntCounter::new(
+            "godwitlever_identity_questions_total",
+            "Questions to backend servers when they started, before streams that may be continued",
+        )
+        .expect("the metric's name is valid");
+        registry
+            .register(Box::new(identity_questions.clone()))
+            .expect("the metric is registered once");
         let cold_permits = counter(
             "godwitlever_cold_permits_total",
             "Permits for requests to cold servers, by what became of them",
@@ -213,6 +222,7 @@
             health_checks,
             ends_by_connection,
             survival_questions,
+            identity_questions,
             cold_permits,
             continuations,
             taken_up,
@@ -332,6 +342,11 @@
         self.survival_questions.inc();
     }
 
+    /// Counts a question to a backend server when it started.
+    pub fn count_identity_question(&self) {
+        self.identity_questions.inc();
+    }
+
     /// Counts a request that is sent to a backend server although that has given a notice.
     pub fn count_sent_despite(&self, notice: &str) {
         self.sent_despite_notice.with_label_values(&[notice]).inc();
