A stop waits until peers have taken their answers

What callers saw: a node that can't reach the servers passes a charge on to a peer, and that peer stops. The charge runs, the server's answer is complete, and the node that passed it on gets a part of it.

Cause: a request that came from a peer counts as open until its answer has been handed over for writing. The stop waited for the listener for callers and for open requests, not for the listener for peers, so the process ended with the rest of the answer in its own memory.

Change: `listen::keep_until_closed` keeps a guard until the connection of a request has ended. Requests from peers get one, and the stop closes the listener for peers once no request is open and waits for these connections. What peers ask besides, such as updates, isn't waited for.

Why it works: the listener closes a connection only when its last response was written, as it does for callers.

--- a/components/forward/src/hop.rs
+++ b/components/forward/src/hop.rs
@@ -264,6 +264,7 @@
 
 /// Serves a request that a peer passed on.
 pub(crate) async fn answer<A: Adapter>(state: Rc<State<A>>, mut request: Request) -> Answer {
+    listen::keep_until_closed(&request, state.stop.hop_guard());
     let mut answer = match read_message(&state, &mut request).await {
         Ok(message) => serve_message(state, message).await,
         Err(answer) => answer,
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -156,6 +156,11 @@
         let mut answered = pin!(async {
             self.callers.close().await;
             self.state.wait_until_idle().await;
+            // Peers take the rest of their answers. What they ask besides isn't waited for: they ask other nodes.
+            tokio::select! {
+                () = self.peers.close() => {}
+                () = self.state.stop.until_hops_closed() => {}
+            }
         });
         let waiting = schedule.waiting - schedule.listening;
         if tokio::time::timeout(waiting, &mut answered).await.is_err() {
--- a/components/forward/src/stop.rs
+++ b/components/forward/src/stop.rs
@@ -40,6 +40,8 @@
     /// Its start and its phases.
     schedule: Cell<Option<(Timestamp, Schedule)>>,
     durations: RefCell<Durations<Workload>>,
+    /// Each connection on which a request came from a peer has a receiver.
+    hops: watch::Sender<()>,
 }
 
 impl Default for Stop {
@@ -48,6 +50,7 @@
             phase: watch::channel(Phase::Running).0,
             schedule: Cell::default(),
             durations: RefCell::default(),
+            hops: watch::channel(()).0,
         }
     }
 }
@@ -74,6 +77,16 @@
         self.reached(Phase::Stopping).await;
     }
 
+    /// A guard for a connection on which a request came from a peer, to be dropped when that connection has ended.
+    pub(crate) fn hop_guard(&self) -> watch::Receiver<()> {
+        self.hops.subscribe()
+    }
+
+    /// Returns once no connection is open on which a request came from a peer.
+    pub(crate) async fn until_hops_closed(&self) {
+        self.hops.closed().await;
+    }
+
     async fn reached(&self, phase: Phase) {
         let _ = self.phase.subscribe().wait_for(|current| *current >= phase).await;
     }
--- a/components/listen/src/connection.rs
+++ b/components/listen/src/connection.rs
@@ -1,6 +1,7 @@
 //! State of one connection, shared by its byte stream, its requests and the task that drives it.
 
-use std::cell::Cell;
+use std::any::Any;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use tokio::sync::Notify;
@@ -31,6 +32,8 @@
     ending: Cell<Ending>,
     closing: Cell<bool>,
     peer_gone: Cell<bool>,
+    /// Dropped with the connection.
+    guard: RefCell<Option<Box<dyn Any>>>,
     /// Wakes the connection's task when a request ends or the caller disconnects.
     pub(crate) changed: Notify,
 }
@@ -79,6 +82,11 @@
         self.ending.get() != Ending::Complete
     }
 
+    /// Keeps a value until the connection has ended, in place of one that was kept before.
+    pub(crate) fn keep(&self, guard: Box<dyn Any>) {
+        self.guard.replace(Some(guard));
+    }
+
     /// Makes the connection take no further request.
     pub(crate) fn close(&self) {
         self.closing.set(true);
--- a/components/listen/src/lib.rs
+++ b/components/listen/src/lib.rs
@@ -12,6 +12,7 @@
 mod request;
 mod response;
 
+use std::any::Any;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -224,6 +225,19 @@
     }
 }
 
+/// Keeps `guard` until the connection of a request has ended, with all responses on it written or lost. It replaces the guard of
+/// an earlier request on that connection.
+///
+/// ```
+/// let request = actix_http::Request::new();
+/// listen::keep_until_closed(&request, "held by no connection");
+/// ```
+pub fn keep_until_closed(request: &Request, guard: impl Any) {
+    if let Some(connection) = request.conn_data::<Rc<Connection>>() {
+        connection.keep(Box::new(guard));
+    }
+}
+
 fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
