A second signal to stop answers open requests before the process ends

What callers saw: an operator sends SIGTERM twice to a node behind an adapter. All connections close at once, also those of requests that run or have run, without an answer.

Cause: the daemon answered a second signal by closing all connections of callers. Error responses were sent only shortly before the end of the grace period.

Change: `Proxy::end_waiting` ends the waiting for servers in a stop, which then goes on as it does shortly before the end of the grace period. The daemon calls it on a second signal, gives the responses a second at most, and closes all connections on a third.

Why it works: all waiting of a request ends with the phase of waiting, and what is open then gets 504 if it may have run and 503 if not.

Not changed: the router's own interface, whose test errors_on_a_second_signal_say_what_was_cut asks for an end at once.

--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -152,26 +152,33 @@
         let schedule = Schedule::new(self.state.node().grace_period());
         self.state.begin_stop(schedule);
         self.callers.drain();
-        tokio::time::sleep(schedule.listening).await;
+        let stop = &self.state.stop;
+        let _ = stop.until_responding(tokio::time::sleep(schedule.listening)).await;
         let mut answered = pin!(async {
             self.callers.close().await;
             self.state.wait_until_idle().await;
             // Peers take the rest of their answers. What they ask besides isn't waited for: they ask other nodes.
             tokio::select! {
                 () = self.peers.close() => {}
-                () = self.state.stop.until_hops_closed() => {}
+                () = stop.until_hops_closed() => {}
             }
         });
         let waiting = schedule.waiting - schedule.listening;
-        if tokio::time::timeout(waiting, &mut answered).await.is_err() {
-            log::info!(open = self.open_requests(); "the grace period is about to end; servers are no longer waited for");
-            self.state.stop.end_waiting();
+        if stop.timeout(waiting, &mut answered).await.is_err() {
+            log::info!(open = self.open_requests(); "servers are no longer waited for");
+            stop.end_waiting();
             let responding = schedule.responding - schedule.waiting;
             let _ = tokio::time::timeout(responding, answered).await;
         }
         self.abort()
     }
 
+    /// Ends the waiting for servers in a graceful shutdown: all open requests get error responses now, as they would shortly
+    /// before the end of the grace period.
+    pub fn end_waiting(&self) {
+        self.state.stop.end_waiting();
+    }
+
     /// Closes all callers' connections at once; returns the ids of the requests that were aborted.
     pub fn abort(&self) -> Vec<String> {
         let aborted = self.state.open_request_ids();
--- a/src/bin/godwitleverd.rs
+++ b/src/bin/godwitleverd.rs
@@ -1,6 +1,7 @@
 //! Runs the router as a daemon that reloads its settings file and drains on a signal.
 
 use std::path::PathBuf;
+use std::pin::pin;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -15,6 +16,8 @@
 
 /// Time between two checks of the settings file for changes that no signal announced.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+/// Most time for error responses after a second signal to stop.
+const RESPONSE_TIME: Duration = Duration::from_secs(1);
 
 /// Routes language-model traffic with service levels and priorities.
 #[derive(Parser)]
@@ -62,9 +65,17 @@
         }
     }
     log::info!(held = node.open_requests(); "draining");
+    let mut drained = pin!(node.drain());
     let aborted = tokio::select! {
-        aborted = node.drain() => aborted,
-        () = signals.next_stop() => node.abort(),
+        aborted = &mut drained => aborted,
+        () = signals.next_stop() => {
+            let response_time = node.end_waiting();
+            tokio::select! {
+                aborted = drained => aborted,
+                () = signals.next_stop() => node.abort(),
+                () = tokio::time::sleep(response_time) => node.abort(),
+            }
+        }
     };
     log::info!(cut = aborted; "stopped");
     telemetry::flush_log();
@@ -166,6 +177,18 @@
         }
     }
 
+    /// Ends the waiting for servers in [`Running::drain`]; returns the time in which open requests get error responses. With the
+    /// router's own interface there is none.
+    fn end_waiting(&self) -> Duration {
+        match self {
+            Running::Router(_) => Duration::ZERO,
+            Running::Proxy(proxy) => {
+                proxy.end_waiting();
+                RESPONSE_TIME
+            }
+        }
+    }
+
     /// Stops the node at once; returns how many requests were aborted.
     fn abort(&self) -> usize {
         match self {
