A soak play of planned stops of all nodes

Four nodes as processes of their own are stopped one after the other and started again, the last three with SIGHUP after SIGTERM, with a version of the settings published just after it, and with a second SIGTERM. 24 callers send requests of all four kinds on connections that they keep and go to another node when one closes. The play checks LOST, REFUSED, TWICE and MIXED, and prints the share served beside that of 4 s without a stop. A node counts as back when it serves, and no check compares times.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,6 +16,7 @@
 mod program;
 mod servers;
 mod stopping;
+mod stopping_series;
 mod stores;
 mod versions;
 mod watch;
@@ -192,6 +193,13 @@
     stopping::play().await;
 }
 
+/// All nodes of a fleet are stopped and started again, one after the other, while callers send on connections that they keep.
+/// Guards against a request that is lost, runs twice or is said not to have run because a node stops.
+#[actix_rt::test]
+async fn requests_are_answered_through_stops_of_all_nodes() {
+    stopping_series::play().await;
+}
+
 /// A server of a soak, as a process of its own.
 #[actix_rt::test]
 #[ignore = "is started by a soak"]
