The own interface refuses a body that doesn't arrive before the end of the grace

What callers saw: a caller of the router's own interface has sent a part of its request, and the node stops. Its connection is closed at the end of the grace without a word, though nothing ran.

Cause: the body was read within the limit of time for bodies only, not within the phase of waiting of a stop.

Change: reading a body ends with the phase of waiting; the answer is 503 `stopping` with `Retry-After`.

Why it works: the response is written in the twentieth of the grace that is reserved for error responses.

--- a/components/router/src/answer.rs
+++ b/components/router/src/answer.rs
@@ -45,6 +45,8 @@
     Deadline(String),
     #[error("the router has no settings yet; send the request again to another node")]
     NoSettings,
+    #[error("this node is stopping; nothing ran, send the request again to another node")]
+    Stopping,
     #[error("the request wasn't run ({0}); it is safe to send again after {1} ms")]
     Refused(&'static str, u128),
     #[error(
@@ -81,7 +83,9 @@
             Error::HeadTooLarge(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Error::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Error::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            Error::NoSettings | Error::Refused(..) => StatusCode::SERVICE_UNAVAILABLE,
+            Error::NoSettings | Error::Stopping | Error::Refused(..) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Error::UndatedKey => StatusCode::BAD_REQUEST,
             Error::NoOwner => StatusCode::SERVICE_UNAVAILABLE,
             Error::Running | Error::AlreadyRan | Error::MayHaveRun => StatusCode::CONFLICT,
@@ -103,6 +107,7 @@
             Error::UnknownModel(_) => "model",
             Error::Deadline(_) => "deadline",
             Error::NoSettings => "no-settings",
+            Error::Stopping => "stopping",
             Error::Refused(text, _) => text,
             Error::UndatedKey => "undated-key",
             Error::NoOwner => "no-home",
@@ -115,7 +120,7 @@
 
     /// Time after which the same request may succeed; `None` if it can't as it is.
     pub(crate) fn retry_after(&self) -> Option<Duration> {
-        matches!(self, Error::NoSettings | Error::NoOwner | Error::Running)
+        matches!(self, Error::NoSettings | Error::Stopping | Error::NoOwner | Error::Running)
             .then_some(Duration::from_secs(1))
     }
 
@@ -123,7 +128,7 @@
     fn kind(&self) -> &'static str {
         match self {
             Error::UnknownKey => "authentication_error",
-            Error::NoSettings | Error::Refused(..) => "overloaded_error",
+            Error::NoSettings | Error::Stopping | Error::Refused(..) => "overloaded_error",
             Error::Unknown => "server_error",
             _ => "invalid_request_error",
         }
--- a/components/router/src/callers.rs
+++ b/components/router/src/callers.rs
@@ -88,7 +88,8 @@
     let media = header(&request, "content-type").unwrap_or("application/json").to_string();
     let path = request.uri().path_and_query().map_or(request.path(), |path| path.as_str());
     let path = path.to_string();
-    let body = request::read_body(&mut request, &settings.limits).await?;
+    let read = state.until_responding(request::read_body(&mut request, &settings.limits)).await;
+    let body = read.unwrap_or(Err(Error::Stopping))?;
     let (model, max_tokens) = match target {
         Target::Plain(model) => (model, Some(1)),
         Target::Completion => {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -6,7 +6,7 @@
 
 use common::{PACE, Site, eventually, get, open, post, until};
 use fakes::Pace;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 const CHAT: &str = "/v1/chat/completions";
@@ -219,3 +219,148 @@
     assert!(before.starts_with("HTTP/1.1 200") && answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert_eq!(cut, vec![]);
 }
+
+/// Grace of a replaced node in the tests of late bodies.
+const SHORT_GRACE: &str = "[deployment]\nbalancer = \"100ms\"\ngrace = \"2s\"\n";
+
+/// When the last byte of a request arrives after a drain has begun: on a new connection, or on one whose request began before.
+#[derive(Clone, Copy, Debug)]
+enum Arrival {
+    New,
+    InParts(Duration),
+}
+
+const ARRIVALS: [Arrival; 2] = [Arrival::New, Arrival::InParts(Duration::from_secs(1))];
+
+/// Drains the first router of a site while a request arrives there; returns what its caller gets.
+async fn drain_while_arriving(site: &Site, call: &[u8], arrival: Arrival) -> String {
+    let address = site.routers[0].caller_address();
+    let late = async {
+        match arrival {
+            Arrival::New => {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                rest(open(address, call).await).await
+            }
+            Arrival::InParts(pause) => {
+                let (last, first) = call.split_last().unwrap();
+                let mut caller = open(address, first).await;
+                tokio::time::sleep(pause).await;
+                let _ = caller.write_all(&[*last]).await;
+                rest(caller).await
+            }
+        }
+    };
+    let begun = tokio::time::Instant::now();
+    let drained = async {
+        site.routers[0].drain().await;
+        assert!(begun.elapsed() < Duration::from_millis(2_200), "{:?}", begun.elapsed());
+    };
+    tokio::join!(drained, late).1
+}
+
+fn is_refused(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after")
+}
+
+/// The last byte of a charge arrives while a node is being replaced, after its listener has closed. Guards against a charge that
+/// runs and whose answer can't come in time.
+#[actix_rt::test]
+async fn decides_about_a_charge_whose_body_arrives_late_while_draining() {
+    tokio::time::pause();
+    let charge = post("/desk/charge", "x-class: charge\r\n", "{}");
+    for known in [false, true] {
+        let site = Site::further(1, 1, SLOW, SHORT_GRACE).await;
+        site.desk.set_pace(Duration::from_millis(10));
+        if known {
+            let before = rest(open(site.routers[0].caller_address(), &charge).await).await;
+            assert!(before.starts_with("HTTP/1.1 200"), "{before}");
+        }
+        let answer = drain_while_arriving(&site, &charge, ARRIVALS[1]).await;
+        if known {
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        } else {
+            assert!(is_refused(&answer) && site.desk.total() == 0, "{answer}");
+        }
+    }
+}
+
+/// A call that may run again arrives while a node is being replaced. Guards against one that is begun though such calls are known
+/// to be longer than the rest of the grace, and against a closed connection in place of an answer.
+#[actix_rt::test]
+async fn answers_repeatable_calls_that_arrive_while_draining() {
+    tokio::time::pause();
+    for arrival in ARRIVALS {
+        for (pace, known, status) in
+            [(SLOW, false, "502"), (SLOW, true, "503"), (PACE, true, "200")]
+        {
+            let site = Site::further(1, 1, pace, SHORT_GRACE).await;
+            if known {
+                let before =
+                    rest(open(site.routers[0].caller_address(), &post(CHAT, "", WHOLE)).await);
+                assert!(before.await.starts_with("HTTP/1.1 200"));
+            }
+            let answer = drain_while_arriving(&site, &kept(WHOLE), arrival).await;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{arrival:?}: {answer}");
+        }
+    }
+}
+
+/// A call arrives while a node is being replaced, and all slots are taken until the end. Guards against an answer that doesn't say
+/// that it hasn't run.
+#[actix_rt::test]
+async fn refuses_what_finds_no_slot_while_draining() {
+    tokio::time::pause();
+    for arrival in ARRIVALS {
+        let site = Site::further(1, 1, SLOW, SHORT_GRACE).await;
+        let mut fills = vec![];
+        for _ in 0..10 * SLOW.slots {
+            fills.push(open(site.routers[0].caller_address(), &kept(WHOLE)).await);
+        }
+        assert!(eventually(|| site.engines[0].running() == SLOW.slots).await);
+        assert!(eventually(|| site.routers[0].open_requests() == fills.len()).await);
+        // Of a lower tier, so that it is last in the queue.
+        let late = post(CHAT, "x-class: draft\r\n", WHOLE);
+        let answer = drain_while_arriving(&site, &late, arrival).await;
+        assert!(is_refused(&answer), "{arrival:?}: {answer}");
+        let id = answer.lines().find_map(|line| line.strip_prefix("x-request-id: ")).unwrap();
+        assert_eq!(site.engines[0].runs(id), 0, "{arrival:?}: {answer}");
+    }
+}
+
+/// A stream arrives while a node is being replaced. Guards against one that looks complete though it was cut, and against one that
+/// is begun though such streams are known to be longer than the rest of the grace.
+#[actix_rt::test]
+async fn answers_streams_that_arrive_while_draining() {
+    tokio::time::pause();
+    for arrival in ARRIVALS {
+        for known in [false, true] {
+            let site = Site::further(1, 1, SLOW, SHORT_GRACE).await;
+            if known {
+                let before =
+                    rest(open(site.routers[0].caller_address(), &post(CHAT, "", STREAMED)).await);
+                assert!(before.await.contains("[DONE]"));
+            }
+            let answer = drain_while_arriving(&site, &kept(STREAMED), arrival).await;
+            if known {
+                assert!(is_refused(&answer), "{arrival:?}: {answer}");
+            } else {
+                let cut = answer.starts_with("HTTP/1.1 200") && !answer.ends_with("0\r\n\r\n");
+                let unknown = answer.starts_with("HTTP/1.1 502");
+                assert!(cut || unknown, "{arrival:?}: {answer}");
+                assert!(!answer.contains("[DONE]"), "{arrival:?}: {answer}");
+            }
+        }
+    }
+}
+
+/// The body of a call doesn't arrive before the end of the grace. Guards against a closed connection in place of an answer that
+/// nothing ran.
+#[actix_rt::test]
+async fn refuses_a_body_that_never_arrives_while_draining() {
+    tokio::time::pause();
+    let site = Site::further(1, 1, SLOW, SHORT_GRACE).await;
+    let charge = post("/desk/charge", "x-class: charge\r\n", "{}");
+    let arrival = Arrival::InParts(Duration::from_secs(5));
+    let answer = drain_while_arriving(&site, &charge, arrival).await;
+    assert!(is_refused(&answer) && site.desk.total() == 0, "{answer:?}");
+}
