Take-ups read the store at eight nodes at most, 40 times a second in any fleet

What callers saw: nothing themselves. The store of a fleet of 24 nodes was called 61 to 169 times in a second where a fleet of 4 called it 25 times, while callers took up streams that nobody knows of and the store answered after 160 ms.

Cause: a node without a reader read the store itself for each take-up, and nothing bounded how many such nodes there are. The reader wasn't late. A store slower than about 100 ms lets proofs that come by way of a seed grow older than 2.35 s, so each node renews its proof by a read of its own; until its seed's next answer its list comes from the store, so that it has no reader.

The confirming message timed out at 300 ms where a read of 160 ms follows another, which refuses the take-up and reads nothing.

Change: Members::readers names at most eight nodes that read the store for take-ups, up to four seeds and the first of the list by rendezvous hashing. Each pauses between two reads (Allowance) so that all together begin 40 a second. Other nodes ask one of them that answers, first the one they have their list from; without one the take-up is refused as not run. A read is a task of its own, so that a caller that gives up doesn't end the read of those who wait with it.

Why it works: the bound rests on the number of readers and on each one's own pause, not on what peers answer. A list of nodes names at most eight readers, whatever the size of the fleet; nodes with different lists add those of each list. No conclusion is drawn without a read that began after the take-up, as before.

--- a/components/forward/src/resumption/taking_up.rs
+++ b/components/forward/src/resumption/taking_up.rs
@@ -13,16 +13,21 @@
 use crate::adapter::Adapter;
 use crate::answer::Error;
 use crate::intake::Received;
+use crate::proof;
 use crate::state::State;
 
-use super::confirming::confirm;
+use super::confirming::{confirm, readers};
 use super::telling::{CONFIRM_TIMEOUT, announce, is_alone, post};
-use super::{EXPIRY_MARGIN, destination_of, millis, origin_of, proof_age};
+use super::{
+    EXPIRY_MARGIN, MAX_LIST_AGE, destination_of, has_current_list, millis, origin_of, proof_age,
+};
 
 /// Time after a node's start in which it may not have the list of nodes yet, so that it asks again.
 const SETTLING: Duration = Duration::from_secs(1);
 /// Pause before it asks again.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
+/// Readers of the store that are asked beside the keepers, so that there is another if one doesn't answer.
+const READERS_ASKED: usize = 2;
 /// When a caller may come again whose stream no node knows.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -61,12 +66,12 @@
 }
 
 /// Which peers answered a question.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Answers {
-    received: usize,
+    received: Vec<SocketAddr>,
     missing: usize,
-    /// The one that reads the store for this node, if it did.
-    reader: Option<SocketAddr>,
+    /// Those that answered and whose lists of servers are up to date.
+    current: Vec<SocketAddr>,
 }
 
 /// Restricts a request that takes a stream up to the version that began it.
@@ -97,7 +102,7 @@
     log::info!(
         request = received.call.id.as_str(), resumes = received.call.resumes.as_deref(),
         after_event = received.call.last_event_id, origin = finding.as_str(), peer = peer,
-        list_age_ms = state.proof_age_ms(), answered = answers.received, silent = answers.missing,
+        list_age_ms = state.proof_age_ms(), answered = answers.received.len(), silent = answers.missing,
         took_ms = state.elapsed_since(received.arrived).as_millis() as u64;
         "a caller takes a stream up"
     );
@@ -164,9 +169,8 @@
         resumption.table.borrow_mut().insert(stream, origin, expires, now);
         Finding::Peer(peer, origin)
     };
-    let reader = state.contact.path.borrow().reader();
-    let reader = reader.filter(|reader| *reader != state.node().peers);
-    let mut evidence = match ask(state, question, reader, &mut answers).await {
+    let readers = preferred_readers(state);
+    let mut evidence = match ask(state, question, &readers, &mut answers).await {
         Ok(known) => return (told(known), answers),
         Err(evidence) => evidence,
     };
@@ -177,7 +181,8 @@
         return (Finding::Unknown, answers);
     }
     if Evidence::conclude(&evidence, question.life).is_none() {
-        match confirm_evidence(state, question, answers.reader).await {
+        let reader = pick_reader(state, &readers, &answers);
+        match confirm_evidence(state, question, reader).await {
             Some(Confirmed::Known(peer, origin)) => return (told((peer, origin)), answers),
             Some(Confirmed::Evidence(confirmed)) => evidence.push(confirmed),
             None => {}
@@ -209,38 +214,76 @@
     }
 }
 
-/// Asks the keepers of a stream which version began it, and the `reader` that reads the store for this node; returns the first
-/// that knows.
+/// The nodes that read the store for take-ups, beginning with the one from which this node has its list of servers.
+fn preferred_readers<A: Adapter>(state: &State<A>) -> Vec<SocketAddr> {
+    let mut readers = readers(state);
+    let path = state.contact.path.borrow();
+    let reads_itself = state.is_seed() && path.is_direct();
+    let usual = if reads_itself { Some(state.node().peers) } else { path.reader() };
+    if let Some(place) = readers.iter().position(|reader| Some(*reader) == usual) {
+        readers[..=place].rotate_right(1);
+    }
+    readers
+}
+
+/// The first of these readers whose list of servers is up to date, else the first that answers; it may be this node.
+fn pick_reader<A: Adapter>(
+    state: &State<A>,
+    readers: &[SocketAddr],
+    answers: &Answers,
+) -> Option<SocketAddr> {
+    let (own, is_own_current) = (state.node().peers, has_current_list(state));
+    let answered = |reader: &&SocketAddr| **reader == own || answers.received.contains(reader);
+    let mut candidates = readers.iter().filter(answered).copied();
+    let is_current = |reader: &SocketAddr| {
+        if *reader == own { is_own_current } else { answers.current.contains(reader) }
+    };
+    candidates.clone().find(is_current).or_else(|| candidates.next())
+}
+
+/// Asks the keepers of a stream which version began it, and the first of the `readers`; returns the first that knows.
 ///
 /// # Errors
 /// When none does: the versions of the service that those who answered have seen.
 async fn ask<A: Adapter>(
     state: &State<A>,
     question: Question,
-    reader: Option<SocketAddr>,
+    readers: &[SocketAddr],
     answers: &mut Answers,
 ) -> Result<(SocketAddr, Origin), Vec<Evidence>> {
     let (resumption, own) = (&state.resumption, state.node().peers);
     let began = state.clock.boot_time();
     let mut peers = resumption.members.borrow().asked(Stream(question.asked.stream));
-    peers.extend(reader.filter(|reader| !peers.contains(reader)));
+    for reader in readers.iter().take(READERS_ASKED) {
+        if !peers.contains(reader) {
+            peers.push(*reader);
+        }
+    }
     let message = question.message(false);
     let post = async |peer| (peer, post(state, peer, &message).await);
     let mut replies: FuturesUnordered<_> =
         peers.into_iter().filter(|peer| *peer != own).map(post).collect();
     let mut evidence = vec![];
     while let Some((peer, reply)) = replies.next().await {
-        *if reply.is_ok() { &mut answers.received } else { &mut answers.missing } += 1;
-        if reply.is_ok() && Some(peer) == reader {
-            answers.reader = reader;
-        }
-        match reply {
-            Ok(reply) if reply.known => return Ok((peer, origin_of(reply.version))),
-            Ok(reply) => evidence.push(peer_evidence(state, reply, began)),
+        let reply = match reply {
+            Ok(reply) => reply,
             Err(cause) => {
                 log::debug!(peer:% = peer, cause = cause.as_str(); "a peer didn't say who began a stream");
+                answers.missing += 1;
+                continue;
             }
+        };
+        answers.received.push(peer);
+        if reply.known {
+            return Ok((peer, origin_of(reply.version)));
         }
+        if reply
+            .proof_age_ms
+            .is_some_and(|age| age <= millis(MAX_LIST_AGE + proof::WATCH_BLIND_TAIL))
+        {
+            answers.current.push(peer);
+        }
+        evidence.push(peer_evidence(state, reply, began));
     }
     Err(evidence)
 }
@@ -253,20 +296,19 @@
     Evidence(Evidence),
 }
 
-/// Has the store read: by the `reader` that reads it for this node, if it answers, so that many nodes share its reads, else by
-/// this node. A reader that answers without a proof has none, and a store that is slow isn't read by all nodes.
+/// Has the store read by a `reader`, which may be this node. Without one nothing is proved: the number of readers is bounded.
 async fn confirm_evidence<A: Adapter>(
     state: &Rc<State<A>>,
     question: Question,
     reader: Option<SocketAddr>,
 ) -> Option<Confirmed> {
-    let since = question.life.until;
-    let Some(reader) = reader else {
+    let (since, reader) = (question.life.until, reader?);
+    if reader == state.node().peers {
         let confirming = tokio::time::timeout(CONFIRM_TIMEOUT, confirm(state, since));
         let is_confirmed = confirming.await.unwrap_or(false);
         let age = state.clock.boot_time().saturating_sub(since);
         return is_confirmed.then(|| Confirmed::Evidence(own_evidence(state, question, Some(age))));
-    };
+    }
     let asked = state.clock.boot_time();
     let reply = post(state, reader, &question.message(true)).await.ok()?;
     if reply.known {
--- a/components/origins/src/lib.rs
+++ b/components/origins/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! The crate does no I/O and reads no clock.
 
+mod allowance;
 mod census;
 mod destinations;
 mod evidence;
@@ -17,11 +18,12 @@
 mod outbox;
 mod table;
 
+pub use allowance::{Allowance, READS_PER_S};
 pub use census::{Census, Seen};
 pub use destinations::{Destination, Destinations};
 pub use evidence::{Evidence, Span};
 pub use id::{Stream, Version};
 pub use lifetime::Lifetime;
-pub use members::{ASKED, COPIES, MAX_MEMBERS, Members};
+pub use members::{ASKED, COPIES, MAX_MEMBERS, MAX_READERS, Members};
 pub use outbox::Outbox;
 pub use table::{Origin, Record, Table};
--- a/components/origins/src/members.rs
+++ b/components/origins/src/members.rs
@@ -17,6 +17,10 @@
 pub const COPIES: usize = 4;
 /// Nodes that are asked for a stream: lists differ for a moment when nodes come or go.
 pub const ASKED: usize = 6;
+/// Nodes that read the store to prove that a list of servers is complete.
+pub const MAX_READERS: usize = 8;
+/// Seeds among them. The others may reach the store when no seed does.
+const MAX_READING_SEEDS: usize = 4;
 /// Nodes that are listed.
 pub const MAX_MEMBERS: usize = 64;
 /// A seed changes a list at most once in this time for each node on it: while hundreds of nodes start, it would else
@@ -192,6 +196,31 @@
         keepers
     }
 
+    /// The nodes that read the store for all others to prove that a list of servers is complete, of a fleet with these seeds.
+    /// Listed nodes come first: a node that ends leaves the list, while a seed stays in the settings.
+    ///
+    /// ```
+    /// use std::net::SocketAddr;
+    ///
+    /// use origins::{MAX_READERS, Members};
+    /// use wire::gossip::Peer;
+    ///
+    /// let address = |n: u8| SocketAddr::from(([10, 0, 0, n], 80));
+    /// let mut members = Members::default();
+    /// members.apply((1..=30).map(|n| Peer { address: address(n), domain: "d".into() }).collect());
+    /// let readers = members.readers(&[address(1), address(2)]);
+    /// assert_eq!(readers.len(), MAX_READERS);
+    /// assert_eq!(readers[MAX_READERS - 2..], [address(1), address(2)]);
+    /// ```
+    pub fn readers(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        let seeds = &seeds[..seeds.len().min(MAX_READING_SEEDS)];
+        let mut readers = self.ranked(Stream(0));
+        readers.retain(|node| !seeds.contains(node));
+        readers.truncate(MAX_READERS - seeds.len());
+        readers.extend(seeds);
+        readers
+    }
+
     /// The nodes that are asked for a stream.
     pub fn asked(&self, stream: Stream) -> Vec<SocketAddr> {
         let mut asked = self.ranked(stream);
