A census speaks for no more time than its versions were looked up for

What callers saw: nothing is reported. A node that stands still between a question and its answer could take a stream up at a version that didn't begin it.

Cause: `Census::seen` leaves out versions that went before `within`, and yet `covered` reached back to the start of the node. The question's lifetime is computed before its node waits for peers; if it stands still meanwhile, the versions are those of a later span than the stated one.

Change: `covered` is at most `within`.

Why it works: versions and span are now of the same time, at whatever moment the census is read and for any number of nodes. Each question asks for 1 s (EXPIRY_MARGIN) more than from the beginning of the life to its making, which a node that runs uses up neither by 150 ms for peers nor 300 ms for the store. One that stands still for longer gets a span that begins after the life does, and concludes nothing. Nodes of earlier releases compare `covered_ms` with the lifetime that they asked for, which it still reaches.

--- a/components/origins/src/census.rs
+++ b/components/origins/src/census.rs
@@ -20,7 +20,8 @@
 derives::data! {
     /// What a node has seen of the versions of one service.
     pub struct Seen {
-        /// Time over which it has followed the list of servers without a gap.
+        /// Time over which it has followed the list of servers without a gap, up to the time that was asked for: of versions that
+        /// went before, nothing is said.
         pub covered: Duration,
         /// The versions that were listed within the time that was asked for.
         pub versions: Vec<Version>,
@@ -81,6 +82,7 @@
     pub fn seen(&self, service: u32, within: Duration, now: Instant) -> Seen {
         let covered =
             self.since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        let covered = covered.min(within);
         let versions = self.services.get(&service).into_iter().flatten();
         let recent = |listed: &Listed| listed.servers > 0 || now < listed.until + within;
         let recent = versions.filter(|(_, listed)| recent(listed)).map(|(version, _)| *version);
