A server that is gone in a peer's answer may have been of another version before

What callers saw: nothing is reported. A stream that a server began at v2, just before it left, was taken up at a node that knew the server at v1, and got its rest from v1.

Cause: a peer sends only what is left of several changes. `record_unseen` recorded a gap where a server was new or had started again, but not where a known one was gone: it may have started again with other software in between.

Change: by way of a peer each change of a server is a gap, unless it is listed and has stated the same start before and after.

Why it works: only such a server can't have had another version in between; it holds for any number of nodes and peers in between, each of which records the gap itself. A node that reads the store sees each change and has none.

Cost: followers have a gap also where servers only leave; where servers join, as in a release, they had one already (from reading). A take-up that nobody knows of needs the reader's answer or another one without a gap, until the longest life of a stream has passed. The reader is asked for its newest list anyway, and goes on: a_server_that_leaves_stops_no_take_ups_while_the_reader_answers. If it is lost within that time, the take-up is refused.

--- a/components/forward/src/effects.rs
+++ b/components/forward/src/effects.rs
@@ -139,8 +139,8 @@
 }
 
 /// Records what a change of the list hides. An entry that is replaced or gone before this node used it had been listed. A peer
-/// sends only what is left of several changes: where a server is new or has started again, or is gone that this node never knew,
-/// other versions may have come and gone unseen.
+/// sends only what is left of several changes: unless a server is listed and has been the same process all the while, other
+/// versions may have come and gone unseen.
 fn record_unseen<A: Adapter>(state: &State<A>, change: &Change) {
     let (name, after) = match change {
         Change::Listed(entry) => (&entry.name, Some(entry)),
@@ -158,8 +158,7 @@
         // Without the time of its start, a server may have been another one in between.
         is_same(before, after) && after.started.is_some()
     });
-    let ends = before.is_some() && after.is_none();
-    if !is_known && !ends && !state.contact.path.borrow().is_direct() {
+    if !is_known && !state.contact.path.borrow().is_direct() {
         state.resumption.record_gap(now);
     }
 }
