Nodes state the longest life of a stream that they know, and learn it from each other

What callers saw: nothing is reported. After the time limit of a route was lowered, a node that started knew only the new limit. A stream that had begun under the former one at a version that had left was taken up there, and got its rest from the version that was left.

Cause: `Lifetime` keeps former limits until their streams have ended, but only those that its own process has seen. The life that a question covered was thus too short, and what peers said for that time proved nothing for the time before.

Change: each answer of a peer states the longest life that the peer knows, and how much longer such streams may go on (two optional fields; an answer of an earlier release states none, and counts as before). A node takes a longer one over, and concludes nothing if the life that it knows by then is longer than the one that its question covered.

Why it works: no conclusion rests on a shorter life than any node that answered knows, whatever the number of nodes; and the node goes on to state what it has learned when those that saw the limit are gone. What is known isn't prolonged, so that nodes don't keep it alive between them. A node that has no limit yet states none.

Cost: two numbers in each answer, and one refusal at a node that learns of a longer life; then its census must cover that life, as at the others.

Not covered: if no peer that knows the former limit answers, or all nodes were killed since, nothing shows it.

--- a/components/forward/src/resumption.rs
+++ b/components/forward/src/resumption.rs
@@ -16,8 +16,8 @@
 use catalog::{Entry, Kind, Route, Settings};
 use clock::Clock;
 use origins::{
-    Census, Destination, Destinations, Lifetime, Members, Origin, Outbox, Record, Seen, Stream,
-    Table, Version,
+    Census, Destination, Destinations, Life, Lifetime, Members, Origin, Outbox, Record, Seen,
+    Stream, Table, Version,
 };
 use tokio::sync::mpsc;
 use wire::gossip::Peer;
@@ -193,7 +193,12 @@
         // Rounded up, so that the list isn't taken to be newer than it is.
         let rounding = Duration::from_micros(999);
         let proof_age_ms = proof_age.map(|age| millis(age + rounding));
-        let mut reply = Reply { boot: self.boot, proof_age_ms, ..Reply::default() };
+        let life = self.lifetime.borrow().stated(now);
+        let ceil = |time: Duration| millis(time + rounding);
+        let (longest_ms, left_ms) =
+            life.map_or((0, 0), |Life { longest, left }| (ceil(longest), ceil(left)));
+        let boot = self.boot;
+        let mut reply = Reply { boot, proof_age_ms, longest_ms, left_ms, ..Reply::default() };
         let Some(asked) = message.asked else { return reply };
         let Asked { stream, .. } = asked;
         let origin = table.origin(Stream(stream), now);
@@ -210,6 +215,13 @@
         reply
     }
 
+    /// Takes over the longest life of a stream that a peer knows.
+    fn learn_life(&self, reply: &Reply, now: Instant) {
+        let [longest, left] =
+            [reply.longest_ms, reply.left_ms].map(|ms| Duration::from_millis(ms.into()));
+        self.lifetime.borrow_mut().learn(Life { longest, left }, now);
+    }
+
     /// What this node has seen of the versions of the service that is asked for, over the time in which requests for a
     /// destination went there.
     fn seen(&self, asked: Asked, destination: Option<Destination>, now: Instant) -> Seen {
--- a/components/forward/src/resumption/taking_up.rs
+++ b/components/forward/src/resumption/taking_up.rs
@@ -123,6 +123,8 @@
     /// The time in which a server that began the stream was listed. A stream is no older than the longest life of one when its
     /// caller takes it up, and began before that. The list of the node that began it was no older than nodes accept keys by.
     life: Span,
+    /// Longest life of a stream as this node knew it when it asked.
+    longest: Duration,
 }
 
 impl Question {
@@ -147,6 +149,7 @@
         asked: Asked { stream: stream.0, service: wire::key(&name), lifetime_ms },
         destination: destination_of(received.route()),
         life: Span { since, until },
+        longest,
     })
 }
 
@@ -183,7 +186,9 @@
             None => {}
         }
     }
-    let only = Evidence::conclude(&evidence, question.life);
+    // A peer that knows a longer life has stated it by now.
+    let longest = resumption.lifetime.borrow().longest(state.clock.now());
+    let only = Evidence::conclude(&evidence, question.life).filter(|_| longest <= question.longest);
     (only.map_or(Finding::Unknown, Finding::OnlyVersion), answers)
 }
 
--- a/components/forward/src/resumption/telling.rs
+++ b/components/forward/src/resumption/telling.rs
@@ -73,7 +73,11 @@
     let mut response = sent.map_err(|cause| cause.to_string())?;
     let body = response.body().limit(MAX_MESSAGE_BYTES).await.map_err(|cause| cause.to_string())?;
     match response.status() {
-        StatusCode::OK => Reply::decode(&body).map_err(|cause| cause.to_string()),
+        StatusCode::OK => {
+            let reply = Reply::decode(&body).map_err(|cause| cause.to_string())?;
+            state.resumption.learn_life(&reply, state.clock.now());
+            Ok(reply)
+        }
         status => Err(format!("status {status}")),
     }
 }
--- a/components/origins/src/lib.rs
+++ b/components/origins/src/lib.rs
@@ -21,7 +21,7 @@
 pub use destinations::{Destination, Destinations};
 pub use evidence::{Evidence, Span};
 pub use id::{Stream, Version};
-pub use lifetime::Lifetime;
+pub use lifetime::{Life, Lifetime};
 pub use members::{ASKED, COPIES, MAX_MEMBERS, Members};
 pub use outbox::Outbox;
 pub use table::{Origin, Record, Table};
--- a/components/wire/src/origins.rs
+++ b/components/wire/src/origins.rs
@@ -48,6 +48,13 @@
         /// Versions of the service that it has seen.
         #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
         pub seen: Vec<u32>,
+        /// The longest life of a stream that may still go on, by the limits that the node knows, in milliseconds; 0 from a node of
+        /// an earlier release.
+        #[serde(rename = "l", default, skip_serializing_if = "is_none")]
+        pub longest_ms: u32,
+        /// How much longer such a stream may go on, in milliseconds.
+        #[serde(rename = "e", default, skip_serializing_if = "is_none")]
+        pub left_ms: u32,
     }
 }
 
@@ -75,4 +82,8 @@
     }
 }
 
+fn is_none(millis: &u32) -> bool {
+    *millis == 0
+}
+
 messages!(Message, Answer);
