A node that has met others isn't alone because they are silent

What callers saw: nothing is reported. A seed that all other nodes had lost, and that had lost the store, took itself for the only node after 10 s without reports. It began streams at a server that was long gone for all others; a node that had started since took one up and went on at another version.

Cause: `is_alone` asked whether other nodes are listed. A node is no longer listed once nobody has a report of it, which is silence, not absence.

Change: `Members` remembers for as long as its process runs whether it has ever known another node, from a report, from another seed or from a list. Only a node that has known none, and whose settings name no other seed, is alone.

Why it works: what was seen once can't become unseen, whatever the number of nodes; two addresses are enough to know it, so that nothing grows.

Cost: a node that has ever known another, and really is the only one now, begins no streams that may be taken up while it is out of touch with the store, until it is restarted. A node that never knew another is served as before.

Not covered: the only seed of a fleet, restarted while all others are cut off from it, has met nobody and counts as alone.

--- a/components/forward/src/resumption/telling.rs
+++ b/components/forward/src/resumption/telling.rs
@@ -145,11 +145,11 @@
     replies.peek().is_some() && !replies.any(has_newer)
 }
 
-/// Whether no other node is expected.
+/// Whether no other node is expected. One that is silent, or no longer listed as no seed has a report of it, may still run.
 pub(super) fn is_alone<A: Adapter>(state: &State<A>) -> bool {
     let node = state.node();
     node.seeds.iter().all(|seed| *seed == node.peers)
-        && state.resumption.members.borrow().others(node.peers) == 0
+        && !state.resumption.members.borrow().has_met_other(node.peers)
 }
 
 /// Tells the keepers of a stream, and returns once each has answered or is silent.
--- a/components/origins/src/members.rs
+++ b/components/origins/src/members.rs
@@ -4,7 +4,7 @@
 //! each node is told of as many streams as it begins, times the copies. A list of all nodes would be sent to all
 //! nodes whenever one comes or goes, so it is bounded: beyond that, nodes with the lowest hashes are listed.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -64,6 +64,8 @@
     hashes: Vec<u64>,
     /// Digest of the list.
     digest: u32,
+    /// Two of the nodes that were ever known to this process, or all if they are fewer.
+    met: BTreeSet<SocketAddr>,
 }
 
 /// Hash of a list by which a node and a seed find out whether theirs is the same; 0 for an empty one.
@@ -83,6 +85,7 @@
 impl Members {
     /// Records at a seed that a node reported, or that the seed itself runs.
     pub fn record(&mut self, peer: Peer, now: Instant) {
+        self.meet([peer.address]);
         self.reporters.insert(peer.address, Seen { domain: peer.domain, reported: now });
     }
 
@@ -93,6 +96,9 @@
         cluster.confirmed = now;
         if !members.is_empty() {
             cluster.members = members;
+            let addresses: Vec<_> =
+                self.clusters[seed].members.iter().map(|peer| peer.address).collect();
+            self.meet(addresses);
         }
     }
 
@@ -136,6 +142,7 @@
     /// Takes a list over; returns whether it differs from the one before.
     pub fn apply(&mut self, members: Vec<Peer>) -> bool {
         let members = bounded(members);
+        self.meet(members.iter().map(|peer| peer.address));
         if members == self.listed {
             return false;
         }
@@ -165,6 +172,34 @@
         self.listed.iter().filter(|peer| peer.address != own).count()
     }
 
+    /// Whether a node other than `own` was ever known. One that is silent may still run.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use origins::Members;
+    /// use wire::gossip::Peer;
+    ///
+    /// let peer = |n: u8| Peer { address: ([10, 0, 0, n], 80).into(), domain: "d".to_string() };
+    /// let (own, now, mut members) = (peer(1).address, Instant::now(), Members::default());
+    /// members.record(peer(1), now);
+    /// assert!(!members.has_met_other(own));
+    /// members.record(peer(2), now);
+    /// members.refresh(now + Duration::from_secs(60));
+    /// assert!(members.others(own) == 0 && members.has_met_other(own));
+    /// ```
+    pub fn has_met_other(&self, own: SocketAddr) -> bool {
+        self.met.iter().any(|address| *address != own)
+    }
+
+    fn meet(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            if self.met.len() < 2 {
+                self.met.insert(address);
+            }
+        }
+    }
+
     /// All listed nodes in the order in which they keep a stream: by rendezvous hashing, beginning with nodes of
     /// different failure domains.
     pub fn ranked(&self, stream: Stream) -> Vec<SocketAddr> {
