--- a/components/forward/src/resumption/telling.rs
+++ b/components/forward/src/resumption/telling.rs
@@ -73,7 +73,11 @@
     let mut response = sent.map_err(|cause| cause.to_string())?;
     let body = response.body().limit(MAX_MESSAGE_BYTES).await.map_err(|cause| cause.to_string())?;
     match response.status() {
-        StatusCode::OK => Reply::decode(&body).map_err(|cause| cause.to_string()),
+        StatusCode::OK => {
+            let reply = Reply::decode(&body).map_err(|cause| cause.to_string())?;
+            state.resumption.learn_life(&reply, state.clock.now());
+            Ok(reply)
+        }
         status => Err(format!("status {status}")),
     }
 }
@@ -149,11 +153,11 @@
     replies.peek().is_some() && !replies.any(has_newer)
 }
 
-/// Whether no other node is expected.
+/// Whether no other node is expected. One that is silent, or no longer listed as no seed has a report of it, may still run.
 pub(super) fn is_alone<A: Adapter>(state: &State<A>) -> bool {
     let node = state.node();
     node.seeds.iter().all(|seed| *seed == node.peers)
-        && state.resumption.members.borrow().others(node.peers) == 0
+        && !state.resumption.members.borrow().has_met_other(node.peers)
 }
 
 /// Tells the keepers of a stream, and returns once each has answered or is silent.
--- a/components/origins/src/lib.rs
+++ b/components/origins/src/lib.rs
@@ -25,7 +25,7 @@
 pub use evidence::{Evidence, Span};
 pub use id::{Stream, Version};
 pub use identity::Identity;
-pub use lifetime::Lifetime;
+pub use lifetime::{Life, Lifetime};
 pub use members::{ASKED, COPIES, MAX_MEMBERS, MAX_READERS, Members};
 pub use outbox::Outbox;
 pub use table::{Origin, Record, Table};
