--- a/components/origins/tests/model.rs
+++ b/components/origins/tests/model.rs
@@ -216,6 +216,23 @@
         let until = now - self.epoch;
         Evidence::conclude(&all, Span { since: until - LIFETIME, until })
     }
+
+    /// The same at a node that stands still after the caller came, and reads its list and the store only then.
+    fn take_up_late(&mut self, node: usize) -> Option<Version> {
+        let (came, now) = (self.now, self.now + LIFETIME);
+        if let Some(origin) = self.nodes[node].table.origin(STREAM, came) {
+            return match origin {
+                Origin::Version(version) => Some(version),
+                Origin::Uncertain => None,
+            };
+        }
+        if !self.nodes[node].is_cut {
+            self.nodes[node].learn(&self.changes, now);
+        }
+        let until = came - self.epoch;
+        let evidence = self.nodes[node].evidence(self.epoch, now);
+        Evidence::conclude(&[evidence], Span { since: until - LIFETIME, until })
+    }
 }
 
 fn search(events: &mut Vec<Event>, depth: usize, epoch: Instant, outcomes: &mut Outcomes) {
@@ -232,6 +249,8 @@
             assert!(version.is_none_or(|version| version == truth), "{events:?}: {version:?}");
             outcomes.continued += u32::from(version.is_some());
             outcomes.refused += u32::from(version.is_none());
+            let late = fleet.take_up_late(node);
+            assert!(late.is_none_or(|version| version == truth), "{events:?}, late: {late:?}");
         }
     }
     if depth == 0 {
@@ -251,7 +270,7 @@
     }
 }
 
-/// Versions come and go, nodes learn of them one after the other, are cut off, and are killed before or after they have told
+/// Versions come and go, nodes learn of them one after the other, are cut off, stand still, and are killed before or after they have told
 /// anyone. Guards against a stream that goes on at another version in any order of these, and against a rule that refuses
 /// all.
 #[test]
