Play of suspects: engines that state their start, and whose connections end as they start again

SOAK_SUSPECTS=8, 9 and 10 of `joined_streams_by_suspect` play servers that start again with other software as engines: they state the start of their process in their reports, their entries have it, and their connections end with the process (`Raw::end_connections`; ends come before reads there now). The play also counts streams that begin at servers whose entries are old, and take-ups that neither went on nor were refused. The variants that were there are as they were.

Not run: the other tests, the random soak, and the play's other variants on this commit. No program code is changed.

--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -83,6 +83,8 @@
     rejections: RefCell<Vec<Instant>>,
     /// Says when the server has crashed.
     crashed: watch::Sender<bool>,
+    /// Changes when all its connections are to end.
+    connections: watch::Sender<()>,
 }
 
 /// A server after a script.
@@ -118,6 +120,7 @@
             questions: Cell::new(0),
             rejections: RefCell::default(),
             crashed: watch::channel(false).0,
+            connections: watch::channel(()).0,
         });
         let accepting = actix_rt::spawn(accept(socket, state.clone()));
         Ok(Raw { address, state, accepting })
@@ -173,6 +176,11 @@
         self.state.questions.get()
     }
 
+    /// Ends all its connections, with what is played on them, as if its process were killed; it goes on with new ones.
+    pub fn end_connections(&self) {
+        self.state.connections.send_replace(());
+    }
+
     /// Whether it has crashed.
     pub fn crashed(&self) -> bool {
         *self.state.crashed.borrow()
@@ -205,11 +213,15 @@
         // Otherwise the kernel holds small writes back for 40 ms of real time, which is seconds of virtual time.
         let _ = stream.set_nodelay(true);
         let (state, mut crashed) = (state.clone(), state.crashed.subscribe());
+        let mut connections = state.connections.subscribe();
         actix_rt::spawn(async move {
             state.open.set(state.open.get() + 1);
             tokio::select! {
-                _ = serve(stream, &state) => {}
+                // First the ends: nothing is read from a connection that has been ended.
+                biased;
+                _ = connections.changed() => {}
                 _ = crashed.changed() => {}
+                _ = serve(stream, &state) => {}
             }
             state.open.set(state.open.get() - 1);
         });
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -233,6 +233,9 @@
         Suspect::Weights,
         Suspect::Unframed(millis(10)),
         Suspect::Unframed(millis(1_000)),
+        Suspect::Engines(millis(0)),
+        Suspect::Engines(millis(100)),
+        Suspect::Engines(millis(1_000)),
     ]) {
         if only.is_none_or(|only| only == seed) {
             suspects::play(seed, suspect).await;
--- a/tests/soak/suspects.rs
+++ b/tests/soak/suspects.rs
@@ -12,9 +12,10 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::fixture::streams::REPORT_PATH;
 use crate::fixture::{
     API_KEY, ATTEMPT_ID, CONFIGURATION, STREAM_HEAD, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration,
-    server_entry,
+    engine_entry, server_entry,
 };
 use crate::nodes::Node;
 use crate::stores::Stores;
@@ -48,6 +49,9 @@
     /// Servers start again under their names and at their addresses with other software, one after the other; their
     /// entries say so this much later.
     Restart(Duration),
+    /// As `Restart`, by engines that state the start of their process, which their entries have too. Their connections end
+    /// when they start again.
+    Engines(Duration),
     /// Two versions serve. The entries of one go, and this much later all nodes are killed and start again.
     Killed(Duration),
     /// Servers of one version have two versions of weights, and start again one after the other.
@@ -62,6 +66,8 @@
     suspect: Suspect,
     /// When each starts again.
     restarts: Vec<Option<Instant>>,
+    /// Which engines have started again: connections end with the process, so both have to change at once.
+    started: Vec<bool>,
 }
 
 impl Plan {
@@ -69,7 +75,8 @@
         let again = self.restarts[index].is_some_and(|restart| at >= restart);
         match self.suspect {
             Suspect::Restart(_) if again => "v2",
-            Suspect::Restart(_) => "v1",
+            Suspect::Engines(_) if self.started[index] => "v2",
+            Suspect::Restart(_) | Suspect::Engines(_) => "v1",
             _ => ["v1", "v2"][index % 2],
         }
     }
@@ -77,7 +84,7 @@
     /// The version in a server's entry.
     fn listed(&self, index: usize, at: Instant) -> &'static str {
         match self.suspect {
-            Suspect::Restart(late) => {
+            Suspect::Restart(late) | Suspect::Engines(late) => {
                 let again = self.restarts[index].is_some_and(|restart| at >= restart + late);
                 if again { "v2" } else { "v1" }
             }
@@ -90,7 +97,8 @@
     fn label(&self, index: usize) -> String {
         let now = Instant::now();
         let (real, listed) = (self.version(index, now), self.listed(index, now));
-        let stale = matches!(self.suspect, Suspect::Restart(_)) && real != listed;
+        let renews = matches!(self.suspect, Suspect::Restart(_) | Suspect::Engines(_));
+        let stale = renews && real != listed;
         format!("{real}.{}", if stale { "unlisted" } else { "listed" })
     }
 
@@ -121,8 +129,9 @@
             Step::IfHead(RESUMED.to_string(), resumed),
             Step::Write(head + &event(1, &label)),
         ]);
+        let engines = matches!(self.suspect, Suspect::Engines(_));
         match self.restarts[index].and_then(|restart| restart.checked_duration_since(now)) {
-            Some(wait) if wait < LIFE => steps.extend([Step::Wait(wait), Step::Reset]),
+            Some(wait) if wait < LIFE && !engines => steps.extend([Step::Wait(wait), Step::Reset]),
             _ if matches!(self.suspect, Suspect::Killed(_)) => steps.push(Step::Hang),
             _ => steps.extend([Step::Wait(LIFE), Step::Write(rest(&label))]),
         }
@@ -144,6 +153,18 @@
     steps
 }
 
+/// When the process of an engine with software of a version started, in ms since 1970.
+fn start_of(index: usize, version: &str) -> u64 {
+    1_700_000_000_000 + 2 * index as u64 + u64::from(version == "v2")
+}
+
+/// Makes a server state the start of its process when it is asked.
+fn state_start(server: &Raw, start: u64) {
+    let report = format!("{{\"born\":{start},\"busy\":false}}");
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", report.len());
+    server.set_page(REPORT_PATH, &(head + &report));
+}
+
 async fn crash(server: &Raw) {
     let text = format!(
         "POST /s/a HTTP/1.1\r\nhost: desk.example\r\n{ATTEMPT_ID}: {CRASH}\r\ncontent-length: {}\r\n\r\n{CRASH}",
@@ -205,7 +226,9 @@
 /// Plays a suspect and prints what became of its streams. Returns how many are joined, or complete too early.
 pub async fn play(seed: u64, suspect: Suspect) -> u32 {
     let stores = Stores::start(1).await;
-    let plan = Rc::new(RefCell::new(Plan { suspect, restarts: vec![None; SERVERS] }));
+    let (restarts, started) = (vec![None; SERVERS], vec![false; SERVERS]);
+    let engines = matches!(suspect, Suspect::Engines(_));
+    let plan = Rc::new(RefCell::new(Plan { suspect, restarts, started }));
     let mut servers = vec![];
     for index in 0..SERVERS {
         let plan = plan.clone();
@@ -216,8 +239,13 @@
         let version = plan.borrow().listed(index, Instant::now());
         let text = server_entry(&servers[index].address(), "ready").replace("\"plain\"", "\"s\"");
         let text = text.replace("\"slots\":8", "\"slots\":128");
-        stores.put(&key(index), &text.replace("\"v1\"", &format!("\"{version}\"")));
+        let text = text.replace("\"v1\"", &format!("\"{version}\""));
+        let start = start_of(index, version);
+        stores.put(&key(index), &if engines { engine_entry(&text, start) } else { text });
     };
+    for (index, server) in servers.iter().enumerate().filter(|_| engines) {
+        state_start(server, start_of(index, "v1"));
+    }
     (0..SERVERS).for_each(list);
     let route = VERSIONS_ROUTE.trim_start_matches(",\n").replace("versions", "s");
     let route =
@@ -249,6 +277,24 @@
                     list(index);
                 }
             }
+            Suspect::Engines(late) => {
+                let start_again = async {
+                    for (index, server) in servers.iter().enumerate() {
+                        tokio::time::sleep_until((first + GAP * index as u32).into()).await;
+                        plan.borrow_mut().started[index] = true;
+                        state_start(server, start_of(index, "v2"));
+                        server.end_connections();
+                    }
+                };
+                let list_again = async {
+                    for index in 0..SERVERS {
+                        let at = first + GAP * index as u32 + late;
+                        tokio::time::sleep_until(at.into()).await;
+                        list(index);
+                    }
+                };
+                tokio::join!(start_again, list_again);
+            }
             Suspect::Killed(before) => {
                 tokio::time::sleep_until(first.into()).await;
                 (0..SERVERS).step_by(2).for_each(|index| stores.delete(&key(index)));
@@ -296,16 +342,19 @@
         );
         return joined as u32;
     }
-    let (mut began, mut resumed, mut taken, mut refused, mut joined) = (0, 0, 0, 0, 0);
+    let (mut began, mut unlisted, mut resumed, mut joined) = (0, 0, 0, 0);
+    let (mut taken, mut refused, mut neither) = (0, 0, 0);
     let mut kinds: BTreeMap<String, u32> = BTreeMap::new();
     for (number, got) in all.iter().enumerate() {
         let text = got.texts.concat();
         let labels = written_by(&text);
+        unlisted += u32::from(labels.first().is_some_and(|label| label.ends_with(".unlisted")));
         let [first, second] = match labels.as_slice() {
             [] => continue,
             [_] => {
                 began += 1;
                 refused += u32::from(got.refused > 0);
+                neither += u32::from(got.refused == 0);
                 continue;
             }
             labels => [labels[0], labels[labels.len() - 1]],
@@ -323,8 +372,8 @@
         }
     }
     println!(
-        "TRIAL {suspect:?} seed {seed}: {count} streams, {began} began, {taken} taken up and went on, {refused} refused, \
-         {resumed} of two writers in one answer, ORDER {joined}: {kinds:?}"
+        "TRIAL {suspect:?} seed {seed}: {count} streams, {began} began ({unlisted} at servers whose entries are old), {taken} taken up and went on, {refused} refused, \
+         {neither} neither, {resumed} of two writers in one answer, ORDER {joined}: {kinds:?}"
     );
     joined
 }
