--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -21,6 +21,8 @@
 mod suspects;
 mod versions;
 mod watch;
+#[path = "../../platform/tests/fixture/weights.rs"]
+mod weights;
 mod world;
 
 use std::collections::BTreeSet;
--- a/tests/soak/suspects.rs
+++ b/tests/soak/suspects.rs
@@ -19,6 +19,7 @@
 };
 use crate::nodes::Node;
 use crate::stores::Stores;
+use crate::weights::{DECLINED, WEIGHTS, without_resumption};
 
 /// Apart from the seeds of soaks, which name files by them.
 const SEED: u64 = 5 << 32;
@@ -106,7 +107,7 @@
         let weights = 1 + index % 2;
         match self.suspect {
             Suspect::Weights => STREAM_HEAD
-                .replace("content-type", &format!("x-weight-versions: {weights}\r\ncontent-type")),
+                .replace("content-type", &format!("{WEIGHTS}: {weights}\r\ncontent-type")),
             _ => STREAM_HEAD.to_string(),
         }
     }
@@ -119,9 +120,8 @@
         let mut steps = vec![];
         if matches!(self.suspect, Suspect::Weights) {
             let other = 2 - index % 2;
-            let declined = "HTTP/1.1 421 Other\r\nx-attempt-id: {id}\r\ncontent-length: 0\r\n\r\n";
             let expected = format!("x-expected-version: {other}\r\n");
-            steps.push(Step::IfHead(expected, vec![Step::Write(declined.to_string())]));
+            steps.push(Step::IfHead(expected, vec![Step::Write(DECLINED.to_string())]));
         }
         let resumed = vec![Step::Write(format!("{head}{}", rest(&label)))];
         steps.extend([
@@ -252,7 +252,7 @@
         route.replace("\"timeoutMs\":6000", &format!("\"timeoutMs\":{}", LIMIT.as_millis()));
     let route = route.replace("\"eventGapMs\":300", "\"eventGapMs\":4000");
     let without = matches!(suspect, Suspect::Unframed(_));
-    let route = if without { route.replace(",\"streamResumption\":true", "") } else { route };
+    let route = if without { without_resumption(&route) } else { route };
     let settings =
         configuration(1, &route, &[API_KEY]).replace("\"name\":\"plain\"", "\"name\":\"s\"");
     stores.put(CONFIGURATION, &settings);
