A node logs and measures for how long it had no current settings

A node that starts logged when it has settings, but neither for how long it had none nor whether that was its start or a lapsed proof, so service that comes back late couldn't be told from nodes that wait for each other.

--- a/components/forward/src/contact.rs
+++ b/components/forward/src/contact.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use clock::Clock;
 use tokio::sync::Notify;
-use upstream::{Path, Renewal, Source};
+use upstream::{Absence, Path, Renewal, Source};
 
 use crate::adapter::{Adapter, StoreError};
 use crate::mechanism::Mechanism;
@@ -32,15 +33,19 @@
     pub(crate) delegated: Notify,
     /// A peer reported that it can't reach the store, and no source has answered since.
     seeds_lost_store: Cell<bool>,
+    /// For how long this node has had no current settings.
+    absence: RefCell<Absence>,
     /// When everything was last read from the store.
     pub(crate) listed: Cell<Option<Instant>>,
     /// Notified when the replica, its proof of freshness or the number of failures changes.
     pub(crate) updated: Notify,
 }
 
-impl Default for Contact {
-    fn default() -> Self {
+impl Contact {
+    /// That of a node which starts at `now`.
+    pub(crate) fn new(now: Instant) -> Self {
         Contact {
+            absence: RefCell::new(Absence::new(now)),
             failures: Cell::default(),
             from_peer: Cell::default(),
             path: RefCell::new(Path::stated(None)),
@@ -53,9 +58,7 @@
             updated: Notify::new(),
         }
     }
-}
 
-impl Contact {
     /// Records by which path an answer came that is about to be applied.
     pub(crate) fn set_path(&self, path: Path) {
         let before = self.path.replace(path.clone());
@@ -76,6 +79,19 @@
     }
 }
 
+/// Records whether this node's settings are current, and logs for how long they weren't once they are again.
+pub(crate) fn record_absence<A: Adapter>(state: &State<A>) {
+    let current = state.settings.borrow().is_some() && state.is_fresh();
+    let ended = state.contact.absence.borrow_mut().record(current, state.clock.now());
+    let Some((origin, time)) = ended else { return };
+    state.metrics.settings.observe_absence(origin.as_str(), time);
+    log::info!(
+        after = origin.as_str(), time_ms = time.as_millis() as u64,
+        path:% = state.contact.path.borrow();
+        "settings are current after a time without"
+    );
+}
+
 /// Records that a source answered.
 pub(crate) fn record_answer<A: Adapter>(state: &State<A>, source: Source) {
     let contact = &state.contact;
@@ -101,7 +117,12 @@
     contact.updated.notify_waiters();
     state.metrics.settings.count_event("unread");
     if failures.is_power_of_two() {
-        log::warn!(cause:% = cause, failures = failures, age_ms = state.proof_age_ms(); "store lost");
+        let absence = contact.absence.borrow().duration(state.clock.now());
+        log::warn!(
+            cause:% = cause, failures = failures, age_ms = state.proof_age_ms(),
+            absence_ms = absence.map(|time| time.as_millis() as u64);
+            "store lost"
+        );
     }
 }
 
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -102,6 +102,7 @@
             // The delegate of a seed reads the store.
             None => continue,
         };
+        contact::record_absence(&state);
         match step {
             Ok(pause) => {
                 contact::record_answer(&state, source);
@@ -183,6 +184,7 @@
                 log::info!(cause:% = cause, age_ms = state.proof_age_ms(); "the store doesn't answer this node either");
             }
         }
+        contact::record_absence(&state);
         state.contact.renewal.set(renewal);
         effects::expire(&state);
     }
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -204,7 +204,7 @@
             draining: Cell::new(false),
             stop: Stop::default(),
             replica: RefCell::new(Replica::new(max_proof_age)),
-            contact: Contact::default(),
+            contact: Contact::new(clock.now()),
             standing: standing::Exchange::default(),
             peer_client: updates::peer_client(),
             peers: Peers::default(),
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -5,10 +5,12 @@
 //!
 //! The crate does no I/O and reads no clock.
 
+mod absence;
 mod path;
 mod renewal;
 mod sources;
 
+pub use absence::{Absence, Origin};
 pub use path::{MAX_HOPS, Path};
 pub use renewal::{Limits, Renewal};
 pub use sources::{Context, Delegates, Failure, Source, Sources, seeds_by_preference};
