A node that has read the store offers what it has to seeds that have nothing

Cause: what starting nodes need is known to one node, and nobody asks that one. Seeds that can't reach the store try it, each other and a node picked at random in turn, each for its whole timeout, some 3 s a round; only seeds are known to all. The class: a wait for a thing that is there, with no end but chance.

Change: a node that isn't a seed and has read everything from the store at its start tells each seed so, with its address; a request for updates by a node with a position counts as such an offer as well. A seed without anything asks that node beside what it is doing, and whichever answers first counts.

Why it works: from the moment at which any node that reaches a seed has everything, the seed has it after one round trip, whatever it was waiting for. Cost: one message of some 200 bytes to each seed by each node that reads the store itself at its start; none where seeds reach the store.

--- a/components/forward/src/contact.rs
+++ b/components/forward/src/contact.rs
@@ -31,6 +31,8 @@
     pub(crate) store_answered: Cell<bool>,
     /// Notified when a seed makes this node its delegate.
     pub(crate) delegated: Notify,
+    /// Notified when a node offers this seed, which has nothing, everything that is published.
+    pub(crate) offered: Notify,
     /// A peer reported that it can't reach the store, and no source has answered since.
     seeds_lost_store: Cell<bool>,
     /// For how long this node has had no current settings.
@@ -53,6 +55,7 @@
             probe: Rc::default(),
             store_answered: Cell::default(),
             delegated: Notify::new(),
+            offered: Notify::new(),
             seeds_lost_store: Cell::default(),
             listed: Cell::default(),
             updated: Notify::new(),
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -97,15 +97,19 @@
                 Source::Peer(peer) => ask_peer(&state, peer).await,
             }
         });
-        let step = match until_delegated(&state, source, context, step).await {
-            Some(step) => step,
+        let step = match until_interrupted(&state, source, context, step).await {
+            Ok(step) => step,
             // The delegate of a seed reads the store.
-            None => continue,
+            Err(Interruption::Delegated) => continue,
+            Err(Interruption::Received(peer)) => {
+                sources.use_delegate(peer, state.clock.now());
+                Ok(Duration::ZERO)
+            }
         };
         contact::record_absence(&state);
         match step {
             Ok(pause) => {
-                contact::record_answer(&state, source);
+                contact::record_answer(&state, sources.current());
                 sources.record_success();
                 failed_rounds = 0;
                 tokio::time::sleep(pause).await;
@@ -136,19 +140,52 @@
     }
 }
 
-/// Runs a step; none if a seed has made this node its delegate while it asked a peer.
-async fn until_delegated<A: Adapter, T>(
-    state: &State<A>,
+/// Why a node leaves a step unfinished.
+enum Interruption {
+    /// A seed has made it its delegate.
+    Delegated,
+    /// It has received everything from this peer.
+    Received(SocketAddr),
+}
+
+/// Runs a step, unless a seed makes this node its delegate while it asks a peer, or this node is a seed without anything and
+/// receives everything from a node that offers it.
+async fn until_interrupted<A: Adapter, T>(
+    state: &Rc<State<A>>,
     source: Source,
     context: Context,
     step: impl Future<Output = T>,
-) -> Option<T> {
-    if source == Source::Store || context.is_delegate {
-        return Some(step.await);
+) -> Result<T, Interruption> {
+    let interruption = async {
+        if state.is_seed() && !state.replica.borrow().is_loaded() {
+            return Interruption::Received(receive_offered(state).await);
+        }
+        if source == Source::Store || context.is_delegate {
+            return std::future::pending().await;
+        }
+        state.contact.delegated.notified().await;
+        Interruption::Delegated
+    };
+    match select(pin!(step), pin!(interruption)).await {
+        Either::Left((done, _)) => Ok(done),
+        Either::Right((interruption, _)) => Err(interruption),
     }
-    match select(pin!(step), pin!(state.contact.delegated.notified())).await {
-        Either::Left((done, _)) => Some(done),
-        Either::Right(_) => None,
+}
+
+/// Waits for offers of everything that is published and asks for it; returns the peer that has sent it.
+async fn receive_offered<A: Adapter>(state: &Rc<State<A>>) -> SocketAddr {
+    loop {
+        let Some(peer) = state.delegates.offer() else {
+            state.contact.offered.notified().await;
+            continue;
+        };
+        match ask_peer(state, peer).await {
+            Ok(_) => return peer,
+            Err(cause) => {
+                log::info!(peer:% = peer, cause:% = cause; "a peer doesn't keep its offer");
+                state.delegates.withdraw_offer(peer);
+            }
+        }
     }
 }
 
@@ -283,6 +320,7 @@
     list_limit: Option<usize>,
 ) -> Result<Duration, StoreError> {
     let asked = state.clock.boot_time();
+    let is_first = !state.replica.borrow().is_loaded();
     let listing = state.adapter.store.list(list_limit);
     let (listed, standing) = tokio::join!(listing, standing::fetch_from_seeds(state));
     let Versioned { value, position } = listed?;
@@ -296,9 +334,24 @@
     standing.into_iter().for_each(|known| standing::learn(state, known));
     confirm_freshness(state, asked);
     state.resumption.record_gap(now);
+    if is_first && !state.is_seed() {
+        offer_to_seeds(state);
+    }
     Ok(Duration::ZERO)
 }
 
+/// Offers the seeds what this node has read from the store: they may have nothing, and don't know which node has.
+fn offer_to_seeds<A: Adapter>(state: &Rc<State<A>>) {
+    for seed in state.seeds() {
+        let state = state.clone();
+        actix_rt::spawn(async move {
+            if let Err(cause) = updates::offer(&state, seed).await {
+                log::debug!(seed:% = seed, cause:% = cause; "a seed wasn't reached with an offer");
+            }
+        });
+    }
+}
+
 /// Watches the store for changes after a position, for at most `wait`.
 pub(crate) async fn watch_store<A: Adapter>(
     state: &Rc<State<A>>,
--- a/components/forward/src/updates.rs
+++ b/components/forward/src/updates.rs
@@ -172,6 +172,18 @@
     Presence::decode(&body).map_err(|cause| down(peer, &cause))
 }
 
+/// Offers a seed everything that is published. It asks for it if it has nothing.
+pub(crate) async fn offer<A: Adapter>(
+    state: &State<A>,
+    seed: SocketAddr,
+) -> Result<(), StoreError> {
+    let revision = state.replica.borrow().continues_from().map(|known| known.revision);
+    let ask = UpdateRequest { revision, ..message(state) };
+    let request = state.peer_client.post(format!("http://{seed}{READY_PATH}"));
+    let sent = request.timeout(ANSWER_GRACE).send_body(ask.encode()).await;
+    sent.map(|_| ()).map_err(|cause| down(seed, &cause))
+}
+
 /// Asks a peer for what it knows better than the store.
 pub(crate) async fn request_standing<A: Adapter>(
     state: &State<A>,
@@ -228,6 +240,13 @@
         return standing::answer(&state);
     }
     standing::compare(&state, &ask);
+    if let Some(address) = ask.address.filter(|_| ask.revision.is_some())
+        && state.is_seed()
+        && !state.replica.borrow().is_loaded()
+    {
+        state.delegates.add_offer(address);
+        state.contact.offered.notify_one();
+    }
     if path == WORK_PATH {
         state.seed_work_reports.record(&ask.from, ask.work, now);
         return status(StatusCode::OK);
--- a/components/upstream/src/sources.rs
+++ b/components/upstream/src/sources.rs
@@ -8,6 +8,9 @@
 //! A node that starts asks the seeds as well: hundreds that lost power together would otherwise all read
 //! a long list over a narrow link at once.
 //!
+//! Where the store answers none of the seeds, a node that has read it after its start offers them what it has, so that they
+//! needn't find out which node that is.
+//!
 //! A seed that has lost contact with the store asks the other seeds, then its delegate: one of the nodes
 //! that asked it recently, which reads the store itself when the seeds can't serve it. If all seeds run but
 //! have lost contact with the store, the other nodes give the delegates time to reach it before they read
@@ -149,6 +152,11 @@
         if due {
             (self.current, self.left_first) = (0, None);
         }
+        self.current()
+    }
+
+    /// The source that is asked now.
+    pub fn current(&self) -> Source {
         self.source_at(self.current)
     }
 
@@ -176,6 +184,12 @@
         self.order.get(index).copied().or(delegate).unwrap_or(self.order[0])
     }
 
+    /// Makes a node the delegate of this seed, and the current source, as it has just answered.
+    pub fn use_delegate(&mut self, delegate: SocketAddr, now: Instant) {
+        self.delegate = Some(delegate);
+        (self.current, self.left_first) = (self.order.len(), Some(now));
+    }
+
     /// Number of sources, the delegate included.
     fn len(&self) -> usize {
         self.order.len() + usize::from(self.delegate.is_some())
@@ -346,6 +360,8 @@
     asked_by_seed: Cell<Option<Instant>>,
     /// A node that reads the store for another seed.
     reader: Cell<Option<SocketAddr>>,
+    /// A node that has offered this seed, which has nothing, everything that is published.
+    offer: Cell<Option<SocketAddr>>,
 }
 
 impl Delegates {
@@ -362,6 +378,33 @@
         self.reader.set(Some(reader));
     }
 
+    /// Records that a node has offered everything that is published to this seed, which has nothing.
+    pub fn add_offer(&self, node: SocketAddr) {
+        self.offer.set(Some(node));
+    }
+
+    /// The node that made the last offer, until it is withdrawn.
+    pub fn offer(&self) -> Option<SocketAddr> {
+        self.offer.get()
+    }
+
+    /// Withdraws the offer of a node that didn't keep it.
+    ///
+    /// ```
+    /// let delegates = upstream::Delegates::default();
+    /// let (one, other) = (([10, 0, 0, 1], 7).into(), ([10, 0, 0, 2], 7).into());
+    /// delegates.add_offer(one);
+    /// delegates.withdraw_offer(other);
+    /// assert_eq!(delegates.offer(), Some(one));
+    /// delegates.withdraw_offer(one);
+    /// assert_eq!(delegates.offer(), None);
+    /// ```
+    pub fn withdraw_offer(&self, node: SocketAddr) {
+        if self.offer.get() == Some(node) {
+            self.offer.set(None);
+        }
+    }
+
     /// The node that was suggested, or a random candidate, so that one which has lost contact with the store as well isn't asked again and
     /// again.
     pub fn pick_candidate(&self) -> Option<SocketAddr> {
