A part of the settings that can't be used costs nothing but itself

What callers saw: no request is served, by any node, from its start on.

Cause: a revision was decoded whole, so that one route, service, limit or tenant which can't be read made all of it useless. A running node goes on with the last one until its proof lapses; one that starts has none. The class: what can't be read costs the whole.

A route that can't be used keeps its host and prefix and has no service: its requests get 503 with Retry-After, and no shorter prefix takes them.

--- a/components/forward/src/answer.rs
+++ b/components/forward/src/answer.rs
@@ -29,6 +29,8 @@
     Malformed(String),
     #[error("no route serves this host and path; check both")]
     NoRoute,
+    #[error("the settings of this route can't be used; the request wasn't run, tell your operator")]
+    RouteUnusable,
     #[error("no workspace has this key; send a key from your operator")]
     UnknownKey,
     #[error("the head is over {0} bytes; send fewer or shorter headers")]
@@ -57,6 +59,9 @@
 /// sends it to another node.
 pub(crate) const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 
+/// When to retry a request whose route an operator has to correct.
+const RETRY_LATER: Duration = Duration::from_secs(1);
+
 impl Error {
     /// 408, 421, 429 and 503 guarantee that the request didn't run and won't; the others don't.
     pub(crate) fn status(&self) -> StatusCode {
@@ -67,7 +72,8 @@
             Error::HeadTooLarge(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Error::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Error::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Error::SettingsTooOld
+            Error::RouteUnusable
+            | Error::SettingsTooOld
             | Error::NodeFull
             | Error::Unreachable
             | Error::Stopping
@@ -82,6 +88,7 @@
         match self {
             Error::Malformed(_) => "malformed",
             Error::NoRoute => "no-route",
+            Error::RouteUnusable => "route-unusable",
             Error::UnknownKey => "no-key",
             Error::HeadTooLarge(_) => "head-too-large",
             Error::BodyTooLarge(_) => "body-too-large",
@@ -100,6 +107,7 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Error::Refused { retry_after, .. } => Some(*retry_after),
+            Error::RouteUnusable => Some(RETRY_LATER),
             Error::SettingsTooOld | Error::NodeFull | Error::Unreachable | Error::Stopping => {
                 Some(RETRY_ELSEWHERE)
             }
@@ -109,7 +117,7 @@
 
     fn origin(&self) -> Origin {
         match self {
-            Error::Refused { .. } => Origin::NotRun,
+            Error::Refused { .. } | Error::RouteUnusable => Origin::NotRun,
             Error::Unknown | Error::TimedOut => Origin::Unknown,
             _ => Origin::Elsewhere,
         }
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -270,7 +270,7 @@
     // Each try of a stream goes to the service that began it.
     let begun_by = call.resumes.as_ref().unwrap_or(&call.id);
     let session = shared.unwrap_or_else(|| xxh3_64(begun_by.as_bytes()));
-    let service = found.route.service(session).ok_or(Error::NoRoute)?;
+    let service = found.route.service(session).ok_or(Error::RouteUnusable)?;
     let residency = found.residency();
     if residency.regions().is_some() {
         state.metrics.count_bound_request();
