One entry that lists models doesn't make engines of a service's plain servers

Cause: a pool counted as one of engines as soon as the prefill rate of any of its servers was known, and engines are selected by that rate, which the plain servers don't have. The class: a kind of a whole service concluded from one entry of it.

Evidence: `an_entry_that_nobody_answers_for_costs_first_tries_only` fails before the change at the entry with `"models":[{"name":"m"}]`: 503 to the first call.

Change: a pool is one of engines if the rates of most of its servers are known (`Pool::has_engines`, computed when its servers change).

Cost: a service of which half or more entries are odd is still taken for the wrong kind.

Measured: the test passes for 8 entries, three kinds of requests, before plain servers and before engines; the tests of policy pass.

--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -117,12 +117,10 @@
 }
 
 impl Scheduler {
-    /// Whether the prefill rate of any server of a request's pool is known, so that its engine is selected by
+    /// Whether the prefill rates of most servers of a request's pool are known, so that its engine is selected by
     /// prefill cost.
     pub(crate) fn prefill_rates_known(&self, pending: &Pending) -> bool {
-        let servers = &self.pools[pending.pool].servers;
-        self.switches.is_on(Mechanism::PrefillCost)
-            && servers.iter().any(|key| self.servers[*key].terms.prefill_rate.is_some())
+        self.switches.is_on(Mechanism::PrefillCost) && self.pools[pending.pool].has_engines
     }
 
     /// The engine for a request; none if none may take it now. The second part tells whether any had
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -132,6 +132,9 @@
     pub(crate) isolation: Isolation,
     /// Speeds of its servers.
     pub(crate) speeds: Speeds,
+    /// Whether it is one of engines: the prefill rate of most of its servers is known. A single entry with one doesn't
+    /// make engines of plain servers.
+    pub(crate) has_engines: bool,
     /// Sorted by tier, then class.
     pub(crate) queues: Vec<Queue>,
     /// Rate at which this node chooses among its servers.
@@ -163,6 +166,7 @@
             ticks_left: 0,
             isolation: Isolation::default(),
             speeds: Speeds::new(std::iter::empty()),
+            has_engines: false,
             queues: vec![],
             sends: SendRate::default(),
             full_epoch: 0,
@@ -186,6 +190,8 @@
             let state = &all[*key];
             state.measured_rate.or(state.terms.prefill_rate).map(f64::from)
         };
+        let is_rated = |key: &&ids::Server| all[**key].terms.prefill_rate.is_some();
+        self.has_engines = 2 * self.servers.iter().filter(is_rated).count() > self.servers.len();
         self.speeds = Speeds::new(self.servers.iter().filter_map(rate));
         self.members = rank_members(all, &self.servers, &self.speeds, open);
         self.versions.clear();
