An answer whose connection ends before its request was sent whole isn't complete

Cause: the kernel shows a reset once, to whoever asks first. Here that is the write of the request, whose error is kept only for the case that no head comes. The read that follows gets the bytes that had arrived and then a regular end. The question whether the server still runs doesn't help, as it does.

Change: a body without a length counts as ended only if the request was sent whole before its head came; then no write is left that could see the reset. It stands in `http_client::Body`, by which all answers of servers and of engines of the own interface are read.

Cost: a true answer without a length to an upload that wasn't read to its end is lost, as it looks the same.

--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -93,7 +93,7 @@
     }
 
     /// The next bytes of the body; none once it is complete. A body without a length is complete when
-    /// its connection is closed, but not when it is reset.
+    /// its connection is closed, but not when it is reset, nor if the request wasn't sent whole before it began.
     ///
     /// # Errors
     /// When the body is cut short or malformed.
@@ -105,7 +105,8 @@
                 if buf.is_empty() {
                     buf.reserve(BUFFER_BYTES);
                     if io.read_buf(&mut (&mut *buf).limit(READ_BYTES)).await? == 0 {
-                        return Ok(None);
+                        // A reset is shown once, and may have been shown to the write of the request.
+                        return if self.flushed { Ok(None) } else { Err(Error::Unsent) };
                     }
                 }
                 Ok(Some(buf.split().freeze()))
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -62,6 +62,9 @@
     /// The bytes that frame the body don't end.
     #[error("no byte of the body comes, only its framing")]
     Unframed,
+    /// Only the end of the connection marks the end of the body, and the request wasn't sent whole before.
+    #[error("the connection ended before the request was sent whole")]
+    Unsent,
     /// The other side closed the connection before the end of the response.
     #[error("the connection ended early")]
     Closed,
