Heads of answers are checked strictly before they count

Cause: the codec of actix-http lets such blanks pass.

Evidence: `an_answer_whose_head_isnt_http_is_no_answer` fails before the change at `x-bad : v`, after 8 statuses and a name with a blank in it had passed.

Change: `http_client::head` checks what has arrived of each head, interim ones included, with httparse's strict rules before the codec decodes it. Answers of servers and of engines of the own interface are read there.

Cost: heads are parsed twice. RFC 9112, 5.1, lets a proxy take out such blanks; a server that always sends them gets no request answered.

Measured: the tests pass: 36 heads that aren't HTTP, twice each, and five unusual ones that are.

--- a/components/http_client/src/head.rs
+++ b/components/http_client/src/head.rs
@@ -19,6 +19,17 @@
 /// A buffer that grows has room for up to so many times what it holds.
 const GROWTH: usize = 2;
 
+/// Most headers of a response, as in the codec.
+const MAX_HEADERS: usize = 96;
+
+/// Checks that what has arrived of a head is HTTP. The codec of `actix-http` also takes a head in which a name and its colon
+/// are apart, and then passes that header on or goes by it.
+fn check_strictly(buf: &[u8]) -> Result<(), ParseError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    httparse::Response::new(&mut headers).parse(buf)?;
+    Ok(())
+}
+
 /// A connection on which a response is due.
 pub(crate) struct Reader<'a> {
     framed: Framed<TcpStream, ClientCodec>,
@@ -52,10 +63,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Result<Option<ResponseHead>, Error>> {
         loop {
-            if !self.buf.is_empty()
-                && let Some(head) = self.framed.codec_mut().decode(&mut self.buf)?
-            {
-                return Poll::Ready(Ok(Some(head)));
+            if !self.buf.is_empty() {
+                check_strictly(&self.buf)?;
+                if let Some(head) = self.framed.codec_mut().decode(&mut self.buf)? {
+                    return Poll::Ready(Ok(Some(head)));
+                }
             }
             let mut bytes = [0; READ_BYTES];
             let mut read = ReadBuf::new(&mut bytes);
