An idle timeout that no clock can reach doesn't end the task of a caller's connection

Cause: a number that somebody else chose is added to the present time, which panics on overflow.

Evidence: `a_very_long_idle_timeout_is_borne` fails before the change: "overflow when adding duration to instant", status 0.

--- a/components/http_client/src/pool.rs
+++ b/components/http_client/src/pool.rs
@@ -13,6 +13,9 @@
 /// no longer gets requests.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Longest time for which an idle connection is kept, whatever its server states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(24 * 3_600);
+
 /// How many connections are kept, and for how long.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
@@ -88,7 +91,7 @@
     ) -> Option<Instant> {
         let mut all = self.idle.borrow_mut();
         let kept = all.entry(address.to_string()).or_default();
-        let expires = Instant::now() + idle_timeout;
+        let expires = Instant::now() + idle_timeout.min(MAX_IDLE_TIMEOUT);
         let has_room = kept.len() < self.limits.max_idle;
         if has_room {
             kept.push((connection, expires));
