Nodes that start get what there is from slow stores and from seeds that have lost theirs

What callers saw: no request is served after a start while the store takes more than 1 s for each answer, however long that lasts; and a node that starts while the seeds serve by what they had serves none of it (RECOVER).

Causes, found by the table of store answer times, each a wait that nothing ends: a read of everything that timed out began anew with the same patience of 1 s; and a peer's answer was dropped whole, also by a node that has nothing, if the peer had lost the store.

Evidence: before, `nodes_that_start_read_a_slow_store` fails at 1.5 s for each answer: no node serves within 12 s. With the patient read alone, 3 of 7 nodes serve, the seeds. `a_node_that_starts_gets_what_seeds_had_before_they_lost_the_store` fails with 503 without the second part and passes with it.

Change: after a read of the store has failed, a node that has nothing also reads it beside its other sources with a patience of 4 s for each answer; a node that isn't a seed still leaves long lists to seeds then. A node without anything takes what a peer has that has lost the store, with the age of its proof, and goes on to the next source.

Cost: one more read of the store at a time by a node without anything whose first read failed. Keyed requests are still refused while no proof is younger than they are accepted by; a store that takes over 0.7 s beyond a watch's wait gives none after the first.

--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -260,8 +260,13 @@
 pub trait Store {
     /// Lists all items: the settings in force, if any were published, the evacuated failure domains, and the
     /// backend servers. Fails
-    /// with [`StoreError::ListTooLong`] as soon as the answer exceeds `max_bytes`.
-    async fn list(&self, max_bytes: Option<usize>) -> Result<Versioned<Vec<Item>>, StoreError>;
+    /// with [`StoreError::ListTooLong`] as soon as the answer exceeds `max_bytes`, and if an answer takes longer than
+    /// `patience`.
+    async fn list(
+        &self,
+        max_bytes: Option<usize>,
+        patience: Duration,
+    ) -> Result<Versioned<Vec<Item>>, StoreError>;
 
     /// Waits for changes after a position; returns with the first ones, or empty after `wait`. Fails with
     /// [`StoreError::Outdated`] if the answer is of an earlier era than the position.
--- a/components/forward/src/contact.rs
+++ b/components/forward/src/contact.rs
@@ -29,6 +29,8 @@
     pub(crate) probe: Rc<Notify>,
     /// The store answered such a read.
     pub(crate) store_answered: Cell<bool>,
+    /// A read of the store with more patience is under way.
+    pub(crate) reads_patiently: Cell<bool>,
     /// Notified when a seed makes this node its delegate.
     pub(crate) delegated: Notify,
     /// Notified when a node offers this seed, which has nothing, everything that is published.
@@ -54,6 +56,7 @@
             renewal: Cell::new(Renewal::new(rand::random())),
             probe: Rc::default(),
             store_answered: Cell::default(),
+            reads_patiently: Cell::default(),
             delegated: Notify::new(),
             offered: Notify::new(),
             seeds_lost_store: Cell::default(),
--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -38,6 +38,12 @@
 /// the time within which changes must be in force. The proof of a peer that reads the store is at most as old as
 /// [`WAIT`], [`proof::WATCH_BLIND_TAIL`] and the network delay together.
 const MAX_PEER_PROOF_AGE: Duration = Duration::from_millis(2_600);
+/// Time that a read of everything waits for each answer of the store. A healthy one answers in milliseconds; up to this time
+/// it counts as slow, not as unavailable.
+const LIST_PATIENCE: Duration = Duration::from_secs(1);
+/// The same for a node that has nothing, beside its other sources, after the store hasn't answered it within
+/// [`LIST_PATIENCE`]: two answers of a store that takes seconds for each still come within the time of a restart.
+const LONG_PATIENCE: Duration = Duration::from_secs(4);
 /// Longest list of servers, in bytes, that a node reads from the store although it asks peers.
 const MAX_RENEWED_LIST_BYTES: usize = 16 << 10;
 /// Interval at which seeds report work to each other. Work is averaged over seconds.
@@ -122,6 +128,9 @@
                 if !sources.is_probing_first() {
                     contact::record_failure(&state, source, &cause);
                 }
+                if source == Source::Store && !state.replica.borrow().is_loaded() {
+                    read_patiently(&state);
+                }
                 sources.set_delegate(state.delegates.pick_candidate());
                 if sources.record_failure(classify_failure(&cause), context, state.clock.now()) {
                     failed_rounds += 1;
@@ -258,7 +267,7 @@
         watch_store(state, after, PROBE_WAIT).await?;
     }
     if state.replica.borrow().continues_from().is_none() {
-        list_store(state, Some(MAX_RENEWED_LIST_BYTES)).await?;
+        list_store(state, Some(MAX_RENEWED_LIST_BYTES), LIST_PATIENCE).await?;
     }
     Ok(())
 }
@@ -310,7 +319,7 @@
             let wait = if state.contact.failures.get() > 0 { PROBE_WAIT } else { WAIT };
             watch_store(state, after, wait).await
         }
-        None => list_store(state, list_limit).await,
+        None => list_store(state, list_limit, LIST_PATIENCE).await,
     }
 }
 
@@ -318,10 +327,11 @@
 async fn list_store<A: Adapter>(
     state: &Rc<State<A>>,
     list_limit: Option<usize>,
+    patience: Duration,
 ) -> Result<Duration, StoreError> {
     let asked = state.clock.boot_time();
     let is_first = !state.replica.borrow().is_loaded();
-    let listing = state.adapter.store.list(list_limit);
+    let listing = state.adapter.store.list(list_limit, patience);
     let (listed, standing) = tokio::join!(listing, standing::fetch_from_seeds(state));
     let Versioned { value, position } = listed?;
     check_era(state, position)?;
@@ -340,6 +350,27 @@
     Ok(Duration::ZERO)
 }
 
+/// Reads everything with more patience, beside the other sources: the store hasn't answered this node, which has nothing.
+fn read_patiently<A: Adapter>(state: &Rc<State<A>>) {
+    if state.contact.reads_patiently.replace(true) {
+        return;
+    }
+    let leaves_long_lists = !state.is_seed() && !state.seeds().is_empty();
+    let list_limit = leaves_long_lists.then_some(MAX_RENEWED_LIST_BYTES);
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let read = list_store(&state, list_limit, LONG_PATIENCE).await;
+        state.contact.reads_patiently.set(false);
+        match read {
+            Ok(_) => {
+                state.contact.store_answered.set(true);
+                contact::record_absence(&state);
+            }
+            Err(cause) => log::info!(cause:% = cause; "a patient read of the store fails as well"),
+        }
+    });
+}
+
 /// Offers the seeds what this node has read from the store: they may have nothing, and don't know which node has.
 fn offer_to_seeds<A: Adapter>(state: &Rc<State<A>>) {
     for seed in state.seeds() {
@@ -423,7 +454,8 @@
     update: Update,
 ) -> Result<Duration, StoreError> {
     let now = state.clock.now();
-    if update.store_lost {
+    let store_lost = update.store_lost;
+    if store_lost && state.replica.borrow().is_loaded() {
         // Only this peer may be cut off from the store; the next source shows whether others are as well.
         return Err(StoreError::LostByPeer(peer));
     }
@@ -441,6 +473,7 @@
         return Ok(Duration::ZERO);
     }
     match update.store_returned_ms.map(|ago| Duration::from_millis(ago.into())) {
+        _ if store_lost => contact::keep_missing_servers(state),
         Some(ago) if state.switches.is_on(Mechanism::OutageGrace) => {
             state
                 .membership
@@ -476,6 +509,10 @@
         state,
         proof::from_peer(asked, Duration::from_millis(update.waited_ms.into()), age),
     );
+    if store_lost {
+        // What the peer had from the store is more than nothing, for as long as its proof lasts.
+        return Err(StoreError::LostByPeer(peer));
+    }
     if !is_news {
         log::debug!(peer:% = peer, path:% = path; "the peer doesn't read the store itself");
         return Err(StoreError::LostByPeer(peer));
