--- a/components/forward/src/follow.rs
+++ b/components/forward/src/follow.rs
@@ -128,7 +128,9 @@
                 if !sources.is_probing_first() {
                     contact::record_failure(&state, source, &cause);
                 }
-                if source == Source::Store && !state.replica.borrow().is_loaded() {
+                let is_silent =
+                    source == Source::Store && matches!(cause, StoreError::Unavailable(_));
+                if is_silent && !state.replica.borrow().is_loaded() {
                     read_patiently(&state);
                 }
                 sources.set_delegate(state.delegates.pick_candidate());
