--- a/tests/soak/stores.rs
+++ b/tests/soak/stores.rs
@@ -89,6 +89,11 @@
         self.0.iter().for_each(|kept| kept.delete(key));
     }
 
+    /// Lets lists come in pages of so many items.
+    pub fn set_page_size(&self, items: usize) {
+        self.0.iter().for_each(|kept| kept.store.set_page_size(items));
+    }
+
     pub fn set_mode(&self, mode: Mode) {
         self.0.iter().for_each(|kept| kept.store.set_mode(mode));
     }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -16,7 +16,7 @@
 use crate::fixture::store::Mode;
 use crate::fixture::{
     API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, MISDIRECTED, RESPONSE_HEAD,
-    ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, routes_to, server_entry,
+    ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, post, routes_to, server_entry,
     stream_event, success_response, with_service,
 };
 use crate::nodes::{ALLOWED, Node, SEEDS};
@@ -63,6 +63,15 @@
 /// After the last fault, nodes and servers have this long to be well again.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// Largest body in bytes.
+const MAX_BODY: usize = 8 << 20;
+/// Length of an upload in bytes, which doesn't fit into the buffers of two sockets.
+const UPLOAD: usize = 7 << 20;
+/// Items of a page of the store's lists.
+const PAGE_SIZE: usize = 3;
+/// Names of entries that other writers left among those of the servers.
+const ODD_NAMES: [&str; 6] = ["a&b", "i-0+", "i-1 x", "v#", "p%41", "z&after=servers/zz"];
+
 /// One request, and what came of it.
 struct Sent {
     id: String,
@@ -110,6 +119,7 @@
 /// The configuration of all services.
 pub fn settings(version: u64, keys: &[&str]) -> String {
     let own = configuration(version, &routes(), keys);
+    let own = own.replace("65536", &MAX_BODY.to_string());
     SERVICES.iter().fold(own, |all, (service, _)| with_service(&all, service))
 }
 
@@ -135,6 +145,7 @@
             Step::Write(whole[cut..].to_string()),
         ],
         10 => vec![Step::Write(MISDIRECTED.to_string())],
+        11 => early(kind),
         30 => endless("HTTP/1.1 200 OK\r\nx: ", "x", rng.random()),
         31 => endless(
             &format!("{RESPONSE_HEAD}transfer-encoding: chunked\r\n\r\n1;"),
@@ -155,6 +166,16 @@
     vec![Step::Run, Step::Write(head.to_string()), Step::Repeat(text, pause)]
 }
 
+/// Answers a part without a length before it has read the request, and resets the connection.
+fn early(kind: Kind) -> Vec<Step> {
+    let part = if kind.streams() {
+        format!("{UNFRAMED_HEAD}{}", stream_event(1))
+    } else {
+        format!("{RESPONSE_HEAD}\r\nboo")
+    };
+    vec![Step::Write(part), Step::Reset]
+}
+
 /// Runs a request and answers without a length or chunks. With a cut, a stream ends that many bytes into its
 /// second event, and another answer is reset.
 fn unframed(kind: Kind, cut: Option<usize>) -> Vec<Step> {
@@ -175,6 +196,10 @@
         let stores = Stores::start(if partitioned { NODES } else { 1 }).await;
         let (mut servers, mut links, mut paths) = (vec![], vec![], vec![]);
         let ill = Rc::new(Cell::new(true));
+        stores.set_page_size(PAGE_SIZE);
+        for name in ODD_NAMES {
+            stores.put(&format!("servers/{name}"), "junk");
+        }
         for node in 0..NODES {
             links.push(Link::start(stores.address(node)).await.unwrap());
         }
@@ -337,6 +362,7 @@
             futures_util::future::join_all(callers),
             futures_util::future::join_all(resuming),
             self.poison(time),
+            self.uploads(time),
             self.releases(time),
             self.crowd(time),
             self.drills(time)
@@ -379,6 +405,12 @@
                 self.nodes.iter().for_each(Node::kill);
                 tokio::time::sleep(Duration::from_millis(away)).await;
                 self.nodes.iter().for_each(Node::start);
+                if away.is_multiple_of(2) {
+                    // They start while the store is silent.
+                    self.stores.set_mode(Mode::Unresponsive);
+                    tokio::time::sleep(Duration::from_millis(3 * away)).await;
+                    self.stores.set_mode(Mode::Normal);
+                }
             };
             tokio::join!(self.versions.release_to_all(&self.stores), kill);
         }
@@ -417,6 +449,20 @@
         }
     }
 
+    /// A caller sends long uploads, some of which servers answer before they have read them.
+    async fn uploads(&self, time: Duration) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ 7);
+        let (start, mut count, body) = (Instant::now(), 0, "u".repeat(UPLOAD));
+        while start.elapsed() < time {
+            let kind = [Kind::Charge, Kind::Stream][rng.random_range(0..2)];
+            let id = format!("{}-u{count}", self.seed);
+            count += 1;
+            let text = post(kind.path(), &id, &body);
+            self.send_text(rng.random_range(0..NODES), kind, id, false, text).await;
+            tokio::time::sleep(Duration::from_millis(rng.random_range(200..600))).await;
+        }
+    }
+
     async fn caller(&self, number: usize, time: Duration) {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ (number as u64) << 8);
         let start = Instant::now();
@@ -442,6 +488,18 @@
         if brief {
             text = text.replace(API_KEY, BRIEF);
         }
+        self.send_text(node, kind, id, brief, text).await
+    }
+
+    /// As [`World::send`], with the request's text.
+    async fn send_text(
+        &self,
+        node: usize,
+        kind: Kind,
+        id: String,
+        brief: bool,
+        text: String,
+    ) -> Option<u16> {
         let at = Instant::now();
         let told = tokio::time::timeout(PATIENCE, exchange(self.nodes[node].callers, &text)).await;
         let in_time = told.is_ok();
