--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -127,8 +127,8 @@
 fn script(rng: &mut SmallRng, kind: Kind, ill: bool) -> Vec<Step> {
     let whole = success_response(kind);
     let cut = whole.len() * 2 / 3;
-    // Once all faults are over, no server answers without end any more.
-    match rng.random_range(0..if ill { 33 } else { 30 }) {
+    // Once all faults are over, no server answers without end or before it has read a request any more.
+    match rng.random_range(0..if ill { 34 } else { 30 }) {
         0 => vec![Step::Reset],
         1 => vec![Step::Run, Step::Reset],
         2 => vec![Step::Run, Step::Close],
@@ -145,7 +145,7 @@
             Step::Write(whole[cut..].to_string()),
         ],
         10 => vec![Step::Write(MISDIRECTED.to_string())],
-        11 => early(kind),
+        33 => early(kind),
         30 => endless("HTTP/1.1 200 OK\r\nx: ", "x", rng.random()),
         31 => endless(
             &format!("{RESPONSE_HEAD}transfer-encoding: chunked\r\n\r\n1;"),
