--- a/components/http_client/src/head.rs
+++ b/components/http_client/src/head.rs
@@ -22,8 +22,8 @@
 /// Most headers of a response, as in the codec.
 const MAX_HEADERS: usize = 96;
 
-/// Checks that what has arrived of a head is HTTP. The codec of `actix-http` also takes a head in which a name and its colon
-/// are apart, and then passes that header on or goes by it.
+/// Checks that what has arrived of a head is HTTP. The codec of `actix-http` also accepts blanks between the name of a
+/// header and its colon, and then passes that header on or goes by it.
 fn check_strictly(buf: &[u8]) -> Result<(), ParseError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     httparse::Response::new(&mut headers).parse(buf)?;
