--- a/review/cases-2/reborn.rs
+++ b/review/cases-2/reborn.rs
@@ -11,6 +11,8 @@
 };
 use crate::{Verdict, has_trouble, server, start_server};
 
+const CONFIRM: &str = "/confirm/a";
+const SUMMARY: &str = "/summary/a";
 const ROUTERS: usize = 3;
 const SERVERS: usize = 5;
 /// How long a link is cut.
@@ -74,15 +76,15 @@
     fn ask_plainly(&mut self) {
         for _ in 0..PLAIN_REQUESTS {
             let id = self.next_id();
-            self.ask(&id, "plain", false);
+            self.ask(CONFIRM, &id, "plain", false);
         }
     }
 
     /// Sends a request; returns whether its answer breaks the rule. If asked to, cuts the server that runs it off, and
     /// starts it again.
-    fn ask(&mut self, id: &str, mode: &str, cut: bool) -> bool {
-        self.log.line(&format!("client sends {id} ({mode})"));
-        let (callers, text) = (self.router.callers, request("/confirm/a", id, 4_000, mode));
+    fn ask(&mut self, path: &str, id: &str, mode: &str, cut: bool) -> bool {
+        self.log.line(&format!("client sends {id} to {path} ({mode})"));
+        let (callers, text) = (self.router.callers, request(path, id, 4_000, mode));
         let caller = thread::spawn(move || call(callers, &text, Duration::from_secs(8)));
         if cut {
             sleep_ms(120);
@@ -95,14 +97,18 @@
             }
         }
         let answer = caller.join().unwrap();
-        let whole = answer.body == server::body(id);
+        let whole = answer.body == server::body(path, id);
         self.log.line(&format!(
             "client got for {id}: status {}, signed: {}, complete: {}, {} bytes, the server's whole body: {whole}",
             answer.status, answer.signed, answer.complete, answer.body.len()
         ));
         let broken = answer.status == 200 && answer.complete && !whole;
         if broken {
-            self.log.line("MIXED: a success that looks complete, with a part of the server's body");
+            self.log.line(if server::is_stream(path) {
+                "ORDER: a stream that ends as complete before its last piece"
+            } else {
+                "MIXED: a success that looks complete, with a part of the server's body"
+            });
         }
         broken
     }
@@ -114,7 +120,9 @@
     let store = Store::start();
     let names = (1..=SERVERS).map(|number| format!("i-{number}"));
     let backends: Vec<_> = names.map(|name| Backend::start(name, &log)).collect();
-    store.put("op/config", Some(&configuration(3, &route("confirm", "non_idempotent", 1, 4_000))));
+    let routes = [("confirm", "non_idempotent"), ("summary", "streaming")];
+    let routes = routes.map(|(name, kind)| route(name, kind, 1, 4_000)).join(",");
+    store.put("op/config", Some(&configuration(3, &routes)));
     backends.iter().for_each(|backend| backend.register(&store, unix_ms()));
     let Some(mut routers) = start_routers(&temporary.0, ROUTERS, store.address) else {
         log.line("the routers don't become ready");
@@ -125,13 +133,13 @@
     let mut site = Site { log, store, backends, router, sent: 0 };
     site.ask_plainly();
     // The first answer of the service without a length.
-    let mut broken = site.ask("first", "part", trouble);
+    let mut broken = site.ask(CONFIRM, "first", "part", trouble);
     sleep_ms(2_000);
     site.ask_plainly();
-    broken |= site.ask("second", "unframed", false);
-    for id in ["third", "fourth"] {
+    broken |= site.ask(CONFIRM, "second", "unframed", false);
+    for (path, id) in [(CONFIRM, "third"), (CONFIRM, "fourth"), (SUMMARY, "fifth")] {
         sleep_ms(5_000);
-        broken |= site.ask(id, "part", trouble);
+        broken |= site.ask(path, id, "part", trouble);
         sleep_ms(1_000);
         site.ask_plainly();
     }
--- a/review/cases-2/server.rs
+++ b/review/cases-2/server.rs
@@ -24,11 +24,31 @@
     turned_away: Mutex<HashSet<String>>,
 }
 
-/// The whole body of an answer.
-pub fn body(id: &str) -> String {
+/// Pieces of a stream.
+const PIECES: usize = 6;
+
+/// The whole body of the answer to a request for a path.
+pub fn body(path: &str, id: &str) -> String {
+    if is_stream(path) {
+        return (1..=PIECES).map(|number| piece(id, number)).collect();
+    }
     format!("booked {id}: ") + &"0123456789".repeat(80) + " end"
 }
 
+/// Whether the answer to a request for a path is a stream.
+pub fn is_stream(path: &str) -> bool {
+    path.starts_with("/summary/")
+}
+
+/// Length of the first half of a stream's pieces.
+fn half_of_stream(id: &str) -> usize {
+    (1..=PIECES / 2).map(|number| piece(id, number).len()).sum()
+}
+
+fn piece(id: &str, number: usize) -> String {
+    format!("id: {number}\ndata: {id}, piece {number} of {PIECES}\n\n")
+}
+
 pub fn run(address: SocketAddr, name: &str, record: &str) {
     let mut tries = 0;
     let listener = loop {
@@ -104,11 +124,13 @@
             send(&text)?;
             sleep_ms(5);
         }
+        let media =
+            if is_stream(request.path()) { "Content-Type: text/event-stream\r\n" } else { "" };
         let stated = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: s.{}.{id}\r\n",
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: s.{}.{id}\r\n{media}",
             self.name
         );
-        let body = body(id);
+        let body = body(request.path(), id);
         if mode == "full" && self.turned_away.lock().unwrap().insert(id.to_string()) {
             self.line(&format!("turns {id} away as it is full"));
             let text = format!(
@@ -131,7 +153,8 @@
                 None
             }
             "part" => {
-                let half = &body[..body.len() / 2];
+                let half = &body
+                    [..if is_stream(request.path()) { half_of_stream(id) } else { body.len() / 2 }];
                 send(&format!("{stated}\r\n{half}"))?;
                 self.line(&format!(
                     "has sent {} of {} bytes of its answer to {id}, without a length",
