--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -414,6 +414,7 @@
     let sent = state.clock.now();
     reach::record_sent(state, server);
     statements::record_send(state, &received.call.id, server);
+    let (port, carried) = (connection.local_port(), connection.carried());
     let mut share = state.buffers.share();
     let (mut head, mut body) = connection.exchange(head, received.body.clone(), &mut share).await?;
     reach::record_reached(state, server);
@@ -426,6 +427,11 @@
             Verdict::Answer => break statement,
             Verdict::Declined => {
                 let status = head.status.as_u16();
+                log::info!(
+                    request = received.call.id.as_str(), server = server.name.as_str(), status = status,
+                    connection = port, carried = carried, skipped = mismatched;
+                    "the server declined a request"
+                );
                 actix_rt::spawn(recycle(state.clone(), server.clone(), body, statement.keep_alive));
                 return Err(AttemptError::Declined(status));
             }
--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -27,14 +27,20 @@
 /// The body of a response that is being received. Dropping it before its end closes the connection.
 pub struct Body {
     framing: Framing,
-    /// As in its [`Connection`].
-    stated_start: Option<u64>,
+    origin: Origin,
     /// The request is one for the head alone.
     head_only: bool,
     /// The request was sent whole, so the connection may carry another one.
     flushed: bool,
 }
 
+/// What is known of a connection, as in [`Connection`], before the response that it carries.
+#[derive(Clone, Copy)]
+pub(crate) struct Origin {
+    pub(crate) stated_start: Option<u64>,
+    pub(crate) carried: u32,
+}
+
 derives::named! {
     /// How the end of a body is marked.
     pub enum Delimiter {
@@ -63,7 +69,7 @@
     pub(crate) fn new(
         head: &ResponseHead,
         framed: Framed<TcpStream, ClientCodec>,
-        stated_start: Option<u64>,
+        origin: Origin,
         (flushed, head_only): (bool, bool),
     ) -> Result<Self, Error> {
         let is_old = head.version < Version::HTTP_11;
@@ -80,7 +86,7 @@
             let FramedParts { io, read_buf, .. } = framed.into_parts();
             Framing::UntilClose(io, read_buf)
         };
-        Ok(Body { framing, stated_start, head_only, flushed })
+        Ok(Body { framing, origin, head_only, flushed })
     }
 
     /// How the end of the body is marked.
@@ -139,7 +145,8 @@
             reader = reader.skip_body();
         };
         let sent = (self.flushed, self.head_only);
-        let body = Body::new(&head, reader.into_framed(), self.stated_start, sent)?;
+        let origin = Origin { carried: self.origin.carried.saturating_add(1), ..self.origin };
+        let body = Body::new(&head, reader.into_framed(), origin, sent)?;
         Ok((head, body))
     }
 
@@ -156,7 +163,8 @@
             Framing::UntilClose(..) => return None,
         };
         let reusable = keep_alive && self.flushed && rest.is_empty();
-        reusable.then_some(Connection { io, stated_start: self.stated_start })
+        let Origin { stated_start, carried } = self.origin;
+        reusable.then_some(Connection { io, stated_start, carried: carried.saturating_add(1) })
     }
 }
 
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -25,6 +25,7 @@
 use bytes::Bytes;
 use tokio::net::TcpStream;
 
+use body::Origin;
 pub use body::{Body, Delimiter};
 use head::Reader;
 use interim::Interim;
@@ -76,6 +77,8 @@
     io: TcpStream,
     /// When the process at its other side started, by what it stated on this connection.
     stated_start: Option<u64>,
+    /// Number of responses that it has carried.
+    carried: u32,
 }
 
 impl Connection {
@@ -95,7 +98,7 @@
         stream.set_nodelay(true)?;
         let timeout_ms = ACK_TIMEOUT.as_millis() as u32;
         rustix::net::sockopt::set_tcp_user_timeout(&stream, timeout_ms)?;
-        Ok(Connection { io: stream, stated_start: None })
+        Ok(Connection { io: stream, stated_start: None, carried: 0 })
     }
 
     /// What [`Connection::record_start`] was last called with.
@@ -121,6 +124,36 @@
         self.stated_start = Some(start);
     }
 
+    /// Number of responses that it has carried.
+    ///
+    /// ```
+    /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = listener.local_addr().unwrap().to_string();
+    /// let timeout = std::time::Duration::from_secs(1);
+    /// let connection = http_client::Connection::connect(&address, timeout).await.unwrap();
+    /// assert_eq!(connection.carried(), 0);
+    /// # });
+    /// ```
+    pub fn carried(&self) -> u32 {
+        self.carried
+    }
+
+    /// Its local port, which identifies it in logs; none if it isn't known.
+    ///
+    /// ```
+    /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = listener.local_addr().unwrap().to_string();
+    /// let timeout = std::time::Duration::from_secs(1);
+    /// let connection = http_client::Connection::connect(&address, timeout).await.unwrap();
+    /// assert!(connection.local_port().is_some());
+    /// # });
+    /// ```
+    pub fn local_port(&self) -> Option<u16> {
+        self.io.local_addr().ok().map(|address| address.port())
+    }
+
     /// Whether the connection is open and nothing arrived since the last response.
     ///
     /// ```
@@ -150,7 +183,7 @@
         share: &mut Share,
     ) -> Result<(ResponseHead, Body), Error> {
         let head_only = head.method == Method::HEAD;
-        let stated_start = self.stated_start;
+        let origin = Origin { stated_start: self.stated_start, carried: self.carried };
         let mut framed = Framed::new(self.io, ClientCodec::default());
         let no_body = body.is_empty() && [Method::GET, Method::HEAD].contains(&head.method);
         let length = if no_body { BodySize::None } else { BodySize::Sized(body.len() as u64) };
@@ -186,7 +219,7 @@
             reader = reader.skip_body();
         };
         let framed = reader.into_framed();
-        let body = Body::new(&head, framed, stated_start, (flushed, head_only))?;
+        let body = Body::new(&head, framed, origin, (flushed, head_only))?;
         Ok((head, body))
     }
 }
