--- a/components/engine/src/client.rs
+++ b/components/engine/src/client.rs
@@ -6,6 +6,7 @@
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ResponseHead, Uri};
+use attribution::{Attributed, Content, Message, Naming, Outcome, Tag};
 use buffers::Budget;
 use bytes::{Bytes, BytesMut};
 use http_client::{Body, Connection, Delimiter, Pool};
@@ -96,6 +97,8 @@
         address: String,
         /// HTTP status code of the refusal.
         status: u16,
+        /// Proof that the refusal is of this call.
+        proof: Attributed,
     },
     /// The answer belongs to another request or another attempt. This call may have run.
     #[error("{address} returned the answer to another request or attempt")]
@@ -276,7 +279,9 @@
         let unconnected =
             |cause: String| Failure::Unconnected { address: call.address.clone(), cause };
         let head = request_head(call, last_event).map_err(unconnected)?;
-        let pooled = if call.fresh_connection { None } else { self.pool.take(&call.address) };
+        let message = Message::Request(Tag::new(&call.id.to_string()));
+        let pooled =
+            if call.fresh_connection { None } else { self.pool.take(&call.address, &[message]) };
         let connection = match pooled {
             Some(connection) => connection,
             None => Connection::connect(&call.address, self.connect_timeout)
@@ -284,13 +289,13 @@
                 .map_err(|cause| unconnected(cause.to_string()))?,
         };
         let mut share = self.heads.share();
-        let answer = connection.exchange(head, body, &mut share);
+        let answer = connection.exchange(message, head, body, &mut share);
         let answer = tokio::time::timeout(self.idle_timeout, answer).await;
         let answer = answer.map_err(|_| {
             indeterminate("timed out waiting for the head of the answer".to_string())
         })?;
-        let (head, body) = answer.map_err(|cause| indeterminate(cause.to_string()))?;
-        check_head(call, &head)?;
+        let (head, mut body) = answer.map_err(|cause| indeterminate(cause.to_string()))?;
+        check_head(call, &head, &mut body)?;
         let media_type = header_text(&head, "content-type").to_string();
         if head.status.is_success() && media_type.starts_with("text/event-stream") {
             let parser = (call.kind == Kind::Completion).then_some(parser);
@@ -346,7 +351,7 @@
             check_completion(call, &all)?;
         }
         if !call.fresh_connection {
-            self.pool.put(&call.address, body, None);
+            self.pool.put(&call.address, body, Outcome::Answered, None);
         }
         Ok(all.freeze())
     }
@@ -385,7 +390,7 @@
 }
 
 /// Checks from the head of an answer that it belongs to the call and that the server ran the call.
-fn check_head(call: &Call, head: &ResponseHead) -> Result<(), Failure> {
+fn check_head(call: &Call, head: &ResponseHead, body: &mut Body) -> Result<(), Failure> {
     let address = call.address.clone();
     let status = head.status.as_u16();
     let attempt = header_text(head, ATTEMPT);
@@ -396,11 +401,18 @@
     // A server may refuse a call before it has read the request id, so the refusal may lack an id;
     // an id that is present must match.
     let id_matches = id == call.id.to_string();
-    if header_text(head, NOT_RUN) == "true" && (id_matches || id.is_empty()) {
-        return Err(Failure::Declined { address, status });
-    }
-    if !id_matches && !id.is_empty() {
+    let naming = match id {
+        _ if id_matches => Naming::Own,
+        "" => Naming::Missing,
+        _ => Naming::Other,
+    };
+    let is_refusal = header_text(head, NOT_RUN) == "true";
+    let content = if is_refusal { Content::Refusal } else { Content::Answer };
+    let Some(proof) = body.attribute(naming, content) else {
         return Err(Failure::Mismatched { address });
+    };
+    if is_refusal {
+        return Err(Failure::Declined { address, status, proof });
     }
     // With both headers, the end of the body is ambiguous: by the wrong one, part of the answer
     // could pass for all of it.
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -18,7 +18,7 @@
 pub use crate::path::{Cut, Path};
 pub use crate::plain::Plain;
 pub use crate::platform::{Platform, Stale};
-pub use crate::raw::{Closed, Raw, Seen, Step};
+pub use crate::raw::{Closed, Raw, Repeat, Seen, Step};
 pub use crate::repeats::Repeats;
 pub use crate::rest::most_in_rest;
 
--- a/components/fakes/src/raw.rs
+++ b/components/fakes/src/raw.rs
@@ -29,6 +29,14 @@
         /// Writes bytes again and again, with a pause after each time, until the other side ends the connection or has got
         /// [`ENDLESS_BYTES`].
         Repeat(String, Duration),
+        /// Writes bytes once the next request on the connection was read, in front of what is written in answer to it; in the
+        /// same piece as the first of that if `joined`.
+        Late {
+            /// The bytes, as in [`Step::Write`], with the id of the present request.
+            text: String,
+            /// Whether nothing is written before the answer.
+            joined: bool,
+        },
         /// Lets time pass.
         Wait(Duration),
         /// Ends the connection in order.
@@ -45,6 +53,15 @@
         CrashAt(String),
     }
 
+    /// When an answer comes once more.
+    #[derive(Copy)]
+    pub enum Repeat {
+        /// Where the next response on the connection is due.
+        Next,
+        /// After this time.
+        After(Duration),
+    }
+
     /// What a server has read of a request.
     pub struct Seen {
         /// The request's id.
@@ -79,6 +96,8 @@
     pages: RefCell<HashMap<String, String>>,
     /// Questions that it has answered so.
     questions: Cell<u32>,
+    /// When each of these answers comes once more, if it does.
+    repeats: Cell<Option<Repeat>>,
     /// When it had no slot for a request.
     rejections: RefCell<Vec<Instant>>,
     /// Says when the server has crashed.
@@ -118,6 +137,7 @@
             occupied: Cell::new(0),
             pages: RefCell::default(),
             questions: Cell::new(0),
+            repeats: Cell::new(None),
             rejections: RefCell::default(),
             crashed: watch::channel(false).0,
             connections: watch::channel(()).0,
@@ -171,6 +191,11 @@
         self.state.pages.borrow_mut().insert(path.to_string(), answer.to_string());
     }
 
+    /// Makes it send each answer to a question about itself once more.
+    pub fn repeat_pages(&self, when: Repeat) {
+        self.state.repeats.set(Some(when));
+    }
+
     /// Questions about itself that it has got at paths for which an answer is set.
     pub fn questions(&self) -> u32 {
         self.state.questions.get()
@@ -228,8 +253,18 @@
     }
 }
 
+/// What is written in front of the next response on a connection.
+#[derive(Default)]
+struct Late {
+    /// Written as soon as a request was read.
+    apart: Vec<u8>,
+    /// Written in the same piece as the response.
+    joined: Vec<u8>,
+}
+
 async fn serve(mut stream: TcpStream, state: &State) -> io::Result<()> {
     let mut read = Vec::new();
+    let mut late = Late::default();
     loop {
         let head = loop {
             if let Some(end) = read.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
@@ -240,6 +275,7 @@
                 return Ok(());
             }
         };
+        stream.write_all(&std::mem::take(&mut late.apart)).await?;
         let path = head.strip_prefix("GET ").and_then(|rest| rest.split(' ').next());
         let page = path.and_then(|path| state.pages.borrow().get(path).cloned());
         if let Some(answer) = page {
@@ -249,6 +285,14 @@
                 return Ok(());
             }
             stream.write_all(answer.as_bytes()).await?;
+            match state.repeats.get() {
+                None => {}
+                Some(Repeat::Next) => late.apart.extend_from_slice(answer.as_bytes()),
+                Some(Repeat::After(time)) => {
+                    tokio::time::sleep(time).await;
+                    stream.write_all(answer.as_bytes()).await?;
+                }
+            }
             continue;
         }
         // Load reports, and what a router of an earlier site still asks of a port that was its
@@ -258,7 +302,7 @@
         }
         let number = state.received.replace(state.received.get() + 1);
         let steps = state.script.borrow()(number);
-        if !play(&mut stream, state, &head, &mut read, steps).await? {
+        if !play(&mut stream, state, &head, (&mut read, &mut late), steps).await? {
             return Ok(());
         }
     }
@@ -269,7 +313,7 @@
     stream: &mut TcpStream,
     state: &State,
     head: &str,
-    read: &mut Vec<u8>,
+    (read, late): (&mut Vec<u8>, &mut Late),
     steps: Vec<Step>,
 ) -> io::Result<bool> {
     let id = value(head, state.name);
@@ -282,6 +326,7 @@
     let at = state.seen.borrow().len() - 1;
     let mut steps = VecDeque::from(steps);
     let mut slot = None;
+    let mut joined = std::mem::take(&mut late.joined);
     while let Some(step) = steps.pop_front() {
         match step {
             Step::IfHead(text, others) if head.contains(&text) => steps = others.into(),
@@ -305,7 +350,9 @@
             }
             Step::Write(text) => {
                 let text = text.replace("{id}", &id).replace("{attempt}", &value(head, ATTEMPT));
-                stream.write_all(text.as_bytes()).await?;
+                let mut bytes = std::mem::take(&mut joined);
+                bytes.extend_from_slice(text.as_bytes());
+                stream.write_all(&bytes).await?;
             }
             Step::Repeat(text, pause) => {
                 let _counted = Slot::occupy(&state.endless);
@@ -327,6 +374,11 @@
                 while stream.read_buf(read).await? > 0 {}
                 return Ok(false);
             }
+            Step::Late { text, joined } => {
+                let text = text.replace("{id}", &id).replace("{attempt}", &value(head, ATTEMPT));
+                let bytes = if joined { &mut late.joined } else { &mut late.apart };
+                bytes.extend_from_slice(text.as_bytes());
+            }
             Step::Wait(time) => tokio::time::sleep(time).await,
             Step::Close => return Ok(false),
             Step::Reset => {
--- a/components/forward/src/adapter.rs
+++ b/components/forward/src/adapter.rs
@@ -9,6 +9,8 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
+use attribution::Content;
+pub use attribution::Naming;
 use catalog::{Change, Entry, Settings};
 pub use endings::Testimony;
 pub use policy::Part;
@@ -80,10 +82,9 @@
         Declined,
         /// Another server has the address now. The request didn't run.
         Misdirected,
-        /// The response belongs to another request, or repeats the response to an earlier one. The
-        /// expected one may follow on the same connection.
-        Mismatched,
-        /// The response can't be attributed to a request, or isn't a valid answer.
+        /// The response doesn't show that the server has read a request. It may be about the server itself.
+        Unsigned(String),
+        /// The response isn't a valid answer.
         Invalid(String),
     }
 
@@ -111,6 +112,8 @@
     pub struct Statement {
         /// Its name, if the response states it.
         pub name: Option<String>,
+        /// The server states that it didn't run the request.
+        pub declined: bool,
         /// It is shutting down and takes no new requests.
         pub leaving: bool,
         /// For how long it wants no requests from this node.
@@ -144,7 +147,10 @@
     /// set are replaced by the values of `attempt`.
     fn request_headers(&self, head: &RequestHead, call: &Call, attempt: &Attempt<'_>) -> HeaderMap;
 
-    /// Checks whether the head of a response belongs to `call` and is `server`'s answer to it.
+    /// Which request the head of a response names, where `call` was sent last.
+    fn naming(&self, head: &ResponseHead, call: &Call) -> Naming;
+
+    /// Checks what the head of a response says, taken for `server`'s response to `call`.
     fn check_response(&self, head: &ResponseHead, call: &Call, server: &Entry) -> Verdict;
 
     /// Reads what the head of a response says of the server that sent it.
@@ -172,6 +178,17 @@
     }
 }
 
+impl Verdict {
+    /// What a response with this verdict says of its request.
+    pub(crate) fn content(&self) -> Content {
+        match self {
+            Verdict::Declined | Verdict::Misdirected => Content::Refusal,
+            Verdict::Unsigned(_) => Content::Report,
+            Verdict::Answer | Verdict::Invalid(_) => Content::Answer,
+        }
+    }
+}
+
 impl Prompt {
     /// The parts before the last, which other requests share.
     pub fn shared_parts(&self) -> &[Part] {
--- a/components/forward/src/attempt.rs
+++ b/components/forward/src/attempt.rs
@@ -6,6 +6,7 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode, Uri, Version};
+use attribution::{Attributed, Message, Outcome};
 use buffers::{Buffer, Exceeded, Share};
 use bytes::Bytes;
 use catalog::Entry;
@@ -27,6 +28,7 @@
 use crate::intake::Received;
 use crate::mechanism::Mechanism;
 use crate::reach;
+use crate::response::{self, Arrival, Source};
 use crate::state::State;
 use crate::statements;
 use crate::survival::{self, Survival};
@@ -34,8 +36,6 @@
 /// Time to connect to a server. A running one accepts within a round trip of a few tens of
 /// milliseconds; nothing was sent yet, so another server can be tried at once.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Mismatched responses that are skipped on one connection.
-const MAX_MISMATCHED: u32 = 2;
 /// Most that is read of a body which no caller gets, so that its connection can be used again.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// Longest time for which such a body is read.
@@ -60,13 +60,13 @@
     Held(Reason),
     /// Another server has the address.
     #[error("another server has its address now")]
-    Misdirected,
+    Misdirected(Attributed),
     /// Nothing shows that the server has the software with which a stream must go on.
     #[error("the request wasn't sent: the process there isn't known to be the listed one ({})", .0.as_str())]
     Unidentified(Identity),
     /// The server states that it didn't run the request.
     #[error("the server declined with status {0}")]
-    Declined(u16),
+    Declined(u16, Attributed),
     /// The connection broke or the response is invalid; the request may have run.
     #[error("{0}")]
     Lost(String),
@@ -110,9 +110,9 @@
         match self {
             AttemptError::Unreached(_)
             | AttemptError::Held(_)
-            | AttemptError::Misdirected
+            | AttemptError::Misdirected(_)
             | AttemptError::Unidentified(_)
-            | AttemptError::Declined(_) => Some(Unsent::assume()),
+            | AttemptError::Declined(..) => Some(Unsent::assume()),
             AttemptError::Lost(_)
             | AttemptError::OutOfOrder(_)
             | AttemptError::Incomplete(_)
@@ -135,11 +135,11 @@
     pub(crate) fn ending(&self) -> Ending {
         match self {
             AttemptError::Unreached(_) => Ending::Unreached,
-            AttemptError::Misdirected | AttemptError::Unidentified(Identity::Other) => {
+            AttemptError::Misdirected(_) | AttemptError::Unidentified(Identity::Other) => {
                 Ending::Misdirected
             }
             AttemptError::Held(_) => Ending::Held,
-            AttemptError::Declined(_) | AttemptError::Unidentified(_) => Ending::NotRun,
+            AttemptError::Declined(..) | AttemptError::Unidentified(_) => Ending::NotRun,
             AttemptError::ServerError(_) => Ending::ServerError,
             AttemptError::Lost(_) => Ending::Broken,
             AttemptError::OutOfOrder(_)
@@ -357,10 +357,10 @@
         self.splitter.as_mut().map_or(Ok(Bytes::new()), |splitter| splitter.finish(delimiter))
     }
 
-    /// Returns the connection to the pool if the answer has ended regularly.
-    pub(crate) fn release_connection<A: Adapter>(self, state: &State<A>) {
+    /// Returns the connection to the pool if the answer has ended regularly; `outcome` is what it has carried with it.
+    pub(crate) fn release_connection<A: Adapter>(self, state: &State<A>, outcome: Outcome) {
         if self.ended {
-            state.keep_connection(&self.server, self.body, self.keep_alive);
+            state.keep_connection(&self.server, self.body, outcome, self.keep_alive);
         }
     }
 }
@@ -394,10 +394,11 @@
         reach::record_unreached(state, server);
         AttemptError::Unreached(cause.to_string())
     })?;
-    let mut connection = connect(state, server).await?;
+    let message = received.message();
+    let mut connection = connect(state, server, &[message]).await?;
     let mut identity = Identity::Unstated;
     if received.is_resumable() {
-        (connection, identity) = identity::identify(state, server, connection).await?;
+        (connection, identity) = identity::identify(state, server, connection, message).await?;
         let continues = received.request.version.is_some() || plan.last_event_id.is_some();
         if continues && !plan.from_copy && !identity.is_accepted() {
             state.pool.put_unused(&server.address, connection);
@@ -414,47 +415,40 @@
     let sent = state.clock.now();
     reach::record_sent(state, server);
     statements::record_send(state, &received.call.id, server);
-    let (port, carried) = (connection.local_port(), connection.carried());
+    let carried = connection.history().carried();
+    let source = Source { port: connection.local_port(), carried };
     let mut share = state.buffers.share();
-    let (mut head, mut body) = connection.exchange(head, received.body.clone(), &mut share).await?;
+    let (head, body) =
+        connection.exchange(message, head, received.body.clone(), &mut share).await?;
     reach::record_reached(state, server);
-    let mut mismatched = 0;
-    let statement = loop {
-        let verdict = state.adapter.servers.check_response(&head, &received.call, server);
-        let statement = state.adapter.servers.read_statement(&head);
-        statements::record(state, server, &head, &verdict, &statement, sent);
-        match verdict {
-            Verdict::Answer => break statement,
-            Verdict::Declined => {
-                let status = head.status.as_u16();
-                log::info!(
-                    request = received.call.id.as_str(), server = server.name.as_str(), status = status,
-                    connection = port, carried = carried, skipped = mismatched;
-                    "the server declined a request"
-                );
-                actix_rt::spawn(recycle(state.clone(), server.clone(), body, statement.keep_alive));
-                return Err(AttemptError::Declined(status));
-            }
-            // It may be the server that was expected, with other weights.
-            Verdict::Misdirected if plan.weights.is_some() && statement.name.is_none() => {
-                return Err(AttemptError::Declined(head.status.as_u16()));
-            }
-            Verdict::Misdirected => return Err(AttemptError::Misdirected),
-            Verdict::Invalid(cause) => return Err(AttemptError::Lost(cause)),
-            Verdict::Mismatched if mismatched < MAX_MISMATCHED => {
-                mismatched += 1;
-                state.metrics.count_mismatched_answer();
-                if !discard(&mut body).await? {
-                    let cause = "an answer to another request doesn't end";
-                    return Err(AttemptError::Lost(cause.to_string()));
-                }
-                (head, body) = body.next_response(&mut share).await?;
-            }
-            Verdict::Mismatched => {
-                return Err(AttemptError::Lost("the server responds to other requests".into()));
-            }
+    let response =
+        response::receive(state, received, server, source, (head, body), &mut share).await?;
+    let Arrival { head, body, verdict, attributed, .. } = response;
+    let statement = state.adapter.servers.read_statement(&head);
+    statements::record(state, server, &head, &verdict, &statement, sent);
+    match verdict {
+        Verdict::Answer => {}
+        Verdict::Declined => {
+            let status = head.status.as_u16();
+            log::info!(
+                request = received.call.id.as_str(), server = server.name.as_str(), status = status,
+                connection = source.port, carried = source.carried, skipped = response.skipped;
+                "the server declined a request"
+            );
+            let refused = (body, Outcome::Refused(response.naming));
+            let recycling = recycle(state.clone(), server.clone(), refused, statement.keep_alive);
+            actix_rt::spawn(recycling);
+            return Err(AttemptError::Declined(status, attributed));
         }
-    };
+        // It may be the server that was expected, with other weights.
+        Verdict::Misdirected if plan.weights.is_some() && statement.name.is_none() => {
+            return Err(AttemptError::Declined(head.status.as_u16(), attributed));
+        }
+        Verdict::Misdirected => return Err(AttemptError::Misdirected(attributed)),
+        Verdict::Unsigned(cause) | Verdict::Invalid(cause) => {
+            return Err(AttemptError::Lost(cause));
+        }
+    }
     if let (Some(expected), Some(got)) = (plan.weights, statement.weights)
         && expected != got
         && head.status.is_success()
@@ -462,21 +456,22 @@
         return Err(AttemptError::OtherWeights { expected, got });
     }
     let after = plan.last_event_id;
-    let source = (body, share, prepared);
+    let received_from = (body, share, prepared);
     let mut reply =
-        receive_reply(state, received, server, (head, statement), source, after).await?;
+        receive_reply(state, received, server, (head, statement), received_from, after).await?;
     if let Reply::Partial(reply) = &mut reply {
         reply.identity = identity;
     }
     Ok(reply)
 }
 
-/// Takes an idle connection to a server, or makes one.
+/// Takes an idle connection to a server that may carry `messages`, or makes one.
 pub(crate) async fn connect<A: Adapter>(
     state: &State<A>,
     server: &Entry,
+    messages: &[Message],
 ) -> Result<Connection, AttemptError> {
-    if let Some(connection) = state.pool.take(&server.address) {
+    if let Some(connection) = state.pool.take(&server.address, messages) {
         return Ok(connection);
     }
     state.metrics.count_connection();
@@ -563,7 +558,9 @@
         }
     }
     let (status, headers) = (reply.status, std::mem::take(&mut reply.headers));
-    reply.release_connection(state);
+    let is_failed = status.is_server_error() && received.repeatable().is_some();
+    let outcome = if is_failed { Outcome::Failed } else { Outcome::Answered };
+    reply.release_connection(state, outcome);
     let whole = WholeReply { status, headers, body: all.into() };
     if status.is_server_error() {
         return Err(AttemptError::ServerError(Box::new(whole)));
@@ -578,7 +575,7 @@
 }
 
 /// Reads and drops a body; returns whether it ended soon enough.
-async fn discard(body: &mut Body) -> Result<bool, http_client::Error> {
+pub(crate) async fn discard(body: &mut Body) -> Result<bool, http_client::Error> {
     let reading = async {
         let mut discarded = 0;
         while let Some(bytes) = body.next().await? {
@@ -592,15 +589,15 @@
     tokio::time::timeout(DISCARD_TIMEOUT, reading).await.unwrap_or(Ok(false))
 }
 
-/// Reads and drops the body of a response, and returns its connection to the pool.
+/// Reads and drops the body of a response, and returns its connection to the pool; `outcome` is what it has carried with it.
 async fn recycle<A: Adapter>(
     state: Rc<State<A>>,
     server: Rc<Entry>,
-    mut body: Body,
+    (mut body, outcome): (Body, Outcome),
     keep_alive: Option<Duration>,
 ) {
     match discard(&mut body).await {
-        Ok(true) => state.keep_connection(&server, body, keep_alive),
+        Ok(true) => state.keep_connection(&server, body, outcome, keep_alive),
         Ok(false) => {
             log::debug!(server = server.name.as_str(); "connection closed; a discarded response doesn't end");
         }
--- a/components/forward/src/check.rs
+++ b/components/forward/src/check.rs
@@ -8,6 +8,7 @@
 
 use actix_http::header::{HOST, HeaderValue};
 use actix_http::{ConnectionType, Method, RequestHead, ResponseHead, Uri};
+use attribution::Message;
 use buffers::Share;
 use bytes::Bytes;
 use catalog::Entry;
@@ -73,6 +74,7 @@
     head.headers.insert(HOST, HeaderValue::from_str(address).ok()?);
     head.set_connection_type(ConnectionType::Close);
     let connection = Connection::connect(address, CONNECT_TIMEOUT).await.ok()?;
-    let (head, _body) = connection.exchange(head, Bytes::new(), &mut share).await.ok()?;
+    let (head, _body) =
+        connection.exchange(Message::Question, head, Bytes::new(), &mut share).await.ok()?;
     Some(head)
 }
--- a/components/forward/src/hop.rs
+++ b/components/forward/src/hop.rs
@@ -13,6 +13,7 @@
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Method, Request, RequestHead, ResponseHead, Uri};
+use attribution::{Naming, Outcome};
 use buffers::Buffer;
 use bytes::Bytes;
 use catalog::Entry;
@@ -81,7 +82,7 @@
     /// Returns the connection to the pool if the answer has ended regularly.
     pub(crate) fn release_connection<A: Adapter>(self, state: &State<A>) {
         if self.ended {
-            state.pool.put(&self.peer.to_string(), self.body, None);
+            state.pool.put(&self.peer.to_string(), self.body, Outcome::Answered, None);
         }
     }
 }
@@ -95,7 +96,7 @@
     prior: Prior,
 ) -> Result<Reply, AttemptError> {
     let address = peer.to_string();
-    let connection = match state.pool.take(&address) {
+    let connection = match state.pool.take(&address, &[received.message()]) {
         Some(connection) => connection,
         None => {
             let connection = Connection::connect(&address, CONNECT_TIMEOUT).await;
@@ -110,8 +111,10 @@
     head.set_connection_type(ConnectionType::KeepAlive);
     let answer = async {
         let mut share = state.buffers.share();
-        let (head, body) =
-            connection.exchange(head, message.into(), &mut share).await.map_err(lost)?;
+        let (head, body) = connection
+            .exchange(received.message(), head, message.into(), &mut share)
+            .await
+            .map_err(lost)?;
         receive(state, peer, head, body).await
     };
     let answer = state.stop.timeout(time_left + ANSWER_GRACE, answer).await;
@@ -179,9 +182,16 @@
     mut body: Body,
 ) -> Result<Reply, AttemptError> {
     let origin = head.headers.get(ORIGIN).and_then(|value| value.to_str().ok()?.parse().ok());
+    let is_refusal = matches!(origin, None | Some(Origin::Elsewhere));
+    let content =
+        if is_refusal { attribution::Content::Refusal } else { attribution::Content::Answer };
+    // The responses of peers bear no id. The connections of their refusals aren't kept.
+    let Some(attributed) = body.attribute(Naming::Missing, content) else {
+        return Err(AttemptError::Lost("peer: the response may be an earlier one".to_string()));
+    };
     let origin = match origin {
         None | Some(Origin::Elsewhere) => {
-            return Err(AttemptError::Declined(head.status.as_u16()));
+            return Err(AttemptError::Declined(head.status.as_u16(), attributed));
         }
         Some(origin) => origin,
     };
@@ -200,7 +210,7 @@
     let mut rest = Bytes::new();
     while !is_stream && rest.is_empty() {
         let Some(bytes) = body.next().await.map_err(lost)? else {
-            state.pool.put(&peer.to_string(), body, None);
+            state.pool.put(&peer.to_string(), body, Outcome::Answered, None);
             let whole = WholeReply { status: head.status, headers, body: received.into() };
             return Ok(Reply::Whole(origin, whole));
         };
--- a/components/forward/src/identity.rs
+++ b/components/forward/src/identity.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use attribution::Message;
 use catalog::Entry;
 use http_client::Connection;
 use origins::Identity;
@@ -18,8 +19,9 @@
 /// Connections on which it is asked: an idle one may have been closed meanwhile.
 const MAX_QUESTIONS: usize = 2;
 
-/// Finds out which process is behind a connection to a server. It is asked once for each connection. If the connection is lost
-/// with the question, another one is returned.
+/// Finds out which process is behind a connection to a server, on which `message` is to be sent. It is asked once for each
+/// connection. If the connection is lost with the question, or the response couldn't be told from earlier ones, another
+/// connection is returned.
 ///
 /// # Errors
 /// When no other connection can be made.
@@ -27,6 +29,7 @@
     state: &State<A>,
     server: &Entry,
     connection: Connection,
+    message: Message,
 ) -> Result<(Connection, Identity), AttemptError> {
     // Only engines say when they started.
     let is_asked = server.engine && server.started.is_some();
@@ -34,7 +37,12 @@
         let identity = Identity::judge(server.started, connection.stated_start());
         return Ok((connection, identity));
     }
+    let messages = [Message::Question, message];
     let mut connection = connection;
+    if !connection.history().admits(Message::Question) {
+        state.pool.put_unused(&server.address, connection);
+        connection = attempt::connect(state, server, &messages).await?;
+    }
     for _ in 0..MAX_QUESTIONS {
         let asking = tokio::time::timeout(ANSWER_TIMEOUT, ask(state, server, connection)).await;
         let is_silent = asking.is_err();
@@ -42,7 +50,7 @@
             connection = kept;
             break;
         }
-        connection = attempt::connect(state, server).await?;
+        connection = attempt::connect(state, server, &messages).await?;
         if is_silent || connection.stated_start().is_some() {
             break;
         }
@@ -66,11 +74,10 @@
 ) -> Option<Connection> {
     let question = state.adapter.servers.self_report_request(server, None)?;
     state.metrics.count_identity_question();
-    let (testimony, (body, _)) = state.survival.exchange(connection, &question).await.ok()?;
-    let mut connection = body.into_connection()?;
-    if let Some(start) = testimony.start.filter(|_| !testimony.unrelated) {
+    let (testimony, kept) = state.survival.exchange(connection, &question).await.ok()?;
+    let mut connection = kept.body.into_connection(kept.outcome)?;
+    if let Some(start) = testimony.start {
         connection.record_start(start);
     }
-    // What comes without being asked for may be the answer to an earlier request, and the one to the question follows.
-    (!testimony.unrelated).then_some(connection)
+    Some(connection)
 }
--- a/components/forward/src/intake.rs
+++ b/components/forward/src/intake.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_http::Request;
+use attribution::{Message, Tag};
 use bytes::{Bytes, BytesMut};
 use catalog::{Denied, Kind, Match, Settings};
 use clock::Clock;
@@ -66,6 +67,11 @@
         &self.found.route
     }
 
+    /// What it is on a connection.
+    pub(crate) fn message(&self) -> Message {
+        Message::Request(Tag::new(&self.call.id))
+    }
+
     /// The fingerprint as written in logs.
     pub(crate) fn fingerprint_hex(&self) -> String {
         format!("{:016x}", self.subject.content)
--- a/components/forward/src/lib.rs
+++ b/components/forward/src/lib.rs
@@ -30,6 +30,7 @@
 mod race;
 mod reach;
 mod registry;
+mod response;
 mod resumption;
 mod serve;
 mod standing;
--- a/components/forward/src/state.rs
+++ b/components/forward/src/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use attribution::Outcome;
 use buffers::Budget;
 use catalog::{Membership, Settings};
 use clock::Clock;
@@ -408,9 +409,10 @@
         &self,
         server: &catalog::Entry,
         body: http_client::Body,
+        outcome: Outcome,
         keep_alive: Option<Duration>,
     ) {
-        let expires = self.pool.put(&server.address, body, keep_alive);
+        let expires = self.pool.put(&server.address, body, outcome, keep_alive);
         let key = self.registry.borrow().server_by_wire_key(wire::key(&server.name));
         if let (Some(key), Some(expires)) = (key, expires) {
             let now = self.clock.now();
--- a/components/forward/src/statements.rs
+++ b/components/forward/src/statements.rs
@@ -39,6 +39,20 @@
     }
 }
 
+/// Records what the head of a response to an earlier request says of its server. That it leaves holds as long as it runs; the
+/// rest holds for a time that may be over.
+pub(crate) fn record_skipped<A: Adapter>(
+    state: &State<A>,
+    server: &Entry,
+    head: &ResponseHead,
+    verdict: &Verdict,
+) {
+    let statement = state.adapter.servers.read_statement(head);
+    if let Some(author) = author(&state.registry.borrow(), server, verdict, &statement) {
+        record_leaving(state, author, head, &statement);
+    }
+}
+
 /// The server that made a statement in answer to a request that was sent to `server`; none if it isn't known.
 fn author<'a>(
     registry: &'a Registry,
--- a/components/forward/src/stream.rs
+++ b/components/forward/src/stream.rs
@@ -7,6 +7,7 @@
 
 use actix_http::StatusCode;
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use attribution::Outcome;
 use bytes::Bytes;
 use catalog::Entry;
 use clock::Clock;
@@ -175,7 +176,7 @@
         self.active.state.resumption.end(&self.active.received.call);
         if let Some(reply) = self.reply.take() {
             let status = reply.status.as_u16();
-            reply.release_connection(&self.active.state);
+            reply.release_connection(&self.active.state, Outcome::Answered);
             self.active.state.crashes.record_completion(self.active.received.subject.content);
             self.active.record_outcome(life.complete().as_str(), status);
         }
--- a/components/forward/src/survival.rs
+++ b/components/forward/src/survival.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use actix_http::RequestHead;
+use attribution::{Content, Message, Naming, Outcome};
 use buffers::{Budget, Buffer};
 use bytes::Bytes;
 use catalog::Entry;
@@ -19,9 +20,10 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::adapter::ServerProtocol;
+use crate::adapter::{ServerProtocol, Statement};
 use crate::attempt::CONNECT_TIMEOUT;
 use crate::registry;
+use crate::response::MAX_SKIPPED;
 
 /// Time within which a server must respond. The end of an answer waits no longer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -31,6 +33,9 @@
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 /// What the health of a server shows that doesn't state its start.
 const NAMED: Finding = Finding::Runs(Proof::Name);
+/// Witnesses of a server, each for one question: what comes after a second one could be the response to the first. With two, the
+/// answers that end while one is asked have another that was opened before.
+const WITNESSES: usize = 2;
 /// Time for which a witness counts if its server doesn't state how long it keeps idle connections.
 const WITNESS_TIME: Duration = Duration::from_secs(4);
 
@@ -65,8 +70,14 @@
 /// The connection of a question was closed before a response.
 struct Cut;
 
-/// A response that was read to its end, and how long its connection is kept open while idle, if the server stated that.
-pub(crate) type Kept = (Body, Option<Duration>);
+/// A response to a question that was read to its end.
+pub(crate) struct Kept {
+    pub(crate) body: Body,
+    /// What its connection has carried with it.
+    pub(crate) outcome: Outcome,
+    /// How long its connection is kept open while idle, if the server stated that.
+    keep_alive: Option<Duration>,
+}
 
 /// Finds out whether the process that gave an answer still runs.
 pub(crate) struct Survival {
@@ -75,8 +86,8 @@
     metrics: Rc<Metrics>,
     buffers: Rc<Budget>,
     inquiries: RefCell<Inquiries<Incarnation, Ended>>,
-    /// One for each server that doesn't state its start and gives answers without a length.
-    witnesses: RefCell<HashMap<Incarnation, Witness>>,
+    /// Up to [`WITNESSES`] for each server that doesn't state its start and gives answers without a length, the oldest first.
+    witnesses: RefCell<HashMap<Incarnation, Vec<Witness>>>,
     /// Services whose servers have given answers without a length.
     undelimited: RefCell<HashSet<String>>,
 }
@@ -119,24 +130,56 @@
     ///
     /// # Errors
     /// When no connection to the server can be made, so that a request wouldn't reach it either.
-    pub(crate) async fn prepare(&self, server: &Entry) -> io::Result<bool> {
+    pub(crate) async fn prepare(self: &Rc<Self>, server: &Rc<Entry>) -> io::Result<bool> {
         let expected = self.undelimited.borrow().contains(&server.service);
         if !expected || server.engine {
             return Ok(false);
         }
-        let incarnation = registry::incarnation(server);
-        let witnesses = &self.witnesses;
-        witnesses.borrow_mut().retain(|_, witness| witness.connection.is_idle());
-        if !witnesses.borrow().contains_key(&incarnation) {
-            self.metrics.count_connection();
-            let connection = Connection::connect(&server.address, CONNECT_TIMEOUT).await?;
-            let opened = Instant::now();
-            let witness = Witness { connection, opened, until: opened + WITNESS_TIME };
-            witnesses.borrow_mut().entry(incarnation).or_insert(witness);
+        self.witnesses.borrow_mut().retain(|_, all| {
+            all.retain(|witness| witness.connection.is_idle());
+            !all.is_empty()
+        });
+        let count = self.witnesses.borrow().get(&registry::incarnation(server)).map_or(0, Vec::len);
+        if count == 0 {
+            self.open_witness(server).await?;
+        }
+        if count < WITNESSES {
+            self.replenish(server);
         }
         Ok(true)
     }
 
+    /// Opens one more witness, unless there are enough by then.
+    async fn open_witness(&self, server: &Entry) -> io::Result<()> {
+        self.metrics.count_connection();
+        let connection = Connection::connect(&server.address, CONNECT_TIMEOUT).await?;
+        let opened = Instant::now();
+        let witness = Witness { connection, opened, until: opened + WITNESS_TIME };
+        let mut witnesses = self.witnesses.borrow_mut();
+        let all = witnesses.entry(registry::incarnation(server)).or_default();
+        if all.len() < WITNESSES {
+            all.push(witness);
+        }
+        Ok(())
+    }
+
+    /// Opens one more witness in the background.
+    fn replenish(self: &Rc<Self>, server: &Rc<Entry>) {
+        let (survival, server) = (self.clone(), server.clone());
+        actix_rt::spawn(async move {
+            if let Err(cause) = survival.open_witness(&server).await {
+                log::debug!(server = server.name.as_str(), cause:% = cause; "no witness");
+            }
+        });
+    }
+
+    /// Takes the oldest witness of a server.
+    fn take_witness(&self, server: &Entry) -> Option<Witness> {
+        let mut witnesses = self.witnesses.borrow_mut();
+        let all = witnesses.get_mut(&registry::incarnation(server))?;
+        (!all.is_empty()).then(|| all.remove(0))
+    }
+
     /// Records that a server gives an answer without a length. Opens a witness for the first one of its service.
     pub(crate) fn watch(self: &Rc<Self>, server: &Rc<Entry>) {
         if server.engine {
@@ -160,19 +203,13 @@
         head: &RequestHead,
         alive_at: Instant,
     ) -> Witnessed {
-        let incarnation = registry::incarnation(server);
-        let witness = self.witnesses.borrow_mut().remove(&incarnation);
-        let Some(Witness { connection, opened, until }) = witness else {
+        let Some(Witness { connection, opened, until }) = self.take_witness(server) else {
             return Witnessed::Missing;
         };
         let response = self.exchange(connection, head).await;
         let finding = match response {
-            Ok((testimony, (body, keep_alive))) if process(server).judge(&testimony) == NAMED => {
-                if let Some(connection) = body.into_connection() {
-                    let until = Instant::now() + keep_alive.unwrap_or(WITNESS_TIME);
-                    let witness = Witness { connection, opened, until };
-                    self.witnesses.borrow_mut().insert(incarnation, witness);
-                }
+            Ok((testimony, kept)) if process(server).judge(&testimony) == NAMED => {
+                self.keep(server, kept);
                 Finding::Runs(Proof::Connection)
             }
             Err(Error::Closed | Error::Send(_)) if Instant::now() < until => Finding::Ended,
@@ -221,6 +258,9 @@
             let finding = self.find_out(&server, &head, alive_at, prepared);
             let finding = tokio::time::timeout(RESPONSE_TIMEOUT, finding).await;
             let finding = finding.unwrap_or(Finding::Unknown);
+            if prepared && finding == Finding::Runs(Proof::Connection) {
+                self.replenish(&server);
+            }
             let Settled { waiters, ask_again } =
                 self.inquiries.borrow_mut().settle(&incarnation, finding);
             for waiter in waiters {
@@ -264,9 +304,8 @@
     /// before a response.
     async fn ask(&self, server: &Entry, head: &RequestHead) -> Result<Finding, Cut> {
         let process = process(server);
-        while let Some(connection) = self.pool.take(&server.address) {
-            // What comes over an idle connection may have been on its way already; a start or a name is only in
-            // responses to questions.
+        while let Some(connection) = self.pool.take(&server.address, &[Message::Question]) {
+            // An idle connection that was asked nothing before: a start or a name is only in responses to questions.
             match self.exchange(connection, head).await {
                 Err(Error::Closed | Error::Send(_)) => return Err(Cut),
                 Ok((testimony, kept))
@@ -297,16 +336,21 @@
         server: &Entry,
         process: &Process,
         testimony: &Testimony,
-        (body, keep_alive): Kept,
+        kept: Kept,
     ) -> Finding {
         let finding = process.judge(testimony);
         if let Finding::Runs(Proof::Start | Proof::Name) = finding {
-            self.pool.put(&server.address, body, keep_alive);
+            self.keep(server, kept);
         }
         finding
     }
 
-    /// Sends a question and reads what the server says of itself.
+    /// Keeps the connection of a question for requests. It is asked no further question.
+    fn keep(&self, server: &Entry, Kept { body, outcome, keep_alive }: Kept) {
+        self.pool.put(&server.address, body, outcome, keep_alive);
+    }
+
+    /// Sends a question and reads what the server says of itself. Responses to earlier requests are skipped.
     pub(crate) async fn exchange(
         &self,
         connection: Connection,
@@ -316,7 +360,26 @@
         (question.method, question.uri) = (head.method.clone(), head.uri.clone());
         question.headers = head.headers.clone();
         let mut share = self.buffers.share();
-        let (head, mut body) = connection.exchange(question, Bytes::new(), &mut share).await?;
+        let sent = connection.exchange(Message::Question, question, Bytes::new(), &mut share);
+        let (mut head, mut body) = sent.await?;
+        for _ in 0..=MAX_SKIPPED {
+            let bytes = self.read_whole(&mut body).await?;
+            let testimony = self.servers.read_self_report(&head, bytes.as_slice());
+            let Statement { declined, keep_alive, .. } = self.servers.read_statement(&head);
+            let naming = if testimony.unrelated { Naming::Other } else { Naming::Missing };
+            let content = if declined { Content::Refusal } else { Content::Report };
+            if body.attribute(naming, content).is_some() {
+                let outcome = if declined { Outcome::Refused(naming) } else { Outcome::Reported };
+                return Ok((testimony, Kept { body, outcome, keep_alive }));
+            }
+            self.metrics.count_mismatched_answer();
+            (head, body) = body.next_response(&mut share).await?;
+        }
+        Err(Error::Unrelated)
+    }
+
+    /// Reads a body to its end.
+    async fn read_whole(&self, body: &mut Body) -> Result<Buffer, Error> {
         let mut bytes = Buffer::new(self.buffers.share());
         while let Some(chunk) = body.next().await? {
             bytes.push(&chunk)?;
@@ -324,9 +387,7 @@
                 return Err(Error::Unframed);
             }
         }
-        let testimony = self.servers.read_self_report(&head, bytes.as_slice());
-        let keep_alive = self.servers.read_statement(&head).keep_alive;
-        Ok((testimony, (body, keep_alive)))
+        Ok(bytes)
     }
 }
 
--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -1,18 +1,16 @@
 //! Reads the body of a response, and hands its connection on after the end.
 
-use std::future::poll_fn;
-
 use actix_codec::{Decoder, Framed, FramedParts};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
 use actix_http::header::HeaderValue;
 use actix_http::{ResponseHead, StatusCode, Version, header};
+use attribution::{Attributed, Content, Naming, Outcome, Sent};
 use buffers::Share;
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
-use crate::head::Reader;
-use crate::interim::Interim;
+use crate::head::{self, Reader};
 use crate::{Connection, Error};
 
 /// Size of the buffer for a body.
@@ -27,18 +25,20 @@
 /// The body of a response that is being received. Dropping it before its end closes the connection.
 pub struct Body {
     framing: Framing,
-    origin: Origin,
+    /// In memory of its own: an answer's state is copied into several futures, and many answers are open at once.
+    origin: Box<Origin>,
     /// The request is one for the head alone.
     head_only: bool,
     /// The request was sent whole, so the connection may carry another one.
     flushed: bool,
 }
 
-/// What is known of a connection, as in [`Connection`], before the response that it carries.
-#[derive(Clone, Copy)]
+/// What is known of a connection, as in [`Connection`], on which a response is due.
 pub(crate) struct Origin {
     pub(crate) stated_start: Option<u64>,
-    pub(crate) carried: u32,
+    pub(crate) sent: Sent,
+    /// The response belongs to the message that was sent last.
+    pub(crate) attributed: bool,
 }
 
 derives::named! {
@@ -69,7 +69,7 @@
     pub(crate) fn new(
         head: &ResponseHead,
         framed: Framed<TcpStream, ClientCodec>,
-        origin: Origin,
+        origin: Box<Origin>,
         (flushed, head_only): (bool, bool),
     ) -> Result<Self, Error> {
         let is_old = head.version < Version::HTTP_11;
@@ -120,39 +120,38 @@
         }
     }
 
-    /// Receives the next response on the same connection; the body of this one must have ended. Used
-    /// when this response belongs to an earlier request, whose answer was abandoned or sent twice.
+    /// Receives the next response on the same connection; the body of this one must have ended. Used when this response belongs to an earlier request, whose answer was abandoned or sent twice.
     ///
     /// # Errors
     /// When no further response arrives, or its head takes more room than `share` may have.
     pub async fn next_response(self, share: &mut Share) -> Result<(ResponseHead, Body), Error> {
-        let mut reader = match self.framing {
+        let (io, codec, read) = match self.framing {
             Framing::Empty(framed) => {
                 let FramedParts { io, codec, read_buf, .. } = framed.into_parts();
-                Reader::resume(io, codec, read_buf, share)
-            }
-            Framing::Delimited(Payload { io, codec, buf }) => {
-                Reader::resume(io, codec.into_message_codec(), buf, share)
+                (io, codec, read_buf)
             }
+            Framing::Delimited(Payload { io, codec, buf }) => (io, codec.into_message_codec(), buf),
             Framing::UntilClose(..) => return Err(Error::Closed),
         };
-        let mut interim = Interim::default();
-        let head = loop {
-            let head = poll_fn(|cx| reader.poll_head(cx)).await?.ok_or(Error::Closed)?;
-            if !interim.is_next(&head)? {
-                break head;
-            }
-            reader = reader.skip_body();
-        };
-        let sent = (self.flushed, self.head_only);
-        let origin = Origin { carried: self.origin.carried.saturating_add(1), ..self.origin };
-        let body = Body::new(&head, reader.into_framed(), origin, sent)?;
+        let mut reader = Reader::resume((io, codec), read, share);
+        let (head, flushed) = head::receive(&mut reader, self.flushed).await?;
+        let sent = (flushed, self.head_only);
+        let body = Body::new(&head, reader.into_framed(), self.origin, sent)?;
         Ok((head, body))
     }
 
-    /// The connection, if both sides keep it open; the body must have ended. A connection on which bytes
-    /// arrived after the end isn't used again, since they belong to no request.
-    pub fn into_connection(self) -> Option<Connection> {
+    /// Proof that the response belongs to the request that was sent last; none if it may be a copy of an earlier one. The
+    /// response that is due may follow then ([`Body::next_response`]).
+    pub fn attribute(&mut self, naming: Naming, content: Content) -> Option<Attributed> {
+        let attributed = self.origin.sent.attribute(naming, content)?;
+        self.origin.attributed = true;
+        Some(attributed)
+    }
+
+    /// The connection, if both sides keep it open, the response was attributed, and copies of what the connection has carried
+    /// can be told from other responses; the body must have ended. A connection on which bytes arrived after the end isn't used again, since they belong to no
+    /// request.
+    pub fn into_connection(self, outcome: Outcome) -> Option<Connection> {
         let (keep_alive, rest, io) = match self.framing {
             Framing::Empty(framed) => {
                 let keep_alive = framed.codec_ref().keep_alive();
@@ -163,8 +162,9 @@
             Framing::UntilClose(..) => return None,
         };
         let reusable = keep_alive && self.flushed && rest.is_empty();
-        let Origin { stated_start, carried } = self.origin;
-        reusable.then_some(Connection { io, stated_start, carried: carried.saturating_add(1) })
+        let Origin { stated_start, sent, attributed, .. } = *self.origin;
+        let history = sent.settle(outcome).filter(|_| reusable && attributed)?;
+        Some(Connection { io, stated_start, history })
     }
 }
 
@@ -179,9 +179,7 @@
 }
 
 /// A connection whose codec doesn't wait for the body that the last head announced.
-pub(crate) fn without_payload(
-    framed: Framed<TcpStream, ClientCodec>,
-) -> Framed<TcpStream, ClientCodec> {
+fn without_payload(framed: Framed<TcpStream, ClientCodec>) -> Framed<TcpStream, ClientCodec> {
     if framed.codec_ref().message_type() == MessageType::None {
         return framed;
     }
--- a/components/http_client/src/head.rs
+++ b/components/http_client/src/head.rs
@@ -1,18 +1,20 @@
 //! Reads the heads of responses, within a share of the budget of buffers.
 
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
 use actix_codec::{Decoder, Framed, FramedParts};
 use actix_http::ResponseHead;
 use actix_http::error::ParseError;
-use actix_http::h1::ClientCodec;
+use actix_http::h1::{ClientCodec, MessageType};
 use buffers::Share;
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::{Error, Outgoing, body};
+use crate::interim::Interim;
+use crate::{Error, Outgoing};
 
 /// Most that is read at once.
 const READ_BYTES: usize = 3 << 10;
@@ -44,8 +46,7 @@
 
     /// As [`Reader::new`], for a connection of which `buf` was read already.
     pub(crate) fn resume(
-        io: TcpStream,
-        codec: ClientCodec,
+        (io, codec): (TcpStream, ClientCodec),
         buf: BytesMut,
         share: &'a mut Share,
     ) -> Self {
@@ -53,15 +54,12 @@
     }
 
     /// Writes what is left of the request.
-    pub(crate) fn poll_flush(&mut self, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+    fn poll_flush(&mut self, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         Pin::new(&mut self.framed).flush::<Outgoing>(cx)
     }
 
     /// The next head; none if the connection ends before it.
-    pub(crate) fn poll_head(
-        &mut self,
-        cx: &mut Context<'_>,
-    ) -> Poll<Result<Option<ResponseHead>, Error>> {
+    fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<ResponseHead>, Error>> {
         loop {
             if !self.buf.is_empty() {
                 check_strictly(&self.buf)?;
@@ -87,8 +85,11 @@
     }
 
     /// Makes the codec not wait for a body after the last head.
-    pub(crate) fn skip_body(self) -> Self {
-        Reader { framed: body::without_payload(self.framed), ..self }
+    fn skip_body(&mut self) {
+        if self.framed.codec_ref().message_type() == MessageType::None {
+            return;
+        }
+        *self.framed.codec_mut() = ClientCodec::default();
     }
 
     /// The connection, with what was read after the last head.
@@ -97,3 +98,35 @@
         Framed::from_parts(FramedParts::with_read_buf(io, codec, self.buf))
     }
 }
+
+/// Receives the head of a response, while what is left of the request is written; `flushed` is whether nothing is. Interim
+/// responses are skipped. Returns also whether the request has been sent whole.
+pub(crate) async fn receive(
+    reader: &mut Reader<'_>,
+    mut flushed: bool,
+) -> Result<(ResponseHead, bool), Error> {
+    let mut send_error = None;
+    let mut interim = Interim::default();
+    loop {
+        let head = poll_fn(|cx| {
+            if !flushed && send_error.is_none() {
+                match reader.poll_flush(cx) {
+                    Poll::Ready(Ok(())) => flushed = true,
+                    // The other side may have responded before it stopped reading.
+                    Poll::Ready(Err(cause)) => send_error = Some(cause),
+                    Poll::Pending => {}
+                }
+            }
+            reader.poll_head(cx)
+        });
+        let head = match head.await {
+            Ok(Some(head)) => head,
+            Err(cause) => return Err(send_error.map_or(cause, Error::Send)),
+            Ok(None) => return Err(send_error.map_or(Error::Closed, Error::Send)),
+        };
+        if !interim.is_next(&head)? {
+            return Ok((head, flushed));
+        }
+        reader.skip_body();
+    }
+}
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -11,7 +11,6 @@
 mod interim;
 mod pool;
 
-use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::time::Duration;
@@ -19,8 +18,9 @@
 use actix_codec::Framed;
 use actix_http::body::BodySize;
 use actix_http::error::{ParseError, PayloadError};
-use actix_http::h1::{ClientCodec, Message};
+use actix_http::h1::{self, ClientCodec};
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead};
+use attribution::{History, Message};
 use buffers::{Exceeded, Share};
 use bytes::Bytes;
 use tokio::net::TcpStream;
@@ -28,11 +28,10 @@
 use body::Origin;
 pub use body::{Body, Delimiter};
 use head::Reader;
-use interim::Interim;
 pub use pool::{Pool, PoolLimits};
 
 /// Messages that the codec encodes.
-type Outgoing = Message<(RequestHeadType, BodySize)>;
+type Outgoing = h1::Message<(RequestHeadType, BodySize)>;
 
 /// Time after which a connection is closed if the other side doesn't acknowledge sent bytes. Otherwise, a
 /// connection whose network path fails silently would hang until its caller gives up. A lost packet is
@@ -66,6 +65,9 @@
     /// Only the end of the connection marks the end of the body, and the request wasn't sent whole before.
     #[error("the connection ended before the request was sent whole")]
     Unsent,
+    /// Only responses to earlier messages come.
+    #[error("the responses belong to earlier messages")]
+    Unrelated,
     /// The other side closed the connection before the end of the response.
     #[error("the connection ended early")]
     Closed,
@@ -77,8 +79,7 @@
     io: TcpStream,
     /// When the process at its other side started, by what it stated on this connection.
     stated_start: Option<u64>,
-    /// Number of responses that it has carried.
-    carried: u32,
+    history: History,
 }
 
 impl Connection {
@@ -98,7 +99,7 @@
         stream.set_nodelay(true)?;
         let timeout_ms = ACK_TIMEOUT.as_millis() as u32;
         rustix::net::sockopt::set_tcp_user_timeout(&stream, timeout_ms)?;
-        Ok(Connection { io: stream, stated_start: None, carried: 0 })
+        Ok(Connection { io: stream, stated_start: None, history: History::default() })
     }
 
     /// What [`Connection::record_start`] was last called with.
@@ -124,7 +125,7 @@
         self.stated_start = Some(start);
     }
 
-    /// Number of responses that it has carried.
+    /// What it has carried.
     ///
     /// ```
     /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
@@ -132,11 +133,11 @@
     /// let address = listener.local_addr().unwrap().to_string();
     /// let timeout = std::time::Duration::from_secs(1);
     /// let connection = http_client::Connection::connect(&address, timeout).await.unwrap();
-    /// assert_eq!(connection.carried(), 0);
+    /// assert_eq!(connection.history().carried(), 0);
     /// # });
     /// ```
-    pub fn carried(&self) -> u32 {
-        self.carried
+    pub fn history(&self) -> &History {
+        &self.history
     }
 
     /// Its local port, which identifies it in logs; none if it isn't known.
@@ -170,7 +171,8 @@
         read.is_err_and(|cause| cause.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and receives the head of its response. If the response arrives before the whole
+    /// Sends a request, which is `message`, and receives the head of a response. Whether that belongs to the request is shown
+    /// by [`Body::attribute`]. If the response arrives before the whole
     /// request was sent, the rest isn't sent. Such a connection isn't used again, since the other side
     /// still expects the rest. The head is buffered within `share`, which must be kept as long as the head.
     ///
@@ -178,46 +180,25 @@
     /// When no valid head arrives, or it takes more room than its share may have. The request may have been received and run nevertheless.
     pub async fn exchange(
         self,
+        message: Message,
         head: RequestHead,
         body: Bytes,
         share: &mut Share,
     ) -> Result<(ResponseHead, Body), Error> {
         let head_only = head.method == Method::HEAD;
-        let origin = Origin { stated_start: self.stated_start, carried: self.carried };
+        let (stated_start, sent) = (self.stated_start, self.history.send(message));
+        let origin = Box::new(Origin { stated_start, sent, attributed: false });
         let mut framed = Framed::new(self.io, ClientCodec::default());
         let no_body = body.is_empty() && [Method::GET, Method::HEAD].contains(&head.method);
         let length = if no_body { BodySize::None } else { BodySize::Sized(body.len() as u64) };
-        let item: Outgoing = Message::Item((RequestHeadType::from(head), length));
+        let item: Outgoing = h1::Message::Item((RequestHeadType::from(head), length));
         Pin::new(&mut framed).write(item)?;
         if !body.is_empty() {
-            let chunk: Outgoing = Message::Chunk(Some(body));
+            let chunk: Outgoing = h1::Message::Chunk(Some(body));
             Pin::new(&mut framed).write(chunk)?;
         }
-        let (mut flushed, mut send_error) = (false, None);
         let mut reader = Reader::new(framed, share);
-        let mut interim = Interim::default();
-        let head = loop {
-            let head = poll_fn(|cx| {
-                if !flushed && send_error.is_none() {
-                    match reader.poll_flush(cx) {
-                        std::task::Poll::Ready(Ok(())) => flushed = true,
-                        // The other side may have responded before it stopped reading.
-                        std::task::Poll::Ready(Err(cause)) => send_error = Some(cause),
-                        std::task::Poll::Pending => {}
-                    }
-                }
-                reader.poll_head(cx)
-            });
-            let head = match head.await {
-                Ok(Some(head)) => head,
-                Err(cause) => return Err(send_error.map_or(cause, Error::Send)),
-                Ok(None) => return Err(send_error.map_or(Error::Closed, Error::Send)),
-            };
-            if !interim.is_next(&head)? {
-                break head;
-            }
-            reader = reader.skip_body();
-        };
+        let (head, flushed) = head::receive(&mut reader, false).await?;
         let framed = reader.into_framed();
         let body = Body::new(&head, framed, origin, (flushed, head_only))?;
         Ok((head, body))
--- a/components/http_client/src/pool.rs
+++ b/components/http_client/src/pool.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use attribution::{History, Message, Outcome};
 use tokio::time::Instant;
 
 use crate::{Body, Connection};
@@ -49,33 +50,36 @@
     ///
     /// ```
     /// let pool = http_client::Pool::new(http_client::PoolLimits::default());
-    /// assert!(pool.take("10.0.0.1:80").is_none());
+    /// assert!(pool.take("10.0.0.1:80", &[]).is_none());
     /// ```
     pub fn new(limits: PoolLimits) -> Self {
         Pool { limits, ..Pool::default() }
     }
 
-    /// Takes the most recently used connection to `address` out of the pool; none if all of them expired, were
-    /// closed or received something since.
-    pub fn take(&self, address: &str) -> Option<Connection> {
+    /// Takes the most recently used connection to `address` out of the pool whose history admits each of `messages`; none if all of
+    /// them expired, were closed or received something since.
+    pub fn take(&self, address: &str, messages: &[Message]) -> Option<Connection> {
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(address)?;
         let now = Instant::now();
         idle.retain(|(connection, expires)| now < *expires && connection.is_idle());
-        idle.pop().map(|(connection, _)| connection)
+        let admits = |history: &History| messages.iter().all(|message| history.admits(*message));
+        let admitted = idle.iter().rposition(|(connection, _)| admits(&connection.history))?;
+        Some(idle.remove(admitted).0)
     }
 
-    /// Keeps the connection of a body that has ended, for `idle_timeout` if its server stated one. Returns when it
-    /// expires; none if it can't be kept.
+    /// Keeps the connection of a body that has ended, for `idle_timeout` if its server stated one. `outcome` is what the
+    /// connection has carried with it. Returns when it expires; none if it can't be kept.
     pub fn put(
         &self,
         address: &str,
         body: Body,
+        outcome: Outcome,
         idle_timeout: Option<Duration>,
     ) -> Option<Instant> {
         self.close_expired(Instant::now());
         let idle_timeout = idle_timeout.unwrap_or(self.limits.idle_timeout);
-        self.keep(address, body.into_connection()?, idle_timeout)
+        self.keep(address, body.into_connection(outcome)?, idle_timeout)
     }
 
     /// Keeps a connection on which nothing was sent.
--- a/components/http_client/tests/pool.rs
+++ b/components/http_client/tests/pool.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix_http::{ConnectionType, RequestHead};
+use attribution::{Content, Message, Naming, Outcome};
 use buffers::Budget;
 use bytes::Bytes;
 use http_client::{Connection, Pool, PoolLimits};
@@ -11,6 +12,8 @@
 
 const IDLE: Duration = Duration::from_millis(800);
 
+const MESSAGE: Message = Message::Question;
+
 /// Sends a request to a new server that keeps its connection open; returns the server's end of it.
 async fn exchange_with_new_server(pool: &Pool) -> TcpStream {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -21,9 +24,10 @@
     let mut head = RequestHead::default();
     head.set_connection_type(ConnectionType::KeepAlive);
     let mut share = Budget::new(0).share();
-    let (_, mut body) = connection.exchange(head, Bytes::new(), &mut share).await.unwrap();
+    let (_, mut body) = connection.exchange(MESSAGE, head, Bytes::new(), &mut share).await.unwrap();
     assert!(body.next().await.unwrap().is_none());
-    pool.put(&address, body, None);
+    assert!(body.attribute(Naming::Missing, Content::Report).is_some());
+    pool.put(&address, body, Outcome::Reported, None);
     server
 }
 
