An upload goes on while responses to earlier requests are skipped

Callers: a long upload ended at its time limit with 504, and hadn't run, where a copy of an earlier response came while it was being written. Cause: reading the head of any response ended the writing of the request, also where the head was skipped. Change: what isn't written yet is kept until a response is attributed, and written while the next one is waited for.

--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -37,6 +37,8 @@
 pub(crate) struct Origin {
     pub(crate) stated_start: Option<u64>,
     pub(crate) sent: Sent,
+    /// What is left of the request.
+    pub(crate) unsent: BytesMut,
     /// The response belongs to the message that was sent last.
     pub(crate) attributed: bool,
 }
@@ -69,9 +71,12 @@
     pub(crate) fn new(
         head: &ResponseHead,
         framed: Framed<TcpStream, ClientCodec>,
-        origin: Box<Origin>,
+        mut origin: Box<Origin>,
         (flushed, head_only): (bool, bool),
     ) -> Result<Self, Error> {
+        let mut parts = framed.into_parts();
+        origin.unsent = std::mem::take(&mut parts.write_buf);
+        let framed = Framed::from_parts(parts);
         let is_old = head.version < Version::HTTP_11;
         if is_old && head.headers.contains_key(header::TRANSFER_ENCODING) {
             return Err(Error::ChunksUnknown);
@@ -120,7 +125,8 @@
         }
     }
 
-    /// Receives the next response on the same connection; the body of this one must have ended. Used when this response belongs to an earlier request, whose answer was abandoned or sent twice.
+    /// Receives the next response on the same connection, and goes on to send the request; the body of this one must have
+    /// ended. Used when this response belongs to an earlier request, whose answer was abandoned or sent twice.
     ///
     /// # Errors
     /// When no further response arrives, or its head takes more room than `share` may have.
@@ -133,10 +139,12 @@
             Framing::Delimited(Payload { io, codec, buf }) => (io, codec.into_message_codec(), buf),
             Framing::UntilClose(..) => return Err(Error::Closed),
         };
+        let mut origin = self.origin;
+        let read = (read, std::mem::take(&mut origin.unsent));
         let mut reader = Reader::resume((io, codec), read, share);
         let (head, flushed) = head::receive(&mut reader, self.flushed).await?;
         let sent = (flushed, self.head_only);
-        let body = Body::new(&head, reader.into_framed(), self.origin, sent)?;
+        let body = Body::new(&head, reader.into_framed(), origin, sent)?;
         Ok((head, body))
     }
 
@@ -144,6 +152,8 @@
     /// response that is due may follow then ([`Body::next_response`]).
     pub fn attribute(&mut self, naming: Naming, content: Content) -> Option<Attributed> {
         let attributed = self.origin.sent.attribute(naming, content)?;
+        // The request has its response, so the rest of it isn't sent.
+        self.origin.unsent = BytesMut::new();
         self.origin.attributed = true;
         Some(attributed)
     }
--- a/components/http_client/src/head.rs
+++ b/components/http_client/src/head.rs
@@ -44,13 +44,15 @@
         Reader { framed, buf: BytesMut::new(), share }
     }
 
-    /// As [`Reader::new`], for a connection of which `buf` was read already.
+    /// As [`Reader::new`], for a connection of which `buf` was read already, and on which `unsent` is still to be written.
     pub(crate) fn resume(
         (io, codec): (TcpStream, ClientCodec),
-        buf: BytesMut,
+        (buf, unsent): (BytesMut, BytesMut),
         share: &'a mut Share,
     ) -> Self {
-        Reader { framed: Framed::new(io, codec), buf, share }
+        let mut parts = FramedParts::new(io, codec);
+        parts.write_buf = unsent;
+        Reader { framed: Framed::from_parts(parts), buf, share }
     }
 
     /// Writes what is left of the request.
@@ -94,8 +96,10 @@
 
     /// The connection, with what was read after the last head.
     pub(crate) fn into_framed(self) -> Framed<TcpStream, ClientCodec> {
-        let FramedParts { io, codec, .. } = self.framed.into_parts();
-        Framed::from_parts(FramedParts::with_read_buf(io, codec, self.buf))
+        let FramedParts { io, codec, write_buf, .. } = self.framed.into_parts();
+        let mut parts = FramedParts::with_read_buf(io, codec, self.buf);
+        parts.write_buf = write_buf;
+        Framed::from_parts(parts)
     }
 }
 
--- a/components/http_client/src/lib.rs
+++ b/components/http_client/src/lib.rs
@@ -22,7 +22,7 @@
 use actix_http::{ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead};
 use attribution::{History, Message};
 use buffers::{Exceeded, Share};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use tokio::net::TcpStream;
 
 use body::Origin;
@@ -173,7 +173,7 @@
 
     /// Sends a request, which is `message`, and receives the head of a response. Whether that belongs to the request is shown
     /// by [`Body::attribute`]. If the response arrives before the whole
-    /// request was sent, the rest isn't sent. Such a connection isn't used again, since the other side
+    /// request was sent, the rest isn't sent, unless [`Body::next_response`] is called. Such a connection isn't used again, since the other side
     /// still expects the rest. The head is buffered within `share`, which must be kept as long as the head.
     ///
     /// # Errors
@@ -187,7 +187,8 @@
     ) -> Result<(ResponseHead, Body), Error> {
         let head_only = head.method == Method::HEAD;
         let (stated_start, sent) = (self.stated_start, self.history.send(message));
-        let origin = Box::new(Origin { stated_start, sent, attributed: false });
+        let origin =
+            Box::new(Origin { stated_start, sent, unsent: BytesMut::new(), attributed: false });
         let mut framed = Framed::new(self.io, ClientCodec::default());
         let no_body = body.is_empty() && [Method::GET, Method::HEAD].contains(&head.method);
         let length = if no_body { BodySize::None } else { BodySize::Sized(body.len() as u64) };
