Servers of the soak repeat refusals and answers, late

With their ids or without, up to three times, in one piece with the next response or before it; only while faults go on.

--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -16,8 +16,8 @@
 use crate::fixture::store::Mode;
 use crate::fixture::{
     API_KEY, ATTEMPT_ID, BRITTLE_ROUTE, CONFIGURATION, KINDS, Kind, MISDIRECTED, RESPONSE_HEAD,
-    ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, post, routes_to, server_entry,
-    stream_event, success_response, with_service,
+    ROUTES, Reply, UNFRAMED_HEAD, VERSIONS_ROUTE, configuration, post, refusal, routes_to,
+    server_entry, stream_event, success_response, with_service,
 };
 use crate::nodes::{ALLOWED, Node, SEEDS};
 use crate::servers::{SERVICES, Servers};
@@ -127,8 +127,8 @@
 fn script(rng: &mut SmallRng, kind: Kind, ill: bool) -> Vec<Step> {
     let whole = success_response(kind);
     let cut = whole.len() * 2 / 3;
-    // Once all faults are over, no server answers without end or before it has read a request any more.
-    match rng.random_range(0..if ill { 34 } else { 30 }) {
+    // Once all faults are over, no server answers without end or before it has read a request any more, or repeats itself.
+    match rng.random_range(0..if ill { 38 } else { 30 }) {
         0 => vec![Step::Reset],
         1 => vec![Step::Run, Step::Reset],
         2 => vec![Step::Run, Step::Close],
@@ -146,6 +146,8 @@
         ],
         10 => vec![Step::Write(MISDIRECTED.to_string())],
         33 => early(kind),
+        34..=36 => repeated_refusal(rng),
+        37 => vec![Step::Run, Step::Write(whole.clone()), repeated(rng, &whole)],
         30 => endless("HTTP/1.1 200 OK\r\nx: ", "x", rng.random()),
         31 => endless(
             &format!("{RESPONSE_HEAD}transfer-encoding: chunked\r\n\r\n1;"),
@@ -166,6 +168,21 @@
     vec![Step::Run, Step::Write(head.to_string()), Step::Repeat(text, pause)]
 }
 
+/// Sends a response once more, late: with its id or without, once or several times, in the same piece as the next one or
+/// before it.
+fn repeated(rng: &mut SmallRng, response: &str) -> Step {
+    let id = format!("{ATTEMPT_ID}: {{id}}\r\n");
+    let copy = if rng.random() { response.to_string() } else { response.replace(&id, "") };
+    Step::Late { text: copy.repeat(rng.random_range(1..4)), joined: rng.random() }
+}
+
+/// Turns a request away, and says so once more, late.
+fn repeated_refusal(rng: &mut SmallRng) -> Vec<Step> {
+    let status = ["503 Full", "429 Too Many", "421 Misdirected"][rng.random_range(0..3)];
+    let refusal = refusal(status, "");
+    vec![Step::Write(refusal.clone()), repeated(rng, &refusal)]
+}
+
 /// Answers a part without a length before it has read the request, and resets the connection.
 fn early(kind: Kind) -> Vec<Step> {
     let part = if kind.streams() {
