--- a/components/attribution/src/lib.rs
+++ b/components/attribution/src/lib.rs
@@ -4,8 +4,8 @@
 //! next one is due. An id in it names a request, but a request may be sent more than once, and each sending has the same id.
 //! If such a copy were taken for the response to a later sending, a refusal would say "not run" of a request that runs.
 //!
-//! So a connection remembers what a copy could be of ([`History`]). It isn't used for a request whose response couldn't be told
-//! from one that it has carried already, and only a response that no copy can equal is [`Attributed`].
+//! So a connection remembers what a copy could be of ([`History`]). It isn't used for a request whose response couldn't be
+//! distinguished from one that it has carried already, and only a response that no copy can equal is [`Attributed`].
 //!
 //! The crate does no I/O and reads no clock.
 
@@ -103,7 +103,7 @@
         self.carried
     }
 
-    /// Whether the response to `message` can be told from a copy of each response that the connection has carried.
+    /// Whether the response to `message` can be distinguished from a copy of each response that the connection has carried.
     pub fn admits(&self, message: Message) -> bool {
         match message {
             Message::Request(tag) => !self.unsettled.contains(&tag),
@@ -143,8 +143,8 @@
         (is_own && self.admitted).then_some(Attributed(()))
     }
 
-    /// Ends the exchange; none if the connection can't be used again, because copies of what it has carried couldn't be told
-    /// from other responses.
+    /// Ends the exchange; none if the connection can't be used again, because copies of what it has carried couldn't be
+    /// distinguished from other responses.
     pub fn settle(self, outcome: Outcome) -> Option<History> {
         let Sent { mut history, message, .. } = self;
         history.carried = history.carried.saturating_add(1);
--- a/components/forward/src/identity.rs
+++ b/components/forward/src/identity.rs
@@ -20,8 +20,8 @@
 const MAX_QUESTIONS: usize = 2;
 
 /// Finds out which process is behind a connection to a server, on which `message` is to be sent. It is asked once for each
-/// connection. If the connection is lost with the question, or the response couldn't be told from earlier ones, another
-/// connection is returned.
+/// connection. If the connection is lost with the question, or the response couldn't be distinguished from earlier
+/// ones, another connection is returned.
 ///
 /// # Errors
 /// When no other connection can be made.
--- a/components/http_client/src/body.rs
+++ b/components/http_client/src/body.rs
@@ -159,7 +159,7 @@
     }
 
     /// The connection, if both sides keep it open, the response was attributed, and copies of what the connection has carried
-    /// can be told from other responses; the body must have ended. A connection on which bytes arrived after the end isn't used again, since they belong to no
+    /// can be distinguished from other responses; the body must have ended. A connection on which bytes arrived after the end isn't used again, since they belong to no
     /// request.
     pub fn into_connection(self, outcome: Outcome) -> Option<Connection> {
         let (keep_alive, rest, io) = match self.framing {
